--- /dev/null
+++ b/crates/oliveworks-gateway-core/src/balance.rs
@@ -0,0 +1,189 @@
+//! Where a request goes: to the backend server or replica group that is least busy.
+//!
+//! Each gateway counts what it has sent itself at once, and hears from the others every fraction
+//! of a second what they have sent. Rejected: asking backend servers for their load, which is
+//! priced and lags more than the gateways' own counts.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::Millis;
+
+/// A backend server, or a replica group by its head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Target(pub u64);
+
+impl Target {
+    /// The target of a backend server's id.
+    pub fn of(id: &str) -> Target {
+        Target(xxh3_64(id.as_bytes()))
+    }
+}
+
+/// A target that a request may go to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate {
+    /// The target.
+    pub target: Target,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it is in this gateway's zone.
+    pub near: bool,
+}
+
+/// The most that other gateways' counts are believed for.
+const PEER_COUNT_MS: u64 = 1_500;
+/// What being in another zone weighs, in requests.
+const FAR_WEIGHT: f64 = 0.4;
+/// What a recent failure weighs, in requests; fades with time.
+const FAILURE_WEIGHT: f64 = 6.0;
+/// The time in which the weight of failures halves.
+const FAILURE_HALF_MS: f64 = 1_500.0;
+/// How long a target that stands still gets nothing.
+const SUSPEND_MS: u64 = 1_000;
+/// The largest suspension of a target that fails again and again.
+const SUSPEND_MAX_MS: u64 = 4_000;
+
+#[derive(Clone, Debug, Default)]
+struct Own {
+    open: u32,
+    last_progress: Millis,
+    suspended_until: Millis,
+    suspensions: u32,
+    failures: f64,
+    failures_at: Millis,
+}
+
+impl Own {
+    fn failures(&self, now: Millis) -> f64 {
+        let age = now.saturating_sub(self.failures_at) as f64;
+        self.failures * 0.5f64.powf(age / FAILURE_HALF_MS)
+    }
+}
+
+/// What is known of how busy targets are.
+#[derive(Clone, Debug, Default)]
+pub struct Balance {
+    own: HashMap<Target, Own>,
+    peers: HashMap<u64, (Millis, HashMap<Target, u16>)>,
+}
+
+/// Why no target was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoTarget {
+    /// There is none.
+    None,
+    /// All are full.
+    Full,
+}
+
+impl Balance {
+    /// What another gateway has open, by target.
+    pub fn peer(&mut self, now: Millis, peer: u64, open: HashMap<Target, u16>) {
+        self.peers.insert(peer, (now, open));
+    }
+
+    /// What this gateway has open, by target.
+    pub fn own_open(&self) -> impl Iterator<Item = (Target, u16)> {
+        let busy = self.own.iter().filter(|(_, own)| own.open > 0);
+        busy.map(|(target, own)| (*target, own.open.min(u32::from(u16::MAX)) as u16))
+    }
+
+    /// What all gateways have open at a target.
+    pub fn open(&self, now: Millis, target: Target) -> u32 {
+        let own = self.own.get(&target).map_or(0, |own| own.open);
+        let heard = self.peers.values().filter(|(at, _)| now < at + PEER_COUNT_MS);
+        let peers: u32 = heard.map(|(_, open)| u32::from(*open.get(&target).unwrap_or(&0))).sum();
+        own + peers
+    }
+
+    /// Chooses among targets; `full_at` is the load, in slots, at which a target takes no more.
+    ///
+    /// # Errors
+    /// If there is none, or all are full.
+    pub fn choose(
+        &self,
+        now: Millis,
+        candidates: &[Candidate],
+        tried: &[Target],
+        full_at: f64,
+        draw: u64,
+    ) -> Result<Target, NoTarget> {
+        let mut best: Option<(f64, Target)> = None;
+        let mut any = false;
+        for turn in 0..candidates.len() {
+            // Starting anywhere spreads gateways that know the same over equal targets.
+            let index = (turn + (draw % candidates.len() as u64) as usize) % candidates.len();
+            let candidate = &candidates[index];
+            if tried.contains(&candidate.target) || self.suspended(now, candidate.target) {
+                continue;
+            }
+            any = true;
+            let open = self.open(now, candidate.target);
+            let slots = f64::from(candidate.slots.max(1));
+            if f64::from(open) >= slots * full_at {
+                continue;
+            }
+            let far = if candidate.near { 0.0 } else { FAR_WEIGHT };
+            let failures = self.own.get(&candidate.target).map_or(0.0, |own| own.failures(now));
+            let cost = (f64::from(open) + far + failures * FAILURE_WEIGHT) / slots;
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, candidate.target));
+            }
+        }
+        let none = if any { NoTarget::Full } else { NoTarget::None };
+        best.map(|(_, target)| target).ok_or(none)
+    }
+
+    /// A request goes to a target.
+    pub fn started(&mut self, now: Millis, target: Target) {
+        let own = self.own.entry(target).or_default();
+        if own.open == 0 {
+            own.last_progress = now;
+        }
+        own.open += 1;
+    }
+
+    /// Something came from a target.
+    pub fn progress(&mut self, now: Millis, target: Target) {
+        if let Some(own) = self.own.get_mut(&target) {
+            own.last_progress = now;
+            own.suspensions = 0;
+        }
+    }
+
+    /// When something last came from a target, or its first request of now went there.
+    pub fn last_progress(&self, target: Target) -> Option<Millis> {
+        self.own.get(&target).filter(|own| own.open > 0).map(|own| own.last_progress)
+    }
+
+    /// A request at a target has ended; `failed` if the target is to blame.
+    pub fn ended(&mut self, now: Millis, target: Target, failed: bool) {
+        let Some(own) = self.own.get_mut(&target) else { return };
+        own.open = own.open.saturating_sub(1);
+        if failed {
+            own.failures = own.failures(now) + 1.0;
+            own.failures_at = now;
+        }
+    }
+
+    /// A target stands still: it gets nothing for a while.
+    pub fn suspend(&mut self, now: Millis, target: Target) {
+        let own = self.own.entry(target).or_default();
+        let time = (SUSPEND_MS << own.suspensions.min(8)).min(SUSPEND_MAX_MS);
+        own.suspensions += 1;
+        own.suspended_until = own.suspended_until.max(now + time);
+    }
+
+    /// Whether a target gets nothing now.
+    pub fn suspended(&self, now: Millis, target: Target) -> bool {
+        self.own.get(&target).is_some_and(|own| now < own.suspended_until)
+    }
+
+    /// Forgets targets that are gone and hold nothing open.
+    pub fn retain(&mut self, keep: impl Fn(Target) -> bool) {
+        self.own.retain(|target, own| own.open > 0 || keep(*target));
+    }
+}
--- /dev/null
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -0,0 +1,31 @@
+//! The decisions of a gateway, apart from everything that does them.
+//!
+//! A gateway is an entry that calls backend servers directly. Gateways form the replica groups
+//! themselves: one of them, the leader, gives the orders, and every order carries a fence that
+//! backend servers check. Events and the time go in, commands come out; nothing here reads a
+//! clock, opens a socket or draws a random number.
+//!
+//! | module | decides |
+//! |---|---|
+//! | [`configuration`] | which service a request belongs to, and whose key it carries |
+//! | [`freshness`] | whether the configuration is young enough to honour keys |
+//! | [`workers`] | what the platform's records say of backend servers |
+//! | [`planner`] | which hosts form each replica group, and every order |
+//! | [`election`] | which gateway gives orders |
+//! | [`balance`] | where a request goes |
+//! | [`budget`] | whether a request may be sent once more |
+//! | [`attempts`] | what follows a failed attempt, and what the caller is told |
+//! | [`events`] | which bytes of a stream may be passed on |
+
+pub mod attempts;
+pub mod balance;
+pub mod budget;
+pub mod configuration;
+pub mod election;
+pub mod events;
+pub mod freshness;
+pub mod planner;
+pub mod workers;
+
+/// A point on the process's steady clock, in milliseconds.
+pub type Millis = u64;
--- /dev/null
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -0,0 +1,533 @@
+//! Which hosts form each replica group of a service, and every order that this takes.
+//!
+//! A group is formed in steps: every member joins under a new epoch; once each is seen ready under
+//! that name and epoch, the head is told to open. A group that lost a member is taken apart at the
+//! head first, so that no host joins a group while the head of its old one may serve. If the head
+//! itself is silent, its members leave, and a head that lives on stands still and breaks by itself
+//! after a known time; until then they join nothing.
+//!
+//! Spares hold a model without serving, so that a repair takes a moment and not a load. Loads are
+//! spread in time, below the weight store's rate.
+
+mod allot;
+mod group;
+mod host;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use crate::Millis;
+use crate::configuration::{Engine, Model};
+use crate::workers::{Holding, MemberState, Worker, WorkerId};
+use group::{Group, Phase};
+use host::Host;
+
+/// An order to a backend server.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Order {
+    /// Become a member of a group.
+    Join {
+        /// The group's name.
+        group: String,
+        /// The group's epoch.
+        epoch: u64,
+        /// The model.
+        model: String,
+        /// All members, the head first.
+        members: Vec<WorkerId>,
+    },
+    /// To a head: serve.
+    Open {
+        /// The group's name.
+        group: String,
+        /// The group's epoch.
+        epoch: u64,
+    },
+    /// To a head: finish what was taken and serve no more.
+    Close {
+        /// The group's name.
+        group: String,
+        /// The group's epoch.
+        epoch: u64,
+    },
+    /// Be no member any more.
+    Leave {
+        /// The group's name.
+        group: String,
+        /// The group's epoch.
+        epoch: u64,
+    },
+}
+
+/// What the planner wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Give an order; its outcome comes back through [`Planner::ordered`].
+    Order {
+        /// To whom.
+        worker: WorkerId,
+        /// Where it listens.
+        address: SocketAddr,
+        /// The order.
+        order: Order,
+    },
+    /// Ask for its state; the answer comes back through [`Planner::reported`] or
+    /// [`Planner::silent`].
+    Probe {
+        /// Whom.
+        worker: WorkerId,
+        /// Where it listens.
+        address: SocketAddr,
+    },
+}
+
+/// How an order was answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It has begun, holds already, or is done.
+    Taken,
+    /// It does not fit the backend server's state.
+    Unfit,
+    /// A higher fence or epoch was seen.
+    Fenced,
+    /// Another backend server is at that address, or none.
+    Gone,
+    /// No answer: it may have been taken, or may be later.
+    Unanswered,
+}
+
+/// A group as gateways need to know it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Serving {
+    /// The group's epoch.
+    pub epoch: u64,
+    /// Its model.
+    pub model: String,
+    /// Its members, the head first.
+    pub members: Vec<WorkerId>,
+}
+
+/// Bounds of a planner.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlannerConfig {
+    /// The time after which a head that lost a member breaks.
+    pub stall_ms: u64,
+    /// The part of a domain that is kept as spares, in hundredths, at the most.
+    pub spare_percent: usize,
+    /// How long a group that is to end still takes requests that are on their way.
+    pub notice_ms: u64,
+    /// The longest that a group may take to finish its work.
+    pub finish_ms: u64,
+}
+
+impl Default for PlannerConfig {
+    fn default() -> PlannerConfig {
+        PlannerConfig { stall_ms: 6_000, spare_percent: 20, notice_ms: 60, finish_ms: 9_000 }
+    }
+}
+
+/// Epochs that one fence has room for.
+const EPOCHS_OF_FENCE: u64 = 1_000_000;
+/// Loads that may begin at once.
+const LOAD_BURST: f64 = 2.0;
+/// A little time beyond a bound, for clocks and messages.
+const MARGIN_MS: u64 = 500;
+
+/// The decisions on one service's groups, by the gateway that leads.
+#[derive(Clone, Debug)]
+pub struct Planner {
+    config: PlannerConfig,
+    engine: Engine,
+    fence: u64,
+    epochs: u64,
+    hosts: BTreeMap<WorkerId, Host>,
+    groups: BTreeMap<u64, Group>,
+    load_tokens: f64,
+    load_tokens_at: Millis,
+}
+
+impl Planner {
+    /// A planner that leads under `fence` and knows of no host yet.
+    pub fn new(config: PlannerConfig, engine: Engine, fence: u64, now: Millis) -> Planner {
+        Planner {
+            config,
+            engine,
+            fence,
+            epochs: 0,
+            hosts: BTreeMap::new(),
+            groups: BTreeMap::new(),
+            load_tokens: 0.0,
+            load_tokens_at: now,
+        }
+    }
+
+    /// The fence under which its orders go out.
+    pub fn fence(&self) -> u64 {
+        self.fence
+    }
+
+    /// Takes over the engine's figures of a newer configuration.
+    pub fn set_engine(&mut self, engine: Engine) {
+        self.engine = engine;
+    }
+
+    /// Takes over groups that an earlier leader formed, once every host was asked or heard of.
+    pub fn adopt(&mut self, now: Millis) {
+        let mut found: BTreeMap<u64, BTreeMap<usize, (WorkerId, MemberState, String)>> =
+            BTreeMap::new();
+        for host in self.hosts.values() {
+            let Some(member) = &host.holding.group else { continue };
+            let row = (host.worker.id.clone(), member.state, member.name.clone());
+            found.entry(member.epoch).or_default().insert(member.rank, row);
+        }
+        for (epoch, ranks) in found {
+            self.adopt_group(now, epoch, &ranks);
+        }
+    }
+
+    fn adopt_group(
+        &mut self,
+        now: Millis,
+        epoch: u64,
+        ranks: &BTreeMap<usize, (WorkerId, MemberState, String)>,
+    ) {
+        let Some((head, state, name)) = ranks.get(&0) else { return };
+        let models = self.hosts.get(head).map(|host| host.holding.models.clone());
+        let Some(model) = models.and_then(|models| models.first().cloned()) else { return };
+        let Some(size) = self.engine.model(&model).map(|model| model.size) else { return };
+        let whole = (0..size).all(|rank| ranks.contains_key(&rank)) && ranks.len() == size;
+        if !whole {
+            return;
+        }
+        let members: Vec<WorkerId> = ranks.values().map(|(id, _, _)| id.clone()).collect();
+        let phase = match state {
+            MemberState::Open => Phase::Open { from: now },
+            MemberState::Closing | MemberState::Broken => Phase::Breaking,
+            MemberState::Joining | MemberState::Ready => Phase::Joining,
+        };
+        for member in &members {
+            if let Some(host) = self.hosts.get_mut(member) {
+                host.group = Some(epoch);
+                host.joined = Some(epoch);
+            }
+        }
+        let group = Group { epoch, name: name.clone(), model, members, phase, since: now };
+        self.groups.insert(epoch, group);
+    }
+
+    /// A host is listed, or its record changed.
+    pub fn listed(&mut self, now: Millis, worker: &Worker) {
+        match self.hosts.get_mut(&worker.id) {
+            Some(host) => {
+                host.listed(worker);
+                host.heard(now, &worker.holding);
+            }
+            None => {
+                self.hosts.insert(worker.id.clone(), Host::new(now, worker));
+            }
+        }
+    }
+
+    /// A host is no longer listed: it leaves, or is dead.
+    pub fn unlisted(&mut self, id: &str) {
+        if let Some(host) = self.hosts.get_mut(id) {
+            host.unlisted = true;
+        }
+    }
+
+    /// A host has told its state.
+    pub fn reported(&mut self, now: Millis, id: &str, holding: &Holding) {
+        if let Some(host) = self.hosts.get_mut(id) {
+            host.heard(now, holding);
+        }
+    }
+
+    /// A host did not answer. `refused` if its address answers that nothing listens there.
+    pub fn silent(&mut self, now: Millis, id: &str, refused: bool) {
+        if let Some(host) = self.hosts.get_mut(id) {
+            host.silent(now, refused);
+        }
+    }
+
+    /// Gateways see no progress in a group.
+    pub fn suspected(&mut self, epoch: u64) {
+        let Some(group) = self.groups.get(&epoch) else { return };
+        for member in &group.members {
+            if let Some(host) = self.hosts.get_mut(member) {
+                host.wants_probe = true;
+            }
+        }
+    }
+
+    /// An order was answered.
+    pub fn ordered(&mut self, now: Millis, id: &str, order: &Order, outcome: Outcome) {
+        let Some(host) = self.hosts.get_mut(id) else { return };
+        host.answered(now, order, outcome);
+    }
+
+    /// Groups that serve.
+    pub fn serving(&self, now: Millis) -> Vec<Serving> {
+        let open = self.groups.values().filter(|group| group.serves(now));
+        let whole = open.filter(|group| !self.is_hurt(group));
+        whole
+            .map(|group| Serving {
+                epoch: group.epoch,
+                model: group.model.clone(),
+                members: group.members.clone(),
+            })
+            .collect()
+    }
+
+    /// Whether a member is lost or leaving.
+    fn is_hurt(&self, group: &Group) -> bool {
+        group.members.iter().any(|id| self.hosts.get(id).is_none_or(|host| !host.stays()))
+    }
+
+    /// Decides what to do now.
+    pub fn tick(&mut self, now: Millis) -> Vec<Command> {
+        self.refill_loads(now);
+        let mut commands = Vec::new();
+        let epochs: Vec<u64> = self.groups.keys().copied().collect();
+        for epoch in epochs {
+            self.advance(now, epoch, &mut commands);
+        }
+        self.free_strays(now, &mut commands);
+        self.forget_hosts();
+        for group in allot::allot(now, self) {
+            self.found(now, group);
+        }
+        self.probe(now, &mut commands);
+        commands
+    }
+
+    fn refill_loads(&mut self, now: Millis) {
+        let passed = now.saturating_sub(self.load_tokens_at) as f64 / 1_000.0;
+        self.load_tokens_at = now;
+        let burst = LOAD_BURST.max(1.0);
+        self.load_tokens = (self.load_tokens + passed * self.engine.loads_per_s).min(burst);
+    }
+
+    fn found(&mut self, now: Millis, plan: allot::NewGroup) {
+        self.epochs += 1;
+        let epoch = self.fence * EPOCHS_OF_FENCE + self.epochs;
+        for member in &plan.members {
+            let Some(host) = self.hosts.get_mut(member) else { continue };
+            let spare_group = host.group.replace(epoch);
+            host.joined = None;
+            if let Some(old) = spare_group {
+                self.groups.remove(&old);
+            }
+        }
+        let name = format!("g{epoch}");
+        let phase = Phase::Joining;
+        let (model, members) = (plan.model, plan.members);
+        let group = Group { epoch, name, model, members, phase, since: now };
+        self.groups.insert(epoch, group);
+    }
+
+    fn dissolve(&mut self, epoch: u64, lock_until: Millis) {
+        let Some(group) = self.groups.remove(&epoch) else { return };
+        for member in &group.members {
+            if let Some(host) = self.hosts.get_mut(member) {
+                host.group = None;
+                host.locked_until = host.locked_until.max(lock_until);
+            }
+        }
+    }
+
+    fn model(&self, name: &str) -> Option<&Model> {
+        self.engine.model(name)
+    }
+
+    fn advance(&mut self, now: Millis, epoch: u64, commands: &mut Vec<Command>) {
+        let Some(group) = self.groups.get(&epoch).cloned() else { return };
+        match group.phase {
+            Phase::Joining => self.advance_joining(now, &group, commands),
+            Phase::Opening => self.advance_opening(now, &group, commands),
+            Phase::Open { .. } => self.advance_open(now, &group),
+            Phase::Finishing => self.advance_finishing(now, &group, commands),
+            Phase::Breaking => self.advance_breaking(now, &group, commands),
+            Phase::Spare => self.advance_spare(&group),
+        }
+    }
+
+    fn set_phase(&mut self, now: Millis, epoch: u64, phase: Phase) {
+        if let Some(group) = self.groups.get_mut(&epoch) {
+            group.phase = phase;
+            group.since = now;
+        }
+    }
+
+    fn advance_joining(&mut self, now: Millis, group: &Group, commands: &mut Vec<Command>) {
+        if self.is_hurt(group) {
+            // No head was told to open, so the members are free at once.
+            self.dissolve(group.epoch, 0);
+            return;
+        }
+        let Some(model) = self.model(&group.model).cloned() else {
+            self.dissolve(group.epoch, 0);
+            return;
+        };
+        let mut ready = true;
+        for member in &group.members {
+            let Some(host) = self.hosts.get_mut(member) else { continue };
+            if host.is_ready_in(&group.name, group.epoch) {
+                continue;
+            }
+            ready = false;
+            if host.joined == Some(group.epoch) {
+                host.probe_when_due(now, &model);
+                continue;
+            }
+            let load = !host.has(&model.name);
+            if !host.may_order(now) || (load && self.load_tokens < 1.0) {
+                continue;
+            }
+            if load {
+                self.load_tokens -= 1.0;
+            }
+            let order = Order::Join {
+                group: group.name.clone(),
+                epoch: group.epoch,
+                model: group.model.clone(),
+                members: group.members.clone(),
+            };
+            commands.push(host.order(now, order));
+        }
+        if ready {
+            let whole = group.members.len() == model.size;
+            let phase = if whole { Phase::Opening } else { Phase::Spare };
+            self.set_phase(now, group.epoch, phase);
+        }
+    }
+
+    fn advance_opening(&mut self, now: Millis, group: &Group, commands: &mut Vec<Command>) {
+        if self.is_hurt(group) {
+            self.set_phase(now, group.epoch, Phase::Breaking);
+            return;
+        }
+        let form_ms = self.engine.form_ms;
+        let Some(head) = self.hosts.get_mut(&group.members[0]) else { return };
+        if head.opened == Some(group.epoch) {
+            self.set_phase(now, group.epoch, Phase::Open { from: now + form_ms });
+            return;
+        }
+        if head.may_order(now) {
+            let order = Order::Open { group: group.name.clone(), epoch: group.epoch };
+            commands.push(head.order(now, order));
+        }
+    }
+
+    fn advance_open(&mut self, now: Millis, group: &Group) {
+        let hosts = group.members.iter().filter_map(|id| self.hosts.get(id));
+        let (mut lost, mut leaving, mut astray) =
+            (hosts.clone().count() < group.members.len(), false, false);
+        for host in hosts {
+            lost |= host.is_lost();
+            leaving |= !host.is_lost() && !host.stays();
+            astray |= host.is_astray(group.epoch);
+        }
+        if lost || astray {
+            self.set_phase(now, group.epoch, Phase::Breaking);
+        } else if leaving {
+            self.set_phase(now, group.epoch, Phase::Finishing);
+        }
+    }
+
+    fn advance_finishing(&mut self, now: Millis, group: &Group, commands: &mut Vec<Command>) {
+        let lost = group.members.iter().any(|id| self.hosts.get(id).is_none_or(Host::is_lost));
+        if lost || now > group.since + self.config.finish_ms {
+            self.set_phase(now, group.epoch, Phase::Breaking);
+            return;
+        }
+        if now < group.since + self.config.notice_ms {
+            return;
+        }
+        let Some(head) = self.hosts.get_mut(&group.members[0]) else { return };
+        if head.closed != Some(group.epoch) {
+            if head.may_order(now) {
+                let order = Order::Close { group: group.name.clone(), epoch: group.epoch };
+                commands.push(head.order(now, order));
+            }
+            return;
+        }
+        if head.heard_at > head.closed_at && head.is_ready_in(&group.name, group.epoch) {
+            self.dissolve(group.epoch, 0);
+            return;
+        }
+        head.wants_probe |= now >= head.probed_at + host::PROBE_EVERY_MS;
+    }
+
+    fn advance_breaking(&mut self, now: Millis, group: &Group, commands: &mut Vec<Command>) {
+        let leave = Order::Leave { group: group.name.clone(), epoch: group.epoch };
+        let head_id = &group.members[0];
+        let Some(head) = self.hosts.get_mut(head_id) else {
+            self.dissolve(group.epoch, now + self.config.stall_ms + MARGIN_MS);
+            return;
+        };
+        if head.left == Some(group.epoch) || head.refused || head.is_outside(group.epoch) {
+            self.dissolve(group.epoch, 0);
+            return;
+        }
+        if !head.is_lost() {
+            if head.may_order(now) {
+                commands.push(head.order(now, leave));
+            }
+            return;
+        }
+        // The head is silent and may serve on: it breaks by itself once its members have left.
+        let mut all_left = true;
+        for member in &group.members[1..] {
+            let Some(host) = self.hosts.get_mut(member) else { continue };
+            if host.left == Some(group.epoch) || host.is_lost() {
+                continue;
+            }
+            all_left = false;
+            if host.may_order(now) {
+                commands.push(host.order(now, leave.clone()));
+            }
+        }
+        if all_left {
+            self.dissolve(group.epoch, now + self.config.stall_ms + MARGIN_MS);
+        }
+    }
+
+    fn advance_spare(&mut self, group: &Group) {
+        if self.is_hurt(group) {
+            self.dissolve(group.epoch, 0);
+        }
+    }
+
+    /// Heads that serve a group that this leader does not know are told to leave it.
+    fn free_strays(&mut self, now: Millis, commands: &mut Vec<Command>) {
+        for host in self.hosts.values_mut() {
+            if let Some(order) = host.stray_order()
+                && host.may_order(now)
+            {
+                commands.push(host.order(now, order));
+            }
+        }
+    }
+
+    fn forget_hosts(&mut self) {
+        self.hosts.retain(|_, host| host.group.is_some() || !host.unlisted);
+    }
+
+    fn probe(&mut self, now: Millis, commands: &mut Vec<Command>) {
+        for host in self.hosts.values_mut() {
+            commands.extend(host.probe(now));
+        }
+    }
+
+    /// A line for each group, for people.
+    pub fn describe(&self) -> Vec<String> {
+        self.groups.values().map(Group::describe).collect()
+    }
+
+    /// Hosts that belong to more than one group; always empty.
+    pub fn shared_hosts(&self) -> BTreeSet<WorkerId> {
+        let mut seen = BTreeSet::new();
+        let members = self.groups.values().flat_map(|group| &group.members);
+        members.filter(|id| !seen.insert((*id).clone())).cloned().collect()
+    }
+}
--- /dev/null
+++ b/crates/oliveworks-gateway-core/src/planner/group.rs
@@ -0,0 +1,51 @@
+//! A replica group as the leader knows it.
+
+use crate::Millis;
+use crate::workers::WorkerId;
+
+/// Where a group stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// Members join.
+    Joining,
+    /// The head is told to open.
+    Opening,
+    /// It serves, from a time on.
+    Open {
+        /// When the head is open.
+        from: Millis,
+    },
+    /// A member leaves: the head finishes its work.
+    Finishing,
+    /// A member is lost: the group is taken apart.
+    Breaking,
+    /// It holds a model for repairs and serves nothing.
+    Spare,
+}
+
+/// A replica group.
+#[derive(Clone, Debug)]
+pub(super) struct Group {
+    pub(super) epoch: u64,
+    pub(super) name: String,
+    pub(super) model: String,
+    pub(super) members: Vec<WorkerId>,
+    pub(super) phase: Phase,
+    /// When it came into its phase.
+    pub(super) since: Millis,
+}
+
+impl Group {
+    pub(super) fn serves(&self, now: Millis) -> bool {
+        matches!(self.phase, Phase::Open { from } if now >= from)
+    }
+
+    /// Whether it serves or will.
+    pub(super) fn counts(&self) -> bool {
+        matches!(self.phase, Phase::Joining | Phase::Opening | Phase::Open { .. })
+    }
+
+    pub(super) fn describe(&self) -> String {
+        format!("{} {} {:?} {}", self.name, self.model, self.phase, self.members.join(","))
+    }
+}
--- /dev/null
+++ b/crates/oliveworks-gateway-core/src/planner/host.rs
@@ -0,0 +1,237 @@
+//! A host as the leader knows it.
+
+use super::{Command, Order, Outcome};
+use crate::Millis;
+use crate::configuration::Model;
+use crate::workers::{Holding, MemberState, Worker};
+
+/// The time between two questions to the same host.
+pub(super) const PROBE_EVERY_MS: u64 = 120;
+/// The time between two questions to a host that does not answer.
+const LOST_PROBE_EVERY_MS: u64 = 700;
+/// Questions without an answer after which a host is lost.
+const SILENCE_MAX: u32 = 2;
+/// The time after which an order that was not answered is given again.
+const ORDER_AGAIN_MS: u64 = 300;
+/// The time that a member which has the model needs to join.
+const JOIN_MS: u64 = 200;
+
+/// A host and what is under way there.
+#[derive(Clone, Debug)]
+pub(super) struct Host {
+    pub(super) worker: Worker,
+    pub(super) holding: Holding,
+    pub(super) heard_at: Millis,
+    /// The group that it is to belong to.
+    pub(super) group: Option<u64>,
+    /// The newest epochs for which it took each order.
+    pub(super) joined: Option<u64>,
+    pub(super) joined_at: Millis,
+    pub(super) opened: Option<u64>,
+    pub(super) closed: Option<u64>,
+    pub(super) closed_at: Millis,
+    pub(super) left: Option<u64>,
+    /// It joins nothing before this time.
+    pub(super) locked_until: Millis,
+    pub(super) unlisted: bool,
+    /// Its address answers that nothing listens there.
+    pub(super) refused: bool,
+    silences: u32,
+    pending: bool,
+    ordered_at: Millis,
+    /// The model of its last join in this life.
+    last_model: Option<String>,
+    pub(super) wants_probe: bool,
+    probing: bool,
+    pub(super) probed_at: Millis,
+}
+
+impl Host {
+    pub(super) fn new(now: Millis, worker: &Worker) -> Host {
+        Host {
+            holding: worker.holding.clone(),
+            heard_at: now,
+            worker: worker.clone(),
+            group: None,
+            joined: None,
+            joined_at: 0,
+            opened: None,
+            closed: None,
+            closed_at: 0,
+            left: None,
+            locked_until: 0,
+            unlisted: false,
+            refused: false,
+            silences: 0,
+            pending: false,
+            ordered_at: 0,
+            last_model: worker.holding.models.first().cloned(),
+            wants_probe: false,
+            probing: false,
+            probed_at: 0,
+        }
+    }
+
+    pub(super) fn listed(&mut self, worker: &Worker) {
+        self.unlisted = false;
+        self.worker = worker.clone();
+    }
+
+    pub(super) fn heard(&mut self, now: Millis, holding: &Holding) {
+        self.holding = holding.clone();
+        self.heard_at = now;
+        if let Some(model) = holding.models.first() {
+            self.last_model = Some(model.clone());
+        }
+    }
+
+    pub(super) fn answers(&mut self) {
+        self.silences = 0;
+        self.refused = false;
+        self.probing = false;
+    }
+
+    pub(super) fn silent(&mut self, now: Millis, refused: bool) {
+        self.probing = false;
+        self.probed_at = now;
+        self.silences += 1;
+        if refused {
+            self.refused = true;
+            self.silences = self.silences.max(SILENCE_MAX);
+        } else if self.silences < SILENCE_MAX {
+            self.wants_probe = true;
+        }
+    }
+
+    /// Whether it does not answer.
+    pub(super) fn is_lost(&self) -> bool {
+        self.silences >= SILENCE_MAX
+    }
+
+    /// Whether it answers and is not leaving.
+    pub(super) fn stays(&self) -> bool {
+        !self.is_lost() && !self.unlisted && !self.worker.draining
+    }
+
+    pub(super) fn is_ready_in(&self, name: &str, epoch: u64) -> bool {
+        self.holding.group.as_ref().is_some_and(|member| {
+            member.name == name && member.epoch == epoch && member.state == MemberState::Ready
+        })
+    }
+
+    /// Whether it says that it belongs to a later group than the one of this epoch.
+    pub(super) fn is_astray(&self, epoch: u64) -> bool {
+        self.holding.group.as_ref().is_some_and(|member| member.epoch > epoch)
+    }
+
+    /// Whether it answers and says that it is not, or no longer, in the group of this epoch.
+    pub(super) fn is_outside(&self, epoch: u64) -> bool {
+        !self.is_lost()
+            && self.joined == Some(epoch)
+            && self.holding.group.as_ref().is_none_or(|member| member.epoch != epoch)
+    }
+
+    /// Whether it need not load the model from the weight store.
+    pub(super) fn has(&self, model: &str) -> bool {
+        self.last_model.as_deref() == Some(model)
+            || self.holding.staging.iter().any(|staged| staged == model)
+    }
+
+    /// Whether it was the last that it held.
+    pub(super) fn held_last(&self, model: &str) -> bool {
+        self.last_model.as_deref() == Some(model)
+    }
+
+    pub(super) fn is_free(&self, now: Millis) -> bool {
+        self.group.is_none()
+            && self.stays()
+            && now >= self.locked_until
+            && !self.pending
+            && self.stray_order().is_none()
+    }
+
+    pub(super) fn may_order(&self, now: Millis) -> bool {
+        !self.pending && now >= self.ordered_at + ORDER_AGAIN_MS && now >= self.locked_until
+    }
+
+    pub(super) fn order(&mut self, now: Millis, order: Order) -> Command {
+        self.pending = true;
+        self.ordered_at = now;
+        Command::Order { worker: self.worker.id.clone(), address: self.worker.address, order }
+    }
+
+    pub(super) fn answered(&mut self, now: Millis, order: &Order, outcome: Outcome) {
+        self.pending = false;
+        match outcome {
+            Outcome::Taken => self.answers(),
+            Outcome::Unfit | Outcome::Fenced => {
+                self.answers();
+                self.wants_probe = true;
+                return;
+            }
+            Outcome::Gone => {
+                self.silent(now, true);
+                return;
+            }
+            Outcome::Unanswered => {
+                self.wants_probe = true;
+                return;
+            }
+        }
+        // The next order may follow at once.
+        self.ordered_at = 0;
+        match order {
+            Order::Join { epoch, model, .. } => {
+                self.joined = Some(*epoch);
+                self.joined_at = now;
+                self.last_model = Some(model.clone());
+            }
+            Order::Open { epoch, .. } => self.opened = Some(*epoch),
+            Order::Close { epoch, .. } => {
+                self.closed = Some(*epoch);
+                self.closed_at = now;
+            }
+            Order::Leave { epoch, .. } => {
+                self.left = Some(*epoch);
+                if self.holding.group.as_ref().is_some_and(|member| member.epoch == *epoch) {
+                    self.holding.group = None;
+                }
+            }
+        }
+    }
+
+    /// Asks for its state once a join should be done.
+    pub(super) fn probe_when_due(&mut self, now: Millis, model: &Model) {
+        // Loads before traffic are much shorter, so ask early, and then now and then.
+        let waited = now.saturating_sub(self.joined_at);
+        let every = (waited / 8).max(PROBE_EVERY_MS);
+        let first = JOIN_MS.min(model.warm_ms.max(1));
+        self.wants_probe |= waited >= first && now >= self.probed_at + every;
+    }
+
+    /// The order that frees it from a group that the leader does not know.
+    pub(super) fn stray_order(&self) -> Option<Order> {
+        if self.group.is_some() || self.is_lost() {
+            return None;
+        }
+        let member = self.holding.group.as_ref()?;
+        let heads = member.rank == 0
+            && matches!(
+                member.state,
+                MemberState::Open | MemberState::Closing | MemberState::Broken
+            );
+        heads.then(|| Order::Leave { group: member.name.clone(), epoch: member.epoch })
+    }
+
+    pub(super) fn probe(&mut self, now: Millis) -> Option<Command> {
+        let lost_due =
+            self.is_lost() && !self.unlisted && now >= self.probed_at + LOST_PROBE_EVERY_MS;
+        if self.probing || !(self.wants_probe || lost_due) {
+            return None;
+        }
+        self.wants_probe = false;
+        self.probing = true;
+        self.probed_at = now;
+        Some(Command::Probe { worker: self.worker.id.clone(), address: self.worker.address })
+    }
+}
--- /dev/null
+++ b/crates/oliveworks-gateway-core/src/workers.rs
@@ -0,0 +1,112 @@
+//! What is known of backend servers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// The id of one life of a backend server.
+pub type WorkerId = Rc<str>;
+
+/// Where a member of a replica group stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemberState {
+    /// It loads the model.
+    Joining,
+    /// It has the model.
+    Ready,
+    /// It is the head and serves.
+    Open,
+    /// It is the head and finishes its work.
+    Closing,
+    /// A member is missing.
+    Broken,
+}
+
+/// A backend server's place in a replica group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Membership {
+    /// The group's name.
+    pub name: String,
+    /// The group's epoch.
+    pub epoch: u64,
+    /// 0 for the head.
+    pub rank: usize,
+    /// Where it stands.
+    pub state: MemberState,
+}
+
+/// A backend server as it describes itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Worker {
+    /// Its id.
+    pub id: WorkerId,
+    /// Its service.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Its fabric domain.
+    pub domain: String,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// What it tells of its models.
+    pub holding: Holding,
+}
+
+/// What a backend server tells of its models; changes with every order.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Holding {
+    /// Models in its accelerators.
+    pub models: Vec<String>,
+    /// Models in its host's memory.
+    pub staging: Vec<String>,
+    /// Its place in a group.
+    pub group: Option<Membership>,
+    /// How much slower than usual it is; 1 is usual.
+    pub pace: f64,
+}
+
+/// All backend servers that the platform lists.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    workers: BTreeMap<WorkerId, Worker>,
+}
+
+impl Directory {
+    /// Takes a record in; tells whether it changed anything.
+    pub fn put(&mut self, worker: Worker) -> bool {
+        if self.workers.get(&worker.id) == Some(&worker) {
+            return false;
+        }
+        self.workers.insert(worker.id.clone(), worker);
+        true
+    }
+
+    /// Takes out a backend server that is no longer listed.
+    pub fn remove(&mut self, id: &str) -> Option<Worker> {
+        self.workers.remove(id)
+    }
+
+    /// Keeps only backend servers that `keep` holds on to.
+    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.workers.retain(|id, _| keep(id));
+    }
+
+    /// A backend server.
+    pub fn get(&self, id: &str) -> Option<&Worker> {
+        self.workers.get(id)
+    }
+
+    /// All of them, by id.
+    pub fn iter(&self) -> impl Iterator<Item = &Worker> {
+        self.workers.values()
+    }
+
+    /// Those of a service.
+    pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Worker> {
+        self.iter().filter(move |worker| worker.service == service)
+    }
+}
--- /dev/null
+++ b/crates/oliveworks-gateway/src/dialect.rs
@@ -0,0 +1,199 @@
+//! What a platform's adapter must say: names and formats, no decisions and no I/O.
+
+use std::fmt;
+
+use bytes::Bytes;
+use oliveworks_gateway_core::configuration::Configuration;
+use oliveworks_gateway_core::planner::{Order, Outcome};
+use oliveworks_gateway_core::workers::{Holding, Worker, WorkerId};
+
+/// Headers in order; names in lower case.
+pub type Headers = Vec<(String, Bytes)>;
+
+/// What could not be understood.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Malformed(pub String);
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "malformed: {}", self.0)
+    }
+}
+
+impl std::error::Error for Malformed {}
+
+/// A stream of the store's records.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Topic {
+    /// The operators' configuration.
+    Configuration,
+    /// Backend servers.
+    Workers,
+    /// Who gives orders: this system's own.
+    Leaders,
+}
+
+/// A record of the store.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Record {
+    /// A version of the configuration.
+    Configuration(Configuration),
+    /// A backend server.
+    Worker(Worker),
+    /// A backend server that is no longer listed.
+    WorkerGone(WorkerId),
+    /// Who leads from here on.
+    Leader {
+        /// Its fence.
+        fence: u64,
+        /// Who wrote it.
+        claimant: u64,
+    },
+    /// Something else, or something that cannot be understood.
+    Unknown(String),
+}
+
+/// A call to the store or a backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Call {
+    /// `GET` or `POST`.
+    pub method: &'static str,
+    /// Path and query.
+    pub target: String,
+    /// The type of the body, if there is one.
+    pub content_type: Option<&'static str>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// A part of a topic's newest records.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Page {
+    /// Records.
+    pub records: Vec<Record>,
+    /// The key to continue after, if there are more.
+    pub after: Option<String>,
+    /// Where the topic ended.
+    pub end: u64,
+}
+
+/// What a read of a topic found.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Tail {
+    /// Records, perhaps none, and where to go on.
+    Records(Vec<Record>, u64),
+    /// The place is no longer kept; the first that is.
+    Expired(u64),
+    /// The store turned the call away.
+    Refused(u16),
+}
+
+/// How a claim to lead was answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Claimed {
+    /// It is written; this is its fence.
+    Written(u64),
+    /// Another was written meanwhile.
+    Lost,
+    /// The store turned the call away.
+    Refused(u16),
+}
+
+/// What a caller's headers say.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Asked {
+    /// The request's id.
+    pub id: String,
+    /// Its key.
+    pub key: Option<String>,
+    /// How long the caller waits.
+    pub deadline_ms: Option<u64>,
+    /// The model that it asks for.
+    pub model: Option<String>,
+    /// Tokens of its prompt.
+    pub prompt_tokens: u32,
+    /// The last event that the caller has.
+    pub last_event: Option<u64>,
+}
+
+/// What this system says with a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Said<'a> {
+    /// How long the backend server may work.
+    pub deadline_ms: u64,
+    /// Which backend server is meant.
+    pub worker: &'a str,
+    /// The workspace that the request belongs to.
+    pub tenant: Option<&'a str>,
+    /// The last event that the caller has.
+    pub last_event: Option<u64>,
+    /// Its rank among others, 0 the highest.
+    pub priority: Option<u8>,
+}
+
+/// What a backend server's head says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Answered {
+    /// The request that it answers.
+    pub id: Option<String>,
+    /// Whether it carries the backend server's signature.
+    pub signed: bool,
+    /// Whether it says that the request did not run.
+    pub not_run: bool,
+    /// Whether its body is encoded, which no caller asked for.
+    pub encoded: bool,
+}
+
+/// How a platform speaks.
+pub trait Dialect: 'static {
+    /// Reads what matters of a caller's headers.
+    ///
+    /// # Errors
+    /// If the request has no id.
+    fn asked(&self, headers: &Headers) -> Result<Asked, Malformed>;
+    /// The headers that a backend server gets: the caller's, less those that are the system's to
+    /// set, and what it says.
+    fn outgoing(&self, headers: &Headers, said: &Said<'_>) -> Headers;
+    /// Reads what matters of an answer's head.
+    fn answered(&self, status: u16, headers: &Headers) -> Answered;
+    /// The header that tells a caller when to come back.
+    fn come_back(&self, ms: u64) -> (String, String);
+    /// The header that names the request in an answer of this system's own.
+    fn request_id(&self, id: &str) -> (String, String);
+    /// Where the platform asks whether a process is ready.
+    fn ready_path(&self) -> &'static str;
+
+    /// Asks for a topic's newest records.
+    fn newest(&self, topic: Topic, after: Option<&str>) -> Call;
+    /// Reads them.
+    ///
+    /// # Errors
+    /// If they cannot be understood.
+    fn page(&self, topic: Topic, status: u16, body: &[u8]) -> Result<Page, Malformed>;
+    /// Reads a topic on from a place; the store may wait for a record.
+    fn tail(&self, topic: Topic, from: u64, wait_ms: u64) -> Call;
+    /// Reads what it answers to a read from `from`.
+    ///
+    /// # Errors
+    /// If it cannot be understood.
+    fn tailed(&self, topic: Topic, from: u64, status: u16, body: &[u8]) -> Result<Tail, Malformed>;
+    /// Claims to lead if the topic still ends at `end`.
+    fn claim(&self, end: u64, claimant: u64) -> Call;
+    /// Reads what it answers.
+    ///
+    /// # Errors
+    /// If it cannot be understood.
+    fn claimed(&self, status: u16, body: &[u8]) -> Result<Claimed, Malformed>;
+
+    /// Gives an order.
+    fn order(&self, fence: u64, order: &Order) -> Call;
+    /// Reads how it was answered.
+    fn ordered(&self, status: u16) -> Outcome;
+    /// Asks a backend server for its state.
+    fn report(&self) -> Call;
+    /// Reads it.
+    ///
+    /// # Errors
+    /// If it cannot be understood.
+    fn reported(&self, status: u16, body: &[u8]) -> Result<Holding, Malformed>;
+}
--- /dev/null
+++ b/crates/oliveworks-gateway/src/exchange.rs
@@ -0,0 +1,191 @@
+//! One connection to a backend server or the store, and what is said on it.
+//!
+//! hyper's client and not ntex's: a backend server may send an answer that ends with its
+//! connection, whose body ntex's client drops, and its pool is out of our hands. The connection is
+//! driven by whoever waits on it, so dropping an exchange closes it at once.
+
+use std::future::{Future, poll_fn};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use crate::dialect::{Call, Headers};
+
+type Driver = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+
+/// Why no connection came up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoConnection {
+    /// The address answers that nothing listens there.
+    Refused,
+    /// Nothing answers.
+    Silent,
+}
+
+/// Why there is no whole answer.
+#[derive(Debug)]
+pub enum Broken {
+    /// The connection ended, or what came is no answer.
+    Connection(String),
+    /// The time is over.
+    Late,
+    /// The answer is too large.
+    Large,
+}
+
+/// A connection.
+pub struct Exchange {
+    sender: http1::SendRequest<Full<Bytes>>,
+    driver: Option<Pin<Box<Driver>>>,
+}
+
+/// The largest head of an answer, in bytes.
+const HEAD_MAX: usize = 64 << 10;
+
+impl Exchange {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    /// If none comes up in time.
+    pub async fn open(address: SocketAddr, within_ms: u64) -> Result<Exchange, NoConnection> {
+        let connecting = TcpStream::connect(address);
+        let stream = match tokio::time::timeout(Duration::from_millis(within_ms), connecting).await
+        {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+                return Err(NoConnection::Refused);
+            }
+            Ok(Err(_)) | Err(_) => return Err(NoConnection::Silent),
+        };
+        let _ = stream.set_nodelay(true);
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(HEAD_MAX);
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
+        let (sender, driver) = handshake.map_err(|_| NoConnection::Silent)?;
+        Ok(Exchange { sender, driver: Some(Box::pin(driver)) })
+    }
+
+    fn drive(&mut self, context: &mut Context<'_>) {
+        if let Some(driver) = &mut self.driver
+            && driver.as_mut().poll(context).is_ready()
+        {
+            self.driver = None;
+        }
+    }
+
+    /// Whether another request can be sent on it.
+    pub async fn is_usable(&mut self) -> bool {
+        poll_fn(|context| {
+            self.drive(context);
+            Poll::Ready(())
+        })
+        .await;
+        self.driver.is_some() && self.sender.is_ready()
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// If the connection ends or what comes is no answer.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Broken> {
+        let mut answer = Box::pin(self.sender.send_request(request));
+        poll_fn(|context| {
+            self.drive(context);
+            answer.as_mut().poll(context)
+        })
+        .await
+        .map_err(|error| Broken::Connection(error.to_string()))
+    }
+
+    /// The next bytes of an answer's body; none at its end.
+    ///
+    /// # Errors
+    /// If the body breaks off.
+    pub async fn next(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, Broken> {
+        loop {
+            let frame = poll_fn(|context| {
+                self.drive(context);
+                Pin::new(&mut *body).poll_frame(context)
+            })
+            .await;
+            match frame {
+                None => return Ok(None),
+                Some(Err(error)) => return Err(Broken::Connection(error.to_string())),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+            }
+        }
+    }
+
+    /// A whole body.
+    ///
+    /// # Errors
+    /// If it breaks off or is larger than `max`.
+    pub async fn whole(&mut self, body: &mut Incoming, max: usize) -> Result<Bytes, Broken> {
+        let mut all = Vec::new();
+        while let Some(part) = self.next(body).await? {
+            if all.len() + part.len() > max {
+                return Err(Broken::Large);
+            }
+            all.extend_from_slice(&part);
+        }
+        Ok(all.into())
+    }
+}
+
+/// The headers of an answer.
+pub fn headers_of(response: &Response<Incoming>) -> Headers {
+    let pairs = response.headers().iter();
+    pairs.map(|(n, v)| (n.as_str().to_owned(), Bytes::copy_from_slice(v.as_bytes()))).collect()
+}
+
+/// A request out of a call to an address.
+fn request_of(call: &Call, address: SocketAddr) -> Result<Request<Full<Bytes>>, Broken> {
+    let mut request = Request::builder().method(call.method).uri(&call.target);
+    request = request.header("host", address.to_string());
+    if let Some(kind) = call.content_type {
+        request = request.header("content-type", kind);
+    }
+    request.body(Full::new(call.body.clone())).map_err(|e| Broken::Connection(e.to_string()))
+}
+
+/// The largest answer to a call of this system's own, in bytes.
+const ANSWER_MAX: usize = 16 << 20;
+
+/// Makes a call on an open connection.
+///
+/// # Errors
+/// If no whole answer comes in time. The call may have been done nevertheless.
+pub async fn call(
+    exchange: &mut Exchange,
+    address: SocketAddr,
+    call: &Call,
+    within_ms: u64,
+) -> Result<(u16, Bytes), Broken> {
+    let request = request_of(call, address)?;
+    let answer = async {
+        let mut response = exchange.send(request).await?;
+        let status = response.status().as_u16();
+        let body = exchange.whole(response.body_mut(), ANSWER_MAX).await?;
+        Ok((status, body))
+    };
+    match tokio::time::timeout(Duration::from_millis(within_ms), answer).await {
+        Ok(answer) => answer,
+        Err(_) => Err(Broken::Late),
+    }
+}
--- /dev/null
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -0,0 +1,239 @@
+//! Gives the planner's orders while this gateway leads.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::info;
+use oliveworks_gateway_core::configuration::Engine;
+use oliveworks_gateway_core::planner::{Command, Order, Outcome, Planner, PlannerConfig};
+use oliveworks_gateway_core::workers::{Worker, WorkerId};
+use tokio::time::sleep;
+
+use crate::dialect::Call;
+use crate::exchange::{self, Broken, Exchange, NoConnection};
+use crate::state::{Gateway, TableGroup};
+use crate::{peers, store};
+
+/// The time between two looks at the plans.
+const TICK_MS: u64 = 40;
+/// The longest that an order may take to be answered.
+const ORDER_MS: u64 = 250;
+/// The longest that a backend server may take to tell its state.
+const PROBE_MS: u64 = 120;
+
+/// Runs elections, and plans while this gateway leads.
+pub async fn run(gateway: Rc<Gateway>) {
+    let mut fence = None;
+    loop {
+        gateway.tick();
+        stand(&gateway);
+        let leads = gateway.election.borrow().leads();
+        if leads != fence {
+            fence = leads;
+            change(&gateway, fence).await;
+        }
+        if let Some(fence) = fence {
+            plan(&gateway, fence);
+        }
+        sleep(Duration::from_millis(TICK_MS)).await;
+    }
+}
+
+fn stand(gateway: &Rc<Gateway>) {
+    let ready = gateway.directory_read.get() && gateway.lookup.borrow().is_some();
+    if !ready || gateway.is_stopping() {
+        return;
+    }
+    let (now, rank) = (gateway.now(), peers::rank(gateway));
+    let claim = gateway.election.borrow_mut().claim(now, rank);
+    if let Some(end) = claim {
+        ntex::rt::spawn(store::claim_leadership(gateway.clone(), end));
+    }
+}
+
+/// Begins or ends to lead.
+async fn change(gateway: &Rc<Gateway>, fence: Option<u64>) {
+    gateway.planners.borrow_mut().clear();
+    let Some(fence) = fence else {
+        info!("leader: this gateway leads no more");
+        return;
+    };
+    info!("leader: this gateway leads under fence {fence}");
+    let Some(lookup) = gateway.lookup() else { return };
+    for service in &lookup.configuration.services {
+        let Some(engine) = service.engine.as_ref().filter(|e| !e.models.is_empty()) else {
+            continue;
+        };
+        let planner = take_over(gateway, &service.name, engine, fence).await;
+        gateway.planners.borrow_mut().insert(service.name.clone(), planner);
+    }
+}
+
+/// A planner that knows the state of each of a service's hosts as it is now.
+async fn take_over(gateway: &Rc<Gateway>, service: &str, engine: &Engine, fence: u64) -> Planner {
+    let config =
+        PlannerConfig { stall_ms: gateway.settings.bounds.stall_ms, ..PlannerConfig::default() };
+    let mut planner = Planner::new(config, engine.clone(), fence, gateway.now());
+    let workers: Vec<Worker> = gateway.directory.borrow().of_service(service).cloned().collect();
+    let mut asked = Vec::new();
+    for worker in &workers {
+        planner.listed(gateway.now(), worker);
+        let (gateway, address) = (gateway.clone(), worker.address);
+        asked.push((
+            worker.id.clone(),
+            ntex::rt::spawn(async move { ask(&gateway, address).await }),
+        ));
+    }
+    for (id, answer) in asked {
+        match answer.await {
+            Ok(Asked::Holding(holding)) => planner.reported(gateway.now(), &id, &holding),
+            Ok(Asked::Silent { refused }) => planner.silent(gateway.now(), &id, refused),
+            Err(_) => {}
+        }
+    }
+    planner.adopt(gateway.now());
+    for line in planner.describe() {
+        info!("leader: took over {line}");
+    }
+    planner
+}
+
+/// How a question for a backend server's state ended.
+enum Asked {
+    Holding(oliveworks_gateway_core::workers::Holding),
+    Silent { refused: bool },
+}
+
+async fn ask(gateway: &Gateway, address: SocketAddr) -> Asked {
+    gateway.count("probes");
+    match make(address, &gateway.dialect.report(), PROBE_MS).await {
+        Ok((status, body)) => match gateway.dialect.reported(status, &body) {
+            Ok(holding) => Asked::Holding(holding),
+            Err(_) => Asked::Silent { refused: false },
+        },
+        Err(refused) => Asked::Silent { refused },
+    }
+}
+
+/// Makes a call on a connection of its own; fails with whether the address refused it.
+async fn make(
+    address: SocketAddr,
+    call: &Call,
+    within_ms: u64,
+) -> Result<(u16, bytes::Bytes), bool> {
+    let opened = Exchange::open(address, within_ms).await;
+    let mut open = opened.map_err(|why| why == NoConnection::Refused)?;
+    let answer = exchange::call(&mut open, address, call, within_ms).await;
+    answer.map_err(|_: Broken| false)
+}
+
+fn plan(gateway: &Rc<Gateway>, fence: u64) {
+    let now = gateway.now();
+    let mut planners = gateway.planners.borrow_mut();
+    let mut groups = Vec::new();
+    let mut commands = Vec::new();
+    for (service, planner) in planners.iter_mut() {
+        refresh(gateway, service, planner);
+        commands.extend(planner.tick(now).into_iter().map(|command| (service.clone(), command)));
+        groups.extend(table_groups(gateway, service, planner));
+    }
+    drop(planners);
+    publish(gateway, fence, groups);
+    for (service, command) in commands {
+        ntex::rt::spawn(carry_out(gateway.clone(), fence, service, command));
+    }
+}
+
+fn refresh(gateway: &Gateway, service: &str, planner: &mut Planner) {
+    let Some(lookup) = gateway.lookup() else { return };
+    if let Some(engine) = lookup.service(service).and_then(|service| service.engine.as_ref()) {
+        planner.set_engine(engine.clone());
+    }
+}
+
+fn table_groups(gateway: &Gateway, service: &str, planner: &Planner) -> Vec<TableGroup> {
+    let directory = gateway.directory.borrow();
+    let lookup = gateway.lookup();
+    let engine = lookup.as_ref().and_then(|l| l.service(service)).and_then(|s| s.engine.as_ref());
+    let slots = engine.map_or(1, |engine| engine.slots);
+    let mut groups = Vec::new();
+    for group in planner.serving(gateway.now()) {
+        let Some(head) = directory.get(&group.members[0]) else { continue };
+        groups.push(TableGroup {
+            service: service.to_owned(),
+            model: group.model,
+            epoch: group.epoch,
+            members: group.members.iter().map(|id| id.to_string()).collect(),
+            address: head.address,
+            slots,
+            zone: head.zone.clone(),
+        });
+    }
+    groups
+}
+
+fn publish(gateway: &Gateway, fence: u64, groups: Vec<TableGroup>) {
+    let mut table = gateway.table.borrow_mut();
+    if table.fence != fence || table.groups != groups {
+        table.fence = fence;
+        table.number += 1;
+        table.groups = groups;
+        let counts: BTreeMap<&str, usize> =
+            table.groups.iter().fold(BTreeMap::new(), |mut all, g| {
+                *all.entry(g.model.as_str()).or_default() += 1;
+                all
+            });
+        info!("groups: {counts:?} serve, table {}.{}", fence, table.number);
+    }
+}
+
+async fn carry_out(gateway: Rc<Gateway>, fence: u64, service: String, command: Command) {
+    match command {
+        Command::Probe { worker, address } => {
+            let answer = ask(&gateway, address).await;
+            let now = gateway.now();
+            let mut planners = gateway.planners.borrow_mut();
+            let Some(planner) = planners.get_mut(&service).filter(|p| p.fence() == fence) else {
+                return;
+            };
+            match answer {
+                Asked::Holding(holding) => planner.reported(now, &worker, &holding),
+                Asked::Silent { refused } => planner.silent(now, &worker, refused),
+            }
+        }
+        Command::Order { worker, address, order } => {
+            let outcome = give(&gateway, fence, address, &order).await;
+            info!("order: {order:?} to {worker}: {outcome:?}");
+            ordered(&gateway, fence, &service, &worker, &order, outcome);
+        }
+    }
+}
+
+async fn give(gateway: &Gateway, fence: u64, address: SocketAddr, order: &Order) -> Outcome {
+    gateway.count("orders");
+    match make(address, &gateway.dialect.order(fence, order), ORDER_MS).await {
+        Ok((status, _)) => gateway.dialect.ordered(status),
+        Err(true) => Outcome::Gone,
+        Err(false) => Outcome::Unanswered,
+    }
+}
+
+fn ordered(
+    gateway: &Gateway,
+    fence: u64,
+    service: &str,
+    worker: &WorkerId,
+    order: &Order,
+    outcome: Outcome,
+) {
+    if outcome == Outcome::Fenced {
+        gateway.election.borrow_mut().fenced(fence);
+    }
+    let now = gateway.now();
+    let mut planners = gateway.planners.borrow_mut();
+    if let Some(planner) = planners.get_mut(service).filter(|p| p.fence() == fence) {
+        planner.ordered(now, worker, order, outcome);
+    }
+}
--- /dev/null
+++ b/crates/oliveworks-gateway/src/readiness.rs
@@ -0,0 +1,44 @@
+//! Tells the platform whether this process should be sent callers, and its figures.
+
+use std::rc::Rc;
+
+use ntex::http::StatusCode;
+use ntex::io::Io;
+
+use crate::callers::{Connection, Received};
+use crate::state::Gateway;
+
+/// Where figures are told.
+const METRICS_PATH: &str = "/metrics";
+
+/// Serves a connection of the platform's.
+pub async fn serve(gateway: Rc<Gateway>, io: Io) {
+    let mut connection = Connection::new(&gateway, io);
+    while let Received::Request(request) = connection.receive(&gateway).await {
+        let path = request.target.split('?').next().unwrap_or_default();
+        let answer = if path == gateway.dialect.ready_path() {
+            match gateway.is_ready() {
+                true => (StatusCode::OK, String::new()),
+                false => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+            }
+        } else if path == METRICS_PATH {
+            (StatusCode::OK, figures(&gateway))
+        } else {
+            (StatusCode::NOT_FOUND, String::new())
+        };
+        let headers = [("content-type".to_owned(), "text/plain; version=0.0.4".into())];
+        if connection.answer(answer.0, &headers, answer.1.into()).await.is_err() {
+            return;
+        }
+        if !connection.keeps() {
+            break;
+        }
+    }
+    connection.close().await;
+}
+
+fn figures(gateway: &Gateway) -> String {
+    let counters = gateway.counters.borrow();
+    let lines = counters.iter().map(|(name, count)| format!("oliveworks_gateway_{name} {count}\n"));
+    lines.collect()
+}
--- /dev/null
+++ b/crates/oliveworks-gateway/src/settings.rs
@@ -0,0 +1,145 @@
+//! A gateway's settings.
+
+use std::net::SocketAddr;
+
+use oliveworks_runtime::logs::LogConfig;
+use oliveworks_runtime::settings::Check;
+use serde::{Deserialize, Serialize};
+
+/// All settings.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// This gateway's name, unique among gateways.
+    pub node: String,
+    /// Its zone.
+    pub zone: String,
+    /// Where it listens.
+    pub listen: Listen,
+    /// Some gateways to ask for the others; they may be stale. Only their hosts matter: gateways
+    /// hear each other at the port of `listen.peers`.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The platform's store.
+    pub store: Store,
+    /// What must hold.
+    pub bounds: Bounds,
+    /// How it treats requests.
+    #[serde(default)]
+    pub requests: Requests,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogConfig,
+}
+
+/// Where a gateway listens.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// For callers, TCP.
+    pub callers: SocketAddr,
+    /// For whoever asks whether it is ready, and for metrics, TCP.
+    pub ready: SocketAddr,
+    /// For other gateways, UDP.
+    pub peers: SocketAddr,
+}
+
+/// The platform's store.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Store {
+    /// Its address.
+    pub address: SocketAddr,
+    /// The longest that it holds a call back when the configuration has not changed.
+    #[serde(default = "default_configuration_wait_ms")]
+    pub configuration_wait_ms: u64,
+    /// The time between two reads of backend servers' records.
+    #[serde(default = "default_workers_every_ms")]
+    pub workers_every_ms: u64,
+    /// The longest that a call may take beyond its waiting.
+    #[serde(default = "default_call_ms")]
+    pub call_ms: u64,
+}
+
+/// What must hold.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    /// The time after which a leaving backend server gets nothing new.
+    pub drain_ms: u64,
+    /// The time that a stopping process has.
+    pub grace_ms: u64,
+    /// The time after which a key that was taken away serves nothing; none if it is not bound.
+    #[serde(default)]
+    pub revoke_ms: Option<u64>,
+    /// The time after which a replica group that lost a member breaks by itself.
+    pub stall_ms: u64,
+    /// Repeats for each request, over all gateways.
+    pub repeat_ratio: f64,
+    /// Repeats beyond that in a window, over all gateways.
+    pub repeat_extra: f64,
+    /// The window.
+    pub repeat_window_ms: u64,
+}
+
+/// How requests are treated.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Requests {
+    /// Silence of a replica group after which its streams move.
+    pub silence_ms: u64,
+    /// The time that a connection to a backend server may take.
+    pub connect_ms: u64,
+    /// The load, in parts of its slots, at which a backend server takes no more.
+    pub full_at: f64,
+    /// The largest whole answer that is kept until it is complete.
+    pub answer_max: usize,
+}
+
+impl Default for Requests {
+    fn default() -> Requests {
+        Requests { silence_ms: 400, connect_ms: 250, full_at: 1.3, answer_max: 8 << 20 }
+    }
+}
+
+fn default_configuration_wait_ms() -> u64 {
+    1_500
+}
+
+fn default_workers_every_ms() -> u64 {
+    700
+}
+
+fn default_call_ms() -> u64 {
+    1_000
+}
+
+impl Check for Settings {
+    fn check(&self) -> Result<(), String> {
+        let positive = [
+            ("store.configuration_wait_ms", self.store.configuration_wait_ms),
+            ("store.workers_every_ms", self.store.workers_every_ms),
+            ("store.call_ms", self.store.call_ms),
+            ("bounds.drain_ms", self.bounds.drain_ms),
+            ("bounds.grace_ms", self.bounds.grace_ms),
+            ("bounds.repeat_window_ms", self.bounds.repeat_window_ms),
+            ("requests.silence_ms", self.requests.silence_ms),
+            ("requests.connect_ms", self.requests.connect_ms),
+        ];
+        for (key, value) in positive {
+            if value == 0 {
+                return Err(format!("{key}: must be more than 0"));
+            }
+        }
+        if self.node.is_empty() {
+            return Err("node: must not be empty".into());
+        }
+        if !(self.bounds.repeat_ratio >= 0.0 && self.bounds.repeat_extra >= 0.0) {
+            return Err("bounds.repeat_ratio, bounds.repeat_extra: must not be negative".into());
+        }
+        if self.requests.full_at.is_nan() || self.requests.full_at <= 0.0 {
+            return Err("requests.full_at: must be more than 0".into());
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -0,0 +1,317 @@
+//! What the parts of a gateway share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use log::info;
+use oliveworks_gateway_core::Millis;
+use oliveworks_gateway_core::balance::{Balance, Candidate, Target};
+use oliveworks_gateway_core::budget::{Budget, BudgetConfig};
+use oliveworks_gateway_core::configuration::Lookup;
+use oliveworks_gateway_core::election::{Election, ElectionConfig};
+use oliveworks_gateway_core::freshness::Freshness;
+use oliveworks_gateway_core::planner::Planner;
+use oliveworks_gateway_core::workers::{Directory, MemberState, Worker, WorkerId};
+use oliveworks_runtime::clock::Clock;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+use crate::dialect::Dialect;
+use crate::settings::Settings;
+
+/// A replica group as the leader publishes it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TableGroup {
+    /// Its service.
+    pub service: String,
+    /// Its model.
+    pub model: String,
+    /// Its epoch.
+    pub epoch: u64,
+    /// Its members, the head first.
+    pub members: Vec<String>,
+    /// Where its head listens.
+    pub address: SocketAddr,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// The zone of its head.
+    pub zone: String,
+}
+
+/// All groups that serve, as the leader published them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Table {
+    /// The fence of the leader.
+    pub fence: u64,
+    /// Counts the leader's changes.
+    pub number: u64,
+    /// The groups.
+    pub groups: Vec<TableGroup>,
+}
+
+/// Somewhere that a request can be sent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Place {
+    /// The backend server's id.
+    pub worker: WorkerId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// How it is counted.
+    pub candidate: Candidate,
+    /// The group that it heads.
+    pub epoch: Option<u64>,
+}
+
+/// Another gateway.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// When it was last heard.
+    pub heard_at: Millis,
+}
+
+/// How long a leader's table is believed without a heartbeat.
+const TABLE_MS: u64 = 2_000;
+/// A gap between two ticks after which this process has been asleep.
+const ASLEEP_MS: u64 = 150;
+/// How long a gateway that is not heard still counts for the budget.
+const BUDGET_PEER_MS: u64 = 20_000;
+
+/// A gateway's shared state. Belongs to one thread.
+pub struct Gateway {
+    /// Its settings.
+    pub settings: Settings,
+    /// How the platform speaks.
+    pub dialect: Rc<dyn Dialect>,
+    /// The steady clock.
+    pub clock: Clock,
+    /// The newest configuration.
+    pub lookup: RefCell<Option<Rc<Lookup>>>,
+    /// How young it is.
+    pub freshness: Cell<Freshness>,
+    /// Backend servers that the platform lists.
+    pub directory: RefCell<Directory>,
+    /// Whether the directory was read at all.
+    pub directory_read: Cell<bool>,
+    /// When a call to the store last failed.
+    pub store_failed_at: Cell<Option<Millis>>,
+    /// When the store last answered.
+    pub store_heard_at: Cell<Millis>,
+    /// How busy backend servers are.
+    pub balance: RefCell<Balance>,
+    /// Repeats.
+    pub budget: RefCell<Budget>,
+    /// Who leads.
+    pub election: RefCell<Election>,
+    /// The plans of each service, while this gateway leads.
+    pub planners: RefCell<BTreeMap<String, Planner>>,
+    /// Groups that serve.
+    pub table: RefCell<Table>,
+    /// When the leader's table was last confirmed.
+    pub table_heard_at: Cell<Millis>,
+    /// Other gateways by name.
+    pub peers: RefCell<BTreeMap<String, Peer>>,
+    /// Groups that stand still, to be told to the leader.
+    pub suspects: RefCell<HashMap<u64, Millis>>,
+    /// Whether this process is stopping.
+    pub stopping: watch::Sender<bool>,
+    /// Requests under way.
+    pub open_requests: Cell<usize>,
+    /// Tells this life of this process from others.
+    pub life: u64,
+    /// Counters, by name.
+    pub counters: RefCell<BTreeMap<String, u64>>,
+    ticked_at: Cell<Millis>,
+    woke_at: Cell<Millis>,
+}
+
+impl Gateway {
+    /// A gateway that knows nothing yet.
+    pub fn new(settings: Settings, dialect: Rc<dyn Dialect>) -> Gateway {
+        let clock = Clock::new();
+        let now = clock.now().0;
+        let life = rand::random::<u64>() >> 1;
+        let bounds = &settings.bounds;
+        let budget = Budget::new(BudgetConfig {
+            ratio: bounds.repeat_ratio,
+            extra: bounds.repeat_extra,
+            window_ms: bounds.repeat_window_ms,
+        });
+        Gateway {
+            dialect,
+            lookup: RefCell::new(None),
+            freshness: Cell::default(),
+            directory: RefCell::default(),
+            directory_read: Cell::new(false),
+            store_failed_at: Cell::new(None),
+            store_heard_at: Cell::new(now),
+            balance: RefCell::default(),
+            budget: RefCell::new(budget),
+            election: RefCell::new(Election::new(ElectionConfig::default(), life, now)),
+            planners: RefCell::default(),
+            table: RefCell::default(),
+            table_heard_at: Cell::new(0),
+            peers: RefCell::default(),
+            suspects: RefCell::default(),
+            stopping: watch::channel(false).0,
+            open_requests: Cell::new(0),
+            life,
+            counters: RefCell::default(),
+            ticked_at: Cell::new(now),
+            woke_at: Cell::new(0),
+            clock,
+            settings,
+        }
+    }
+
+    /// The time on the steady clock.
+    pub fn now(&self) -> Millis {
+        self.clock.now().0
+    }
+
+    /// The newest configuration.
+    pub fn lookup(&self) -> Option<Rc<Lookup>> {
+        self.lookup.borrow().clone()
+    }
+
+    /// Notes that this process runs; called every few tens of ms.
+    pub fn tick(&self) {
+        let now = self.now();
+        if now > self.ticked_at.get() + ASLEEP_MS {
+            self.woke_at.set(now);
+        }
+        self.ticked_at.set(now);
+    }
+
+    /// Since when this process has run without a pause: silence before that proves nothing.
+    pub fn awake_since(&self) -> Millis {
+        let now = self.now();
+        match now > self.ticked_at.get() + ASLEEP_MS {
+            true => now,
+            false => self.woke_at.get(),
+        }
+    }
+
+    /// Counts something.
+    pub fn count(&self, what: &str) {
+        let mut counters = self.counters.borrow_mut();
+        match counters.get_mut(what) {
+            Some(count) => *count += 1,
+            None => {
+                counters.insert(what.to_owned(), 1);
+            }
+        }
+    }
+
+    /// Whether this process is stopping.
+    pub fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
+    /// Whether it should be sent callers.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.lookup.borrow().is_some() && self.directory_read.get()
+    }
+
+    /// How many gateways share the retry budget.
+    pub fn gateways(&self) -> usize {
+        let now = self.now();
+        let peers = self.peers.borrow();
+        1 + peers.values().filter(|peer| now < peer.heard_at + BUDGET_PEER_MS).count()
+    }
+
+    /// The state of the store has been heard.
+    pub fn store_answered(&self) {
+        self.store_heard_at.set(self.now());
+    }
+
+    /// A call to the store failed.
+    pub fn store_failed(&self, what: &str, why: &str) {
+        let now = self.now();
+        if self.store_failed_at.get().is_none_or(|at| now > at + 1_000) {
+            info!(
+                "store: {what} failed: {why}; last answer {} ms ago",
+                now - self.store_heard_at.get()
+            );
+        }
+        self.store_failed_at.set(Some(now));
+    }
+
+    /// Whether the leader's table is young enough to be used.
+    fn table_is_young(&self) -> bool {
+        self.election.borrow().leads().is_some()
+            || self.now() < self.table_heard_at.get() + TABLE_MS
+    }
+
+    /// Backend servers that stand alone.
+    pub fn plain_places(&self, service: &str) -> Vec<Place> {
+        let directory = self.directory.borrow();
+        let workers = directory.of_service(service).filter(|worker| !worker.draining);
+        workers.map(|worker| self.place(worker, None)).collect()
+    }
+
+    fn place(&self, worker: &Worker, epoch: Option<u64>) -> Place {
+        let candidate = Candidate {
+            target: Target::of(&worker.id),
+            slots: worker.slots,
+            near: worker.zone == self.settings.zone,
+        };
+        Place { worker: worker.id.clone(), address: worker.address, candidate, epoch }
+    }
+
+    /// Heads of groups that serve a model.
+    pub fn group_places(&self, service: &str, model: &str) -> Vec<Place> {
+        if self.table_is_young() {
+            return self.table_places(service, model);
+        }
+        let directory = self.directory.borrow();
+        let mut places = Vec::new();
+        for worker in directory.of_service(service) {
+            let Some(member) = &worker.holding.group else { continue };
+            let serves = member.rank == 0 && member.state == MemberState::Open;
+            let has = worker.holding.models.iter().any(|held| held == model);
+            if serves && has && !worker.draining {
+                places.push(self.place(worker, Some(member.epoch)));
+            }
+        }
+        places
+    }
+
+    fn table_places(&self, service: &str, model: &str) -> Vec<Place> {
+        let directory = self.directory.borrow();
+        let table = self.table.borrow();
+        let groups = table.groups.iter().filter(|g| g.service == service && g.model == model);
+        let staying = groups.filter(|group| {
+            let mut members = group.members.iter().map(|id| directory.get(id));
+            !members.any(|worker| worker.is_some_and(|worker| worker.draining))
+        });
+        staying
+            .map(|group| {
+                let head = &group.members[0];
+                let candidate = Candidate {
+                    target: Target::of(head),
+                    slots: group.slots,
+                    near: group.zone == self.settings.zone,
+                };
+                Place {
+                    worker: head.as_str().into(),
+                    address: group.address,
+                    candidate,
+                    epoch: Some(group.epoch),
+                }
+            })
+            .collect()
+    }
+
+    /// A group stands still: others and the leader are told.
+    pub fn suspect(&self, epoch: u64) {
+        let now = self.now();
+        self.suspects.borrow_mut().insert(epoch, now);
+        for planner in self.planners.borrow_mut().values_mut() {
+            planner.suspected(epoch);
+        }
+    }
+}
--- /dev/null
+++ b/crates/oliveworks-gateway/src/store.rs
@@ -0,0 +1,329 @@
+//! Follows the platform's records: configuration, backend servers, leaders.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::{info, warn};
+use oliveworks_gateway_core::Millis;
+use oliveworks_gateway_core::configuration::Lookup;
+use oliveworks_gateway_core::election::Claim;
+use oliveworks_gateway_core::workers::WorkerId;
+use tokio::time::sleep;
+
+use crate::dialect::{Call, Claimed, Record, Tail, Topic};
+use crate::exchange::{self, Exchange};
+use crate::state::Gateway;
+
+/// The pause after a failed call, in ms; doubles up to the second figure.
+const RETRY_MS: (u64, u64) = (40, 320);
+/// How long the store holds a read of the leaders' topic back.
+const LEADERS_WAIT_MS: u64 = 15_000;
+/// How long a backend server may be missing from the list before it counts as gone.
+const MISSING_MS: u64 = 400;
+/// The same while the store has just been in trouble, when entries may go and come back.
+const MISSING_TROUBLED_MS: u64 = 2_600;
+/// How long the store counts as troubled after a failed call.
+const TROUBLED_MS: u64 = 3_000;
+
+/// A client of the store with one connection.
+struct Client {
+    gateway: Rc<Gateway>,
+    exchange: Option<Exchange>,
+}
+
+impl Client {
+    fn new(gateway: &Rc<Gateway>) -> Client {
+        Client { gateway: gateway.clone(), exchange: None }
+    }
+
+    async fn open(&mut self, within_ms: u64) -> Result<Exchange, String> {
+        if let Some(mut kept) = self.exchange.take()
+            && kept.is_usable().await
+        {
+            return Ok(kept);
+        }
+        let opened = Exchange::open(self.gateway.settings.store.address, within_ms).await;
+        opened.map_err(|why| format!("no connection: {why:?}"))
+    }
+
+    async fn call(&mut self, call: &Call, extra_ms: u64) -> Result<(u16, bytes::Bytes), String> {
+        let store = self.gateway.settings.store.clone();
+        let within_ms = store.call_ms + extra_ms;
+        let mut open = self.open(store.call_ms).await?;
+        match exchange::call(&mut open, store.address, call, within_ms).await {
+            Ok(answer) => {
+                self.exchange = Some(open);
+                self.gateway.store_answered();
+                Ok(answer)
+            }
+            Err(why) => Err(format!("{why:?}")),
+        }
+    }
+}
+
+/// A topic that is followed.
+struct Follower {
+    client: Client,
+    topic: Topic,
+    from: Option<u64>,
+    pause_ms: u64,
+}
+
+/// What one step of following brought.
+struct Step {
+    records: Vec<Record>,
+    /// Whether these are all newest records and not just what was added.
+    snapshot: bool,
+    /// When the call was sent, and how long the store held it back.
+    sent: Millis,
+    held_ms: u64,
+}
+
+impl Follower {
+    fn new(gateway: &Rc<Gateway>, topic: Topic) -> Follower {
+        Follower { client: Client::new(gateway), topic, from: None, pause_ms: RETRY_MS.0 }
+    }
+
+    /// Makes one step; on failure, says so and pauses.
+    async fn step(&mut self, wait_ms: u64) -> Option<Step> {
+        let gateway = self.client.gateway.clone();
+        let step = match self.from {
+            None => self.snapshot().await,
+            Some(from) => self.tail(from, wait_ms).await,
+        };
+        match step {
+            Ok(step) => {
+                self.pause_ms = RETRY_MS.0;
+                Some(step)
+            }
+            Err(why) => {
+                gateway.store_failed(&format!("{:?}", self.topic), &why);
+                sleep(Duration::from_millis(self.pause_ms)).await;
+                self.pause_ms = (self.pause_ms * 2).min(RETRY_MS.1);
+                None
+            }
+        }
+    }
+
+    async fn snapshot(&mut self) -> Result<Step, String> {
+        let gateway = self.client.gateway.clone();
+        let sent = gateway.now();
+        let mut records = Vec::new();
+        let mut after: Option<String> = None;
+        let mut first_end = None;
+        if self.topic == Topic::Leaders {
+            self.from = Some(0);
+            return Ok(Step { records, snapshot: false, sent, held_ms: 0 });
+        }
+        loop {
+            let call = gateway.dialect.newest(self.topic, after.as_deref());
+            let (status, body) = self.client.call(&call, 0).await?;
+            let page =
+                gateway.dialect.page(self.topic, status, &body).map_err(|e| e.to_string())?;
+            records.extend(page.records);
+            // Pages are no snapshot: what changed since the first is read again.
+            first_end.get_or_insert(page.end);
+            after = page.after;
+            if after.is_none() {
+                break;
+            }
+        }
+        self.from = first_end;
+        Ok(Step { records, snapshot: true, sent, held_ms: 0 })
+    }
+
+    async fn tail(&mut self, from: u64, wait_ms: u64) -> Result<Step, String> {
+        let gateway = self.client.gateway.clone();
+        let sent = gateway.now();
+        let call = gateway.dialect.tail(self.topic, from, wait_ms);
+        let (status, body) = self.client.call(&call, wait_ms).await?;
+        let tail = gateway
+            .dialect
+            .tailed(self.topic, from, status, &body)
+            .map_err(|error| error.to_string())?;
+        match tail {
+            Tail::Records(records, next) => {
+                let held_ms = if records.is_empty() { wait_ms } else { 0 };
+                self.from = Some(next);
+                Ok(Step { records, snapshot: false, sent, held_ms })
+            }
+            Tail::Expired(first) => {
+                info!("store: {:?} is kept only from {first} on", self.topic);
+                self.from = (self.topic == Topic::Leaders).then_some(first);
+                Ok(Step { records: Vec::new(), snapshot: false, sent, held_ms: 0 })
+            }
+            Tail::Refused(status) => Err(format!("refused with {status}")),
+        }
+    }
+}
+
+fn take_configuration(gateway: &Gateway, step: Step) {
+    for record in step.records {
+        match record {
+            Record::Configuration(configuration) => {
+                let held = gateway.lookup().map(|lookup| lookup.configuration.version);
+                if held.is_some_and(|held| held >= configuration.version) {
+                    continue;
+                }
+                info!(
+                    "configuration: version {} after {held:?}: {} routes, {} services, {} workspaces",
+                    configuration.version,
+                    configuration.routes.len(),
+                    configuration.services.len(),
+                    configuration.tenants.as_ref().map_or(0, Vec::len),
+                );
+                *gateway.lookup.borrow_mut() = Some(Rc::new(Lookup::new(configuration)));
+            }
+            Record::Unknown(why) => warn!("configuration: {why}"),
+            _ => {}
+        }
+    }
+}
+
+/// Follows the configuration.
+pub async fn follow_configuration(gateway: Rc<Gateway>) {
+    let mut follower = Follower::new(&gateway, Topic::Configuration);
+    let wait_ms = gateway.settings.store.configuration_wait_ms;
+    loop {
+        let Some(step) = follower.step(wait_ms).await else { continue };
+        let known = follower.from.is_some();
+        let (sent, held_ms) = (step.sent, step.held_ms);
+        take_configuration(&gateway, step);
+        if known && gateway.lookup.borrow().is_some() {
+            let mut freshness = gateway.freshness.get();
+            freshness.proved(sent, held_ms);
+            gateway.freshness.set(freshness);
+        }
+    }
+}
+
+/// Backend servers that are missing from the list, and since when.
+#[derive(Default)]
+struct Missing(BTreeMap<WorkerId, Millis>);
+
+impl Missing {
+    fn patience_ms(gateway: &Gateway) -> u64 {
+        let failed_at = gateway.store_failed_at.get();
+        match failed_at.is_some_and(|at| gateway.now() < at + TROUBLED_MS) {
+            true => MISSING_TROUBLED_MS,
+            false => MISSING_MS,
+        }
+    }
+
+    /// Takes out those that are missing for long.
+    fn sweep(&mut self, gateway: &Gateway) {
+        let now = gateway.now();
+        let patience_ms = Missing::patience_ms(gateway);
+        self.0.retain(|id, since| {
+            if now < *since + patience_ms {
+                return true;
+            }
+            info!("workers: {id} is no longer listed, for {} ms", now - *since);
+            gateway.directory.borrow_mut().remove(id);
+            for planner in gateway.planners.borrow_mut().values_mut() {
+                planner.unlisted(id);
+            }
+            false
+        });
+    }
+}
+
+fn take_workers(gateway: &Gateway, step: Step, missing: &mut Missing) {
+    let now = gateway.now();
+    let mut listed = BTreeSet::new();
+    for record in step.records {
+        match record {
+            Record::Worker(worker) => {
+                missing.0.remove(&worker.id);
+                listed.insert(worker.id.clone());
+                if let Some(planner) = gateway.planners.borrow_mut().get_mut(&worker.service) {
+                    planner.listed(now, &worker);
+                }
+                gateway.directory.borrow_mut().put(worker);
+            }
+            Record::WorkerGone(id) => {
+                missing.0.entry(id).or_insert(now);
+            }
+            Record::Unknown(why) => warn!("workers: {why}"),
+            _ => {}
+        }
+    }
+    if step.snapshot {
+        for worker in gateway.directory.borrow().iter() {
+            if !listed.contains(&worker.id) {
+                missing.0.entry(worker.id.clone()).or_insert(now);
+            }
+        }
+        gateway.directory_read.set(true);
+    }
+    missing.sweep(gateway);
+}
+
+/// Follows the list of backend servers.
+pub async fn follow_workers(gateway: Rc<Gateway>) {
+    let mut follower = Follower::new(&gateway, Topic::Workers);
+    let every = Duration::from_millis(gateway.settings.store.workers_every_ms);
+    let mut missing = Missing::default();
+    loop {
+        if let Some(step) = follower.step(0).await {
+            take_workers(&gateway, step, &mut missing);
+            if follower.from.is_some() {
+                sleep(every).await;
+            }
+        }
+        missing.sweep(&gateway);
+    }
+}
+
+/// Follows who leads.
+pub async fn follow_leaders(gateway: Rc<Gateway>) {
+    let mut follower = Follower::new(&gateway, Topic::Leaders);
+    let mut wait_ms = 0;
+    loop {
+        let Some(step) = follower.step(wait_ms).await else { continue };
+        let now = gateway.now();
+        let mut newest = None;
+        for record in step.records {
+            if let Record::Leader { fence, claimant } = record {
+                newest = Some(Claim { fence, claimant });
+            }
+        }
+        if let Some(claim) = &newest {
+            let own = claim.claimant == gateway.life;
+            info!("leader: fence {}, this gateway: {own}", claim.fence);
+        }
+        // The first read that answers tells the end of the topic; only then may this one wait.
+        if let (Some(end), true) =
+            (follower.from, step.held_ms > 0 || wait_ms == 0 || newest.is_some())
+        {
+            gateway.election.borrow_mut().read(now, newest, end);
+        }
+        wait_ms = match follower.from {
+            Some(0) if step.sent == now => 0,
+            _ => LEADERS_WAIT_MS,
+        };
+    }
+}
+
+/// Claims to lead, if it is time.
+pub async fn claim_leadership(gateway: Rc<Gateway>, end: u64) {
+    let mut client = Client::new(&gateway);
+    let call = gateway.dialect.claim(end, gateway.life);
+    info!("leader: claims at {end}");
+    let answer = client.call(&call, 0).await;
+    let claimed = answer.and_then(|(status, body)| {
+        gateway.dialect.claimed(status, &body).map_err(|error| error.to_string())
+    });
+    let now = gateway.now();
+    match claimed {
+        // The follower of the topic reads it back; nothing leads before that.
+        Ok(Claimed::Written(fence)) => {
+            let claim = Claim { fence, claimant: gateway.life };
+            gateway.election.borrow_mut().read(now, Some(claim), fence);
+        }
+        Ok(Claimed::Lost) => gateway.election.borrow_mut().refused(now),
+        Ok(Claimed::Refused(status)) => gateway.store_failed("claim", &status.to_string()),
+        Err(why) => gateway.store_failed("claim", &why),
+    }
+}
--- a/crates/oliveworks-runtime/src/logs.rs
+++ b/crates/oliveworks-runtime/src/logs.rs
@@ -49,6 +49,7 @@
     fern::Dispatch::new()
         .level(LevelFilter::Warn)
         .level_for("oliveworks_entry", config.level)
+        .level_for("oliveworks_gateway", config.level)
         .level_for("oliveworks_agent", config.level)
         .level_for("oliveworks_standin", config.level)
         .level_for("oliveworks_net", config.level)
