--- a/crates/oliveworks-gateway-core/src/configuration.rs
+++ b/crates/oliveworks-gateway-core/src/configuration.rs
@@ -82,6 +82,8 @@
     pub stride: u32,
     /// Loads that may begin each second.
     pub loads_per_s: f64,
+    /// Loads that run at once at full speed.
+    pub loads_at_once: u32,
     /// Time from an order to open until a group serves.
     pub form_ms: u64,
 }
--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -118,11 +118,22 @@
     pub notice_ms: u64,
     /// The longest that a group may take to finish its work.
     pub finish_ms: u64,
+    /// How long a domain's hosts must have been the same before cold ones form groups.
+    pub settle_ms: u64,
+    /// The same before cold ones become spares.
+    pub settle_spares_ms: u64,
 }
 
 impl Default for PlannerConfig {
     fn default() -> PlannerConfig {
-        PlannerConfig { stall_ms: 6_000, spare_percent: 20, notice_ms: 60, finish_ms: 9_000 }
+        PlannerConfig {
+            stall_ms: 6_000,
+            spare_percent: 20,
+            notice_ms: 60,
+            finish_ms: 9_000,
+            settle_ms: 300,
+            settle_spares_ms: 1_500,
+        }
     }
 }
 
@@ -144,6 +155,10 @@
     groups: BTreeMap<u64, Group>,
     load_tokens: f64,
     load_tokens_at: Millis,
+    /// When each domain last got a host.
+    grown_at: BTreeMap<String, Millis>,
+    /// Whether callers have been served, from which time on loads are slow and counted.
+    traffic: bool,
 }
 
 impl Planner {
@@ -158,9 +173,21 @@
             groups: BTreeMap::new(),
             load_tokens: 0.0,
             load_tokens_at: now,
+            grown_at: BTreeMap::new(),
+            traffic: true,
         }
     }
 
+    /// Whether callers have been served at all.
+    pub fn set_traffic(&mut self, traffic: bool) {
+        self.traffic = traffic;
+    }
+
+    /// Whether a domain has had the same hosts for a while, so that its cold ones may be dealt out.
+    fn is_settled(&self, now: Millis, domain: &str, for_ms: u64) -> bool {
+        self.grown_at.get(domain).is_none_or(|at| now >= at + for_ms)
+    }
+
     /// The fence under which its orders go out.
     pub fn fence(&self) -> u64 {
         self.fence
@@ -224,6 +251,7 @@
             }
             None => {
                 self.hosts.insert(worker.id.clone(), Host::new(now, worker));
+                self.grown_at.insert(worker.domain.clone(), now);
             }
         }
     }
@@ -238,6 +266,7 @@
     /// A host has told its state.
     pub fn reported(&mut self, now: Millis, id: &str, holding: &Holding) {
         if let Some(host) = self.hosts.get_mut(id) {
+            host.answers();
             host.heard(now, holding);
         }
     }
@@ -303,8 +332,13 @@
     fn refill_loads(&mut self, now: Millis) {
         let passed = now.saturating_sub(self.load_tokens_at) as f64 / 1_000.0;
         self.load_tokens_at = now;
-        let burst = LOAD_BURST.max(1.0);
-        self.load_tokens = (self.load_tokens + passed * self.engine.loads_per_s).min(burst);
+        if !self.traffic {
+            // Before traffic loads are short and free; only how many run at once matters.
+            let loading = self.hosts.values().filter(|host| host.is_loading()).count();
+            self.load_tokens = self.engine.loads_at_once as f64 - loading as f64;
+            return;
+        }
+        self.load_tokens = (self.load_tokens + passed * self.engine.loads_per_s).min(LOAD_BURST);
     }
 
     fn found(&mut self, now: Millis, plan: allot::NewGroup) {
--- a/crates/oliveworks-gateway-core/src/planner/allot.rs
+++ b/crates/oliveworks-gateway-core/src/planner/allot.rs
@@ -30,6 +30,10 @@
     free: Vec<&'a Host>,
     /// Groups by model.
     groups: BTreeMap<&'a str, usize>,
+    /// Whether it has had the same hosts for a while.
+    settled: bool,
+    /// The same for long enough that a cold host is not needed for a new group.
+    steady: bool,
     /// Models that spares load.
     loading: Vec<&'a str>,
 }
@@ -117,6 +121,10 @@
 pub(super) fn allot(now: Millis, planner: &Planner) -> Vec<NewGroup> {
     let mut domains = domains(now, planner);
     let mut plans = Vec::new();
+    for (name, domain) in &mut domains {
+        domain.settled = planner.is_settled(now, name, planner.config.settle_ms);
+        domain.steady = planner.is_settled(now, name, planner.config.settle_spares_ms);
+    }
     form(planner, &mut domains, &mut plans);
     keep_spares(planner, &mut domains, &mut plans);
     plans
@@ -142,7 +150,7 @@
         let formed = names.into_iter().find_map(|name| {
             let domain = domains.get_mut(name)?;
             let fits = room(planner, domain) >= model.size as isize;
-            let hosts = take(&mut domain.free, model, fits)?;
+            let hosts = take(&mut domain.free, model, fits && domain.settled)?;
             // What holds the model already may always serve it again; more takes room.
             let hot = hosts.iter().all(|host| warmth(host, model) != Warmth::Cold);
             if !fits && !(hot && has_none(domain, model)) {
@@ -178,7 +186,7 @@
     domains: &mut BTreeMap<&str, Domain<'_>>,
     plans: &mut Vec<NewGroup>,
 ) {
-    for domain in domains.values() {
+    for domain in domains.values().filter(|domain| domain.steady) {
         let mut spares: BTreeMap<&str, usize> = BTreeMap::new();
         let mut cold: Vec<&Host> = Vec::new();
         for host in &domain.free {
--- a/crates/oliveworks-gateway-core/src/planner/host.rs
+++ b/crates/oliveworks-gateway-core/src/planner/host.rs
@@ -113,6 +113,14 @@
         !self.is_lost() && !self.unlisted && !self.worker.draining
     }
 
+    /// Whether it has begun to join and is not done.
+    pub(super) fn is_loading(&self) -> bool {
+        let member = self.holding.group.as_ref();
+        let done =
+            member.is_some_and(|m| Some(m.epoch) == self.joined && m.state != MemberState::Joining);
+        self.pending || (self.joined.is_some() && self.joined == self.group && !done)
+    }
+
     pub(super) fn is_ready_in(&self, name: &str, epoch: u64) -> bool {
         self.holding.group.as_ref().is_some_and(|member| {
             member.name == name && member.epoch == epoch && member.state == MemberState::Ready
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -136,6 +136,7 @@
     let mut commands = Vec::new();
     for (service, planner) in planners.iter_mut() {
         refresh(gateway, service, planner);
+        planner.set_traffic(gateway.traffic.get());
         commands.extend(planner.tick(now).into_iter().map(|command| (service.clone(), command)));
         groups.extend(table_groups(gateway, service, planner));
     }
--- a/crates/oliveworks-gateway/src/peers.rs
+++ b/crates/oliveworks-gateway/src/peers.rs
@@ -43,6 +43,8 @@
     open: Vec<(Target, u16)>,
     /// Groups that the sender sees standing still.
     suspects: Vec<u64>,
+    /// Whether any gateway has had a request.
+    traffic: bool,
     /// Other gateways.
     peers: Vec<(String, SocketAddr)>,
     /// The newest table that the sender knows, if it leads.
@@ -61,6 +63,7 @@
         leads,
         open: gateway.balance.borrow().own_open().collect(),
         suspects: gateway.suspects.borrow().keys().copied().collect(),
+        traffic: gateway.traffic.get(),
         peers: young.map(|(name, peer)| (name.clone(), peer.address)).take(FAN_OUT).collect(),
         table: leads.map(|_| gateway.table.borrow().clone()),
     }
@@ -120,6 +123,9 @@
             }
         }
     }
+    if beat.traffic {
+        gateway.traffic.set(true);
+    }
     let open: HashMap<Target, u16> = beat.open.into_iter().collect();
     gateway.balance.borrow_mut().peer(now, xxh3_64(beat.node.as_bytes()), open);
     for epoch in beat.suspects {
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -130,6 +130,7 @@
 /// Sees a request to its answer.
 pub async fn handle(gateway: &Rc<Gateway>, connection: &mut Connection, request: Whole) -> End {
     gateway.count("requests");
+    gateway.traffic.set(true);
     let asked = match gateway.dialect.asked(&request.headers) {
         Ok(asked) => asked,
         Err(_) => return refuse(gateway, connection, "", Verdict::BadRequest, 0).await,
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -120,6 +120,8 @@
     pub stopping: watch::Sender<bool>,
     /// Requests under way.
     pub open_requests: Cell<usize>,
+    /// Whether any gateway has had a request.
+    pub traffic: Cell<bool>,
     /// Tells this life of this process from others.
     pub life: u64,
     /// Counters, by name.
@@ -158,6 +160,7 @@
             suspects: RefCell::default(),
             stopping: watch::channel(false).0,
             open_requests: Cell::new(0),
+            traffic: Cell::new(false),
             life,
             counters: RefCell::default(),
             ticked_at: Cell::new(now),
--- a/crates/oliveworks-gateway/src/store.rs
+++ b/crates/oliveworks-gateway/src/store.rs
@@ -19,6 +19,9 @@
 const RETRY_MS: (u64, u64) = (40, 320);
 /// How long the store holds a read of the leaders' topic back.
 const LEADERS_WAIT_MS: u64 = 15_000;
+/// Reads of backend servers' records that follow each other soon after the start, and how soon.
+const FIRST_READS: u32 = 8;
+const FIRST_EVERY_MS: u64 = 200;
 /// How long a backend server may be missing from the list before it counts as gone.
 const MISSING_MS: u64 = 400;
 /// The same while the store has just been in trouble, when entries may go and come back.
@@ -263,13 +266,17 @@
 /// Follows the list of backend servers.
 pub async fn follow_workers(gateway: Rc<Gateway>) {
     let mut follower = Follower::new(&gateway, Topic::Workers);
-    let every = Duration::from_millis(gateway.settings.store.workers_every_ms);
+    let every_ms = gateway.settings.store.workers_every_ms;
     let mut missing = Missing::default();
+    let mut reads = 0;
     loop {
         if let Some(step) = follower.step(0).await {
             take_workers(&gateway, step, &mut missing);
             if follower.from.is_some() {
-                sleep(every).await;
+                reads += 1;
+                // All processes start at once: the first records come in quick succession.
+                let pause_ms = if reads < FIRST_READS { FIRST_EVERY_MS } else { every_ms };
+                sleep(Duration::from_millis(pause_ms)).await;
             }
         }
         missing.sweep(&gateway);
