Planner and routing: spread groups over domains, spares by urgency, silence from the engine's longest pass

Cause: one domain held most groups of one model; records older than our orders undid them; a group was sent more than its slots, so that every first event came late.

--- a/crates/oliveworks-gateway-core/src/balance.rs
+++ b/crates/oliveworks-gateway-core/src/balance.rs
@@ -49,6 +49,8 @@
 #[derive(Clone, Debug, Default)]
 struct Own {
     open: u32,
+    /// Streams among them that have begun.
+    writing: u32,
     last_progress: Millis,
     suspended_until: Millis,
     suspensions: u32,
@@ -154,15 +156,29 @@
         }
     }
 
+    /// A stream at a target has begun.
+    pub fn began(&mut self, target: Target) {
+        if let Some(own) = self.own.get_mut(&target) {
+            own.writing += 1;
+        }
+    }
+
+    /// Whether a stream of this gateway's has begun at a target, so that events must keep coming.
+    pub fn is_writing(&self, target: Target) -> bool {
+        self.own.get(&target).is_some_and(|own| own.writing > 0)
+    }
+
     /// When something last came from a target, or its first request of now went there.
     pub fn last_progress(&self, target: Target) -> Option<Millis> {
         self.own.get(&target).filter(|own| own.open > 0).map(|own| own.last_progress)
     }
 
-    /// A request at a target has ended; `failed` if the target is to blame.
-    pub fn ended(&mut self, now: Millis, target: Target, failed: bool) {
+    /// A request at a target has ended; `began` if its stream had begun, `failed` if the target is
+    /// to blame.
+    pub fn ended(&mut self, now: Millis, target: Target, began: bool, failed: bool) {
         let Some(own) = self.own.get_mut(&target) else { return };
         own.open = own.open.saturating_sub(1);
+        own.writing = own.writing.saturating_sub(u32::from(began));
         if failed {
             own.failures = own.failures(now) + 1.0;
             own.failures_at = now;
--- a/crates/oliveworks-gateway-core/src/configuration.rs
+++ b/crates/oliveworks-gateway-core/src/configuration.rs
@@ -231,6 +231,14 @@
 }
 
 impl Engine {
+    /// The longest that a model's replica group may take from one event of a stream to the next:
+    /// a pass in which every step reads as much as it may.
+    pub fn longest_pass_ms(&self, model: &Model) -> f64 {
+        let writing = self.step_ms + self.per_sequence_ms * f64::from(self.slots);
+        let reading = f64::from(self.chunk) / self.read_per_ms.max(0.001);
+        f64::from(self.stride) * (writing + reading) * model.pace
+    }
+
     /// The model of a name.
     pub fn model(&self, name: &str) -> Option<&Model> {
         self.models.iter().find(|model| model.name == name)
--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -118,10 +118,8 @@
     pub notice_ms: u64,
     /// The longest that a group may take to finish its work.
     pub finish_ms: u64,
-    /// How long a domain's hosts must have been the same before cold ones form groups.
+    /// How long a domain's hosts must have been the same before cold ones become spares.
     pub settle_ms: u64,
-    /// The same before cold ones become spares.
-    pub settle_spares_ms: u64,
 }
 
 impl Default for PlannerConfig {
@@ -131,8 +129,7 @@
             spare_percent: 20,
             notice_ms: 60,
             finish_ms: 9_000,
-            settle_ms: 300,
-            settle_spares_ms: 1_500,
+            settle_ms: 1_300,
         }
     }
 }
@@ -141,6 +138,8 @@
 const EPOCHS_OF_FENCE: u64 = 1_000_000;
 /// Loads that may begin at once.
 const LOAD_BURST: f64 = 2.0;
+/// Loads before traffic beyond those that run at full speed, so that none has to wait to be told.
+const LOADS_BEYOND: u32 = 2;
 /// A little time beyond a bound, for clocks and messages.
 const MARGIN_MS: u64 = 500;
 
@@ -184,8 +183,8 @@
     }
 
     /// Whether a domain has had the same hosts for a while, so that its cold ones may be dealt out.
-    fn is_settled(&self, now: Millis, domain: &str, for_ms: u64) -> bool {
-        self.grown_at.get(domain).is_none_or(|at| now >= at + for_ms)
+    fn is_settled(&self, now: Millis, domain: &str) -> bool {
+        self.grown_at.get(domain).is_none_or(|at| now >= at + self.config.settle_ms)
     }
 
     /// The fence under which its orders go out.
@@ -246,8 +245,7 @@
     pub fn listed(&mut self, now: Millis, worker: &Worker) {
         match self.hosts.get_mut(&worker.id) {
             Some(host) => {
-                host.listed(worker);
-                host.heard(now, &worker.holding);
+                host.listed(now, worker);
             }
             None => {
                 self.hosts.insert(worker.id.clone(), Host::new(now, worker));
@@ -335,7 +333,8 @@
         if !self.traffic {
             // Before traffic loads are short and free; only how many run at once matters.
             let loading = self.hosts.values().filter(|host| host.is_loading()).count();
-            self.load_tokens = self.engine.loads_at_once as f64 - loading as f64;
+            let most = self.engine.loads_at_once + LOADS_BEYOND;
+            self.load_tokens = f64::from(most) - loading as f64;
             return;
         }
         self.load_tokens = (self.load_tokens + passed * self.engine.loads_per_s).min(LOAD_BURST);
--- a/crates/oliveworks-gateway-core/src/planner/allot.rs
+++ b/crates/oliveworks-gateway-core/src/planner/allot.rs
@@ -31,8 +31,6 @@
     /// Groups by model.
     groups: BTreeMap<&'a str, usize>,
     /// Whether it has had the same hosts for a while.
-    settled: bool,
-    /// The same for long enough that a cold host is not needed for a new group.
     steady: bool,
     /// Models that spares load.
     loading: Vec<&'a str>,
@@ -122,15 +120,18 @@
     let mut domains = domains(now, planner);
     let mut plans = Vec::new();
     for (name, domain) in &mut domains {
-        domain.settled = planner.is_settled(now, name, planner.config.settle_ms);
-        domain.steady = planner.is_settled(now, name, planner.config.settle_spares_ms);
+        domain.steady = planner.is_settled(now, name);
     }
     form(planner, &mut domains, &mut plans);
     keep_spares(planner, &mut domains, &mut plans);
     plans
 }
 
-fn form(planner: &Planner, domains: &mut BTreeMap<&str, Domain<'_>>, plans: &mut Vec<NewGroup>) {
+fn form<'a>(
+    planner: &'a Planner,
+    domains: &mut BTreeMap<&str, Domain<'a>>,
+    plans: &mut Vec<NewGroup>,
+) {
     let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
     for domain in domains.values() {
         for (model, count) in &domain.groups {
@@ -146,11 +147,16 @@
         };
         let Some(model) = open.min_by(|a, b| need(a).total_cmp(&need(b))) else { return };
         let mut names: Vec<&str> = domains.keys().copied().collect();
-        names.sort_by_key(|name| std::cmp::Reverse(room(planner, &domains[name])));
+        names.sort_by_key(|name| {
+            let domain = &domains[name];
+            let groups = domain.groups.get(model.name.as_str()).copied().unwrap_or(0);
+            // Spread over domains, so that the loss of one leaves groups of every model.
+            (groups, std::cmp::Reverse(room(planner, domain)))
+        });
         let formed = names.into_iter().find_map(|name| {
             let domain = domains.get_mut(name)?;
             let fits = room(planner, domain) >= model.size as isize;
-            let hosts = take(&mut domain.free, model, fits && domain.settled)?;
+            let hosts = take(&mut domain.free, model, fits)?;
             // What holds the model already may always serve it again; more takes room.
             let hot = hosts.iter().all(|host| warmth(host, model) != Warmth::Cold);
             if !fits && !(hot && has_none(domain, model)) {
@@ -158,6 +164,7 @@
                 return None;
             }
             domain.used += model.size;
+            *domain.groups.entry(&model.name).or_default() += 1;
             Some(hosts)
         });
         match formed {
@@ -165,6 +172,8 @@
                 plans.push(new_group(model, &hosts));
                 *counts.entry(model.name.as_str()).or_default() += 1;
             }
+            // Before traffic the hosts that are listed next may make room for it.
+            None if !planner.traffic && domains.values().any(|domain| !domain.steady) => return,
             None => skipped.push(&model.name),
         }
     }
@@ -203,8 +212,7 @@
             let models = planner.engine.models.iter().filter(|model| model.size > 1);
             let lacking = models.min_by_key(|model| {
                 let has = spares.get(model.name.as_str()).copied().unwrap_or(0);
-                // Nearest to a whole group first, measured in hosts that are missing.
-                (has * 100 / model.size, std::cmp::Reverse(model.size))
+                (urgency(has, model.size), std::cmp::Reverse(model.size))
             });
             let Some(model) = lacking else { return };
             *spares.entry(&model.name).or_default() += 1;
@@ -212,3 +220,14 @@
         }
     }
 }
+
+/// How urgently a model needs one more spare, 0 the most: what is left of a broken group waits for
+/// the hosts that it lacks; then every model should have one spare; then the rest.
+fn urgency(spares: usize, size: usize) -> usize {
+    match spares {
+        0 => 1,
+        1 => 2,
+        more if more < size => 0,
+        _ => 3,
+    }
+}
--- a/crates/oliveworks-gateway-core/src/planner/host.rs
+++ b/crates/oliveworks-gateway-core/src/planner/host.rs
@@ -6,13 +6,15 @@
 use crate::workers::{Holding, MemberState, Worker};
 
 /// The time between two questions to the same host.
-pub(super) const PROBE_EVERY_MS: u64 = 120;
+pub(super) const PROBE_EVERY_MS: u64 = 80;
 /// The time between two questions to a host that does not answer.
 const LOST_PROBE_EVERY_MS: u64 = 700;
 /// Questions without an answer after which a host is lost.
 const SILENCE_MAX: u32 = 2;
 /// The time after which an order that was not answered is given again.
 const ORDER_AGAIN_MS: u64 = 300;
+/// How much older than its reading a record of the store may be.
+const RECORD_LAG_MS: u64 = 1_500;
 /// The time that a member which has the model needs to join.
 const JOIN_MS: u64 = 200;
 
@@ -39,6 +41,7 @@
     silences: u32,
     pending: bool,
     ordered_at: Millis,
+    taken_at: Millis,
     /// The model of its last join in this life.
     last_model: Option<String>,
     pub(super) wants_probe: bool,
@@ -65,6 +68,7 @@
             silences: 0,
             pending: false,
             ordered_at: 0,
+            taken_at: 0,
             last_model: worker.holding.models.first().cloned(),
             wants_probe: false,
             probing: false,
@@ -72,9 +76,13 @@
         }
     }
 
-    pub(super) fn listed(&mut self, worker: &Worker) {
+    pub(super) fn listed(&mut self, now: Millis, worker: &Worker) {
         self.unlisted = false;
         self.worker = worker.clone();
+        // A record may be older than the order that was taken last; a question tells for sure.
+        if now >= self.taken_at + RECORD_LAG_MS {
+            self.heard(now, &worker.holding);
+        }
     }
 
     pub(super) fn heard(&mut self, now: Millis, holding: &Holding) {
@@ -188,6 +196,7 @@
         }
         // The next order may follow at once.
         self.ordered_at = 0;
+        self.taken_at = now;
         match order {
             Order::Join { epoch, model, .. } => {
                 self.joined = Some(*epoch);
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -1,5 +1,6 @@
 //! Sees a request to its answer.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -32,11 +33,17 @@
 /// The time between two looks for a place.
 const LOOK_MS: u64 = 15;
 /// When a caller may come back.
-const COME_BACK_MS: u64 = 400;
+const COME_BACK_MS: u64 = 700;
+/// A random time on top, so that those who were refused together do not come back together.
+const COME_BACK_SPREAD_MS: u64 = 900;
 /// The same when keys are not honoured for a while.
 const COME_BACK_STALE_MS: u64 = 1_000;
 /// The silence after which a plain request that may be repeated goes elsewhere.
 const PLAIN_SILENCE_MS: u64 = 450;
+/// What a replica group may be silent beyond its longest pass, while a stream of ours runs there.
+const WRITING_SLACK_MS: u64 = 50;
+/// The same while all our requests there wait for their first event.
+const FIRST_SLACK_MS: u64 = 200;
 /// The time before the deadline at which the final answer is given.
 const DEADLINE_MARGIN_MS: u64 = 30;
 /// Headers that concern one connection only.
@@ -76,6 +83,8 @@
     service: String,
     /// The model, if replica groups serve it.
     model: Option<String>,
+    /// The longest pass of a replica group of the model.
+    pass_ms: u64,
     tenant: Option<String>,
     priority: Option<u8>,
     received: Millis,
@@ -86,6 +95,8 @@
     progress: Progress,
     /// Whether the caller has the head of a stream.
     begun: bool,
+    /// The longest pause between two parts of its stream.
+    longest_gap_ms: u64,
     log: Vec<String>,
 }
 
@@ -115,7 +126,8 @@
         headers.push((name, value.into()));
     }
     if answer.come_back {
-        let (name, value) = gateway.dialect.come_back(come_back_ms);
+        let (name, value) =
+            gateway.dialect.come_back(come_back_ms + rand::random_range(0..COME_BACK_SPREAD_MS));
         headers.push((name, value.into()));
     }
     headers.push(("content-type".into(), "application/json".into()));
@@ -149,10 +161,11 @@
     let (end, outcome) = job.run(connection).await;
     let took = gateway.now() - job.received;
     info!(
-        "request: {id} route {} model {:?} {outcome} after {took} ms, {} sent, configuration {} [{}]",
+        "request: {id} route {} model {:?} {outcome} after {took} ms, {} sent, longest gap {} ms, configuration {} [{}]",
         job.route.name,
         job.model,
         job.attempts.sent(),
+        job.longest_gap_ms,
         lookup.configuration.version,
         job.log.join("; ")
     );
@@ -182,7 +195,12 @@
     let max_attempts = found.route.max_attempts.max(1);
     let tenant_rank = found.tenant.and_then(|tenant| tenant.priority);
     gateway.budget.borrow_mut().request(received, &service);
+    let pass_ms = engine.and_then(|engine| {
+        let model = engine.model(asked.model.as_deref()?)?;
+        Some(engine.longest_pass_ms(model).ceil() as u64)
+    });
     Ok(Job {
+        pass_ms: pass_ms.unwrap_or(0),
         model: asked.model.clone().filter(|_| grouped),
         tenant: found.tenant.map(|tenant| tenant.name.clone()),
         priority: Some(tenant_rank.unwrap_or(found.route.priority)),
@@ -197,6 +215,7 @@
         deadline,
         tried: Vec::new(),
         begun: false,
+        longest_gap_ms: 0,
         log: Vec::new(),
     })
 }
@@ -240,8 +259,9 @@
             self.tried.push(target);
             let now = self.gateway.now();
             self.gateway.balance.borrow_mut().started(now, target);
-            let mut open = Open { gateway: self.gateway, target, failed: false };
-            let tried = self.attempt(connection, &place).await;
+            let mut open =
+                Open { gateway: self.gateway, target, began: Cell::new(false), failed: false };
+            let tried = self.attempt(connection, &place, &open.began).await;
             open.failed =
                 matches!(tried, Tried::Failed { failure, .. } if failure != Failure::Refused);
             drop(open);
@@ -338,7 +358,12 @@
     }
 
     /// Sends the request to one place and passes on what comes.
-    async fn attempt(&mut self, connection: &mut Connection, place: &Place) -> Tried {
+    async fn attempt(
+        &mut self,
+        connection: &mut Connection,
+        place: &Place,
+        began: &Cell<bool>,
+    ) -> Tried {
         self.attempts.connecting();
         let within_ms = self.gateway.settings.requests.connect_ms;
         let mut exchange = match Exchange::open(place.address, within_ms).await {
@@ -370,7 +395,7 @@
             return failed;
         }
         if self.route.stream && (200..300).contains(&status) {
-            return self.stream(connection, exchange, response, headers, place).await;
+            return self.stream(connection, exchange, response, headers, place, began).await;
         }
         self.whole(connection, exchange, response, headers, place).await
     }
@@ -451,8 +476,13 @@
         if self.model.is_none() {
             return Some(base + PLAIN_SILENCE_MS);
         }
-        let last = self.gateway.balance.borrow().last_progress(place.candidate.target);
-        Some(base.max(last.unwrap_or(0)) + self.gateway.settings.requests.silence_ms)
+        let balance = self.gateway.balance.borrow();
+        let last = balance.last_progress(place.candidate.target).unwrap_or(0);
+        let slack_ms = match balance.is_writing(place.candidate.target) {
+            true => WRITING_SLACK_MS,
+            false => FIRST_SLACK_MS,
+        };
+        Some(base.max(last) + self.pass_ms + slack_ms)
     }
 
     fn stands_still(&self, place: &Place, now: Millis) {
@@ -511,6 +541,7 @@
         mut response: Response<Incoming>,
         headers: Headers,
         place: &Place,
+        began: &Cell<bool>,
     ) -> Tried {
         let mut since = self.heard(place);
         let mut splitter = Splitter::default();
@@ -521,11 +552,16 @@
                 Ok(Err(_)) => return Tried::Failed { failure: Failure::Lost, gone: false },
                 Err(failure) => return Tried::Failed { failure, gone: false },
             };
+            let before = since;
             since = self.heard(place);
+            self.longest_gap_ms = self.longest_gap_ms.max(since - before);
             let Some(part) = part else { break };
             let Ok(events) = splitter.push(&part) else {
                 return Tried::Failed { failure: Failure::Lost, gone: false };
             };
+            if !events.is_empty() && !began.replace(true) {
+                self.gateway.balance.borrow_mut().began(place.candidate.target);
+            }
             let mut bytes = Vec::new();
             for event in events {
                 match self.progress.next(event.id) {
@@ -572,12 +608,13 @@
 struct Open<'a> {
     gateway: &'a Gateway,
     target: Target,
+    began: Cell<bool>,
     failed: bool,
 }
 
 impl Drop for Open<'_> {
     fn drop(&mut self) {
         let now = self.gateway.now();
-        self.gateway.balance.borrow_mut().ended(now, self.target, self.failed);
+        self.gateway.balance.borrow_mut().ended(now, self.target, self.began.get(), self.failed);
     }
 }
--- a/crates/oliveworks-gateway/src/settings.rs
+++ b/crates/oliveworks-gateway/src/settings.rs
@@ -86,8 +86,6 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Requests {
-    /// Silence of a replica group after which its streams move.
-    pub silence_ms: u64,
     /// The time that a connection to a backend server may take.
     pub connect_ms: u64,
     /// The load, in parts of its slots, at which a backend server takes no more.
@@ -98,16 +96,16 @@
 
 impl Default for Requests {
     fn default() -> Requests {
-        Requests { silence_ms: 400, connect_ms: 250, full_at: 1.3, answer_max: 8 << 20 }
+        Requests { connect_ms: 150, full_at: 1.0, answer_max: 8 << 20 }
     }
 }
 
 fn default_configuration_wait_ms() -> u64 {
-    1_500
+    2_400
 }
 
 fn default_workers_every_ms() -> u64 {
-    700
+    1_000
 }
 
 fn default_call_ms() -> u64 {
@@ -123,7 +121,6 @@
             ("bounds.drain_ms", self.bounds.drain_ms),
             ("bounds.grace_ms", self.bounds.grace_ms),
             ("bounds.repeat_window_ms", self.bounds.repeat_window_ms),
-            ("requests.silence_ms", self.requests.silence_ms),
             ("requests.connect_ms", self.requests.connect_ms),
         ];
         for (key, value) in positive {
--- a/crates/oliveworks-gateway/src/store.rs
+++ b/crates/oliveworks-gateway/src/store.rs
@@ -20,8 +20,8 @@
 /// How long the store holds a read of the leaders' topic back.
 const LEADERS_WAIT_MS: u64 = 15_000;
 /// Reads of backend servers' records that follow each other soon after the start, and how soon.
-const FIRST_READS: u32 = 8;
-const FIRST_EVERY_MS: u64 = 200;
+const FIRST_READS: u32 = 12;
+const FIRST_EVERY_MS: u64 = 300;
 /// How long a backend server may be missing from the list before it counts as gone.
 const MISSING_MS: u64 = 400;
 /// The same while the store has just been in trouble, when entries may go and come back.
@@ -243,6 +243,11 @@
                 if let Some(planner) = gateway.planners.borrow_mut().get_mut(&worker.service) {
                     planner.listed(now, &worker);
                 }
+                let id = worker.id.clone();
+                let (service, domain) = (worker.service.clone(), worker.domain.clone());
+                if gateway.directory.borrow().get(&id).is_none() {
+                    info!("workers: {id} of {service} is listed, in domain {domain}");
+                }
                 gateway.directory.borrow_mut().put(worker);
             }
             Record::WorkerGone(id) => {
