Planner: hosts keep the model that they hold

Cause: free hosts that held one model were loaded with the other, 12 to 16 s, while their own model lacked just one host.

--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -557,6 +557,22 @@
         self.groups.values().map(Group::describe).collect()
     }
 
+    /// A line for each domain: what its hosts are doing.
+    pub fn describe_domains(&self, now: Millis) -> Vec<String> {
+        let mut domains: BTreeMap<&str, BTreeMap<String, usize>> = BTreeMap::new();
+        for host in self.hosts.values() {
+            let what = match host.group.and_then(|epoch| self.groups.get(&epoch)) {
+                _ if host.is_lost() => "lost".to_owned(),
+                _ if host.worker.draining || host.unlisted => "leaving".to_owned(),
+                Some(group) => format!("{}:{}", group.model, group.phase.name()),
+                None if now < host.locked_until => format!("locked:{}", host.last_model()),
+                None => format!("free:{}", host.last_model()),
+            };
+            *domains.entry(&host.worker.domain).or_default().entry(what).or_default() += 1;
+        }
+        domains.iter().map(|(name, hosts)| format!("{name} {hosts:?}")).collect()
+    }
+
     /// Hosts that belong to more than one group; always empty.
     pub fn shared_hosts(&self) -> BTreeSet<WorkerId> {
         let mut seen = BTreeSet::new();
--- a/crates/oliveworks-gateway-core/src/planner/allot.rs
+++ b/crates/oliveworks-gateway-core/src/planner/allot.rs
@@ -43,14 +43,21 @@
     Hot,
     /// Its host keeps the model.
     Staged,
-    /// It must load the model.
+    /// It holds nothing and must load the model.
     Cold,
+    /// It holds another model, for whose groups it is kept.
+    Taken,
 }
 
-fn warmth(host: &Host, model: &Model) -> Warmth {
+fn warmth(planner: &Planner, host: &Host, model: &Model) -> Warmth {
+    let others = planner.engine.models.iter().filter(|other| other.name != model.name);
+    let holds_other = others.clone().any(|other| host.held_last(&other.name));
+    let stages_other = others.clone().any(|other| host.has(&other.name));
     match (host.held_last(&model.name), host.has(&model.name)) {
         (true, _) => Warmth::Hot,
+        _ if holds_other => Warmth::Taken,
         (false, true) => Warmth::Staged,
+        (false, false) if stages_other => Warmth::Taken,
         (false, false) => Warmth::Cold,
     }
 }
@@ -90,15 +97,21 @@
 }
 
 /// Takes the hosts out of `free` that serve the model soonest.
-fn take<'a>(free: &mut Vec<&'a Host>, model: &Model, cold: bool) -> Option<Vec<&'a Host>> {
+fn take<'a>(
+    planner: &Planner,
+    free: &mut Vec<&'a Host>,
+    model: &Model,
+    cold: bool,
+) -> Option<Vec<&'a Host>> {
     let mut order: Vec<&Host> = free.clone();
-    order.sort_by_key(|host| warmth(host, model));
+    order.retain(|host| warmth(planner, host, model) != Warmth::Taken);
+    order.sort_by_key(|host| warmth(planner, host, model));
     order.truncate(model.size);
     if order.len() < model.size {
         return None;
     }
-    let coldest = order.iter().map(|host| warmth(host, model)).max()?;
-    let warmest = order.iter().map(|host| warmth(host, model)).min()?;
+    let coldest = order.iter().map(|host| warmth(planner, host, model)).max()?;
+    let warmest = order.iter().map(|host| warmth(planner, host, model)).min()?;
     // Hosts that hold the model do not wait for one that loads it: that one loads as a spare.
     let waits = coldest == Warmth::Cold && warmest != Warmth::Cold;
     if coldest == Warmth::Cold && (!cold || waits) {
@@ -156,9 +169,9 @@
         let formed = names.into_iter().find_map(|name| {
             let domain = domains.get_mut(name)?;
             let fits = room(planner, domain) >= model.size as isize;
-            let hosts = take(&mut domain.free, model, fits)?;
+            let hosts = take(planner, &mut domain.free, model, fits)?;
             // What holds the model already may always serve it again; more takes room.
-            let hot = hosts.iter().all(|host| warmth(host, model) != Warmth::Cold);
+            let hot = hosts.iter().all(|host| warmth(planner, host, model) != Warmth::Cold);
             if !fits && !(hot && has_none(domain, model)) {
                 domain.free.extend(hosts);
                 return None;
@@ -199,8 +212,9 @@
         let mut spares: BTreeMap<&str, usize> = BTreeMap::new();
         let mut cold: Vec<&Host> = Vec::new();
         for host in &domain.free {
-            let held = planner.engine.models.iter().find(|m| host.held_last(&m.name));
-            match held {
+            let models = &planner.engine.models;
+            let held = models.iter().find(|m| host.held_last(&m.name));
+            match held.or_else(|| models.iter().find(|m| host.has(&m.name))) {
                 Some(model) => *spares.entry(&model.name).or_default() += 1,
                 None => cold.push(host),
             }
--- a/crates/oliveworks-gateway-core/src/planner/group.rs
+++ b/crates/oliveworks-gateway-core/src/planner/group.rs
@@ -23,6 +23,19 @@
     Spare,
 }
 
+impl Phase {
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Phase::Joining => "joining",
+            Phase::Opening => "opening",
+            Phase::Open { .. } => "open",
+            Phase::Finishing => "finishing",
+            Phase::Breaking => "breaking",
+            Phase::Spare => "spare",
+        }
+    }
+}
+
 /// A replica group.
 #[derive(Clone, Debug)]
 pub(super) struct Group {
--- a/crates/oliveworks-gateway-core/src/planner/host.rs
+++ b/crates/oliveworks-gateway-core/src/planner/host.rs
@@ -153,6 +153,11 @@
             || self.holding.staging.iter().any(|staged| staged == model)
     }
 
+    /// The model of its last join, for people.
+    pub(super) fn last_model(&self) -> &str {
+        self.last_model.as_deref().unwrap_or("none")
+    }
+
     /// Whether it was the last that it held.
     pub(super) fn held_last(&self, model: &str) -> bool {
         self.last_model.as_deref() == Some(model)
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -18,6 +18,8 @@
 
 /// The time between two looks at the plans.
 const TICK_MS: u64 = 40;
+/// The time between two lines on each domain.
+const DESCRIBE_MS: u64 = 1_000;
 /// The longest that an order may take to be answered.
 const ORDER_MS: u64 = 250;
 /// The longest that a backend server may take to tell its state.
@@ -26,6 +28,7 @@
 /// Runs elections, and plans while this gateway leads.
 pub async fn run(gateway: Rc<Gateway>) {
     let mut fence = None;
+    let mut described_at = 0;
     loop {
         gateway.tick();
         stand(&gateway);
@@ -36,11 +39,23 @@
         }
         if let Some(fence) = fence {
             plan(&gateway, fence);
+            if gateway.now() >= described_at + DESCRIBE_MS {
+                described_at = gateway.now();
+                describe(&gateway);
+            }
         }
         sleep(Duration::from_millis(TICK_MS)).await;
     }
 }
 
+fn describe(gateway: &Gateway) {
+    for planner in gateway.planners.borrow().values() {
+        for line in planner.describe_domains(gateway.now()) {
+            info!("domains: {line}");
+        }
+    }
+}
+
 fn stand(gateway: &Rc<Gateway>) {
     let ready = gateway.directory_read.get() && gateway.lookup.borrow().is_some();
     if !ready || gateway.is_stopping() {
