Configuration: the proof of youth is renewed at once after a change; suspicions are told at once

Cause: an answer with records proves only what was so when its call was sent, up to 2.4 s before, so that keys were refused for half a second after each change (115 of 256 requests late in seconds 4 to 6).

--- a/crates/oliveworks-gateway-core/src/balance.rs
+++ b/crates/oliveworks-gateway-core/src/balance.rs
@@ -52,6 +52,8 @@
     /// Streams among them that have begun.
     writing: u32,
     last_progress: Millis,
+    /// When something last came, whether requests were open before or not.
+    heard_at: Millis,
     suspended_until: Millis,
     suspensions: u32,
     failures: f64,
@@ -152,6 +154,7 @@
     pub fn progress(&mut self, now: Millis, target: Target) {
         if let Some(own) = self.own.get_mut(&target) {
             own.last_progress = now;
+            own.heard_at = now;
             own.suspensions = 0;
         }
     }
@@ -173,6 +176,12 @@
         self.own.get(&target).filter(|own| own.open > 0).map(|own| own.last_progress)
     }
 
+    /// Targets from which something has come since a time.
+    pub fn heard_since(&self, since: Millis) -> impl Iterator<Item = Target> {
+        let heard = self.own.iter().filter(move |(_, own)| own.heard_at >= since);
+        heard.map(|(target, _)| *target)
+    }
+
     /// A request at a target has ended; `began` if its stream had begun, `failed` if the target is
     /// to blame.
     pub fn ended(&mut self, now: Millis, target: Target, began: bool, failed: bool) {
--- a/crates/oliveworks-gateway-core/src/planner/allot.rs
+++ b/crates/oliveworks-gateway-core/src/planner/allot.rs
@@ -222,6 +222,13 @@
         for model in &domain.loading {
             *spares.entry(model).or_default() += 1;
         }
+        let staged = domain.free.iter().filter(|host| host.group.is_none());
+        for host in staged {
+            let mut models = planner.engine.models.iter().filter(|model| model.size > 1);
+            // A spare that only has the model on its host joins alone, so that a repair is short.
+            let model = models.find(|model| warmth(planner, host, model) == Warmth::Staged);
+            plans.extend(model.map(|model| new_group(model, &[host])));
+        }
         for host in cold {
             let models = planner.engine.models.iter().filter(|model| model.size > 1);
             let lacking = models.min_by_key(|model| {
--- a/crates/oliveworks-gateway/src/peers.rs
+++ b/crates/oliveworks-gateway/src/peers.rs
@@ -13,7 +13,7 @@
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::state::{Gateway, Peer, Table};
@@ -26,6 +26,8 @@
 const FORGET_MS: u64 = 60_000;
 /// How long a suspicion is told on.
 const SUSPECT_MS: u64 = 400;
+/// How long ago something from a target is told on.
+const HEARD_MS: u64 = 200;
 /// The most gateways that one heartbeat goes to.
 const FAN_OUT: usize = 24;
 /// The largest datagram.
@@ -43,6 +45,8 @@
     open: Vec<(Target, u16)>,
     /// Groups that the sender sees standing still.
     suspects: Vec<u64>,
+    /// Targets from which the sender has just heard.
+    heard: Vec<Target>,
     /// Whether any gateway has had a request.
     traffic: bool,
     /// Other gateways.
@@ -63,6 +67,7 @@
         leads,
         open: gateway.balance.borrow().own_open().collect(),
         suspects: gateway.suspects.borrow().keys().copied().collect(),
+        heard: gateway.balance.borrow().heard_since(now.saturating_sub(HEARD_MS)).collect(),
         traffic: gateway.traffic.get(),
         peers: young.map(|(name, peer)| (name.clone(), peer.address)).take(FAN_OUT).collect(),
         table: leads.map(|_| gateway.table.borrow().clone()),
@@ -100,7 +105,8 @@
         }
         let now = gateway.now();
         gateway.peers.borrow_mut().retain(|_, peer| now < peer.heard_at + FORGET_MS);
-        sleep(Duration::from_millis(BEAT_MS)).await;
+        let pause = Duration::from_millis(BEAT_MS);
+        let _ = timeout(pause, gateway.beat_now.notified()).await;
     }
 }
 
@@ -128,10 +134,11 @@
     }
     let open: HashMap<Target, u16> = beat.open.into_iter().collect();
     gateway.balance.borrow_mut().peer(now, xxh3_64(beat.node.as_bytes()), open);
+    for target in beat.heard {
+        gateway.heard_by_others.borrow_mut().insert(target, now);
+    }
     for epoch in beat.suspects {
-        for planner in gateway.planners.borrow_mut().values_mut() {
-            planner.suspected(epoch);
-        }
+        gateway.suspected_by_another(epoch);
     }
     if let Some(fence) = beat.leads {
         gateway.election.borrow_mut().heartbeat(now, fence);
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -16,7 +16,7 @@
 use oliveworks_gateway_core::workers::{Directory, MemberState, Worker, WorkerId};
 use oliveworks_runtime::clock::Clock;
 use serde::{Deserialize, Serialize};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::dialect::Dialect;
 use crate::settings::Settings;
@@ -77,6 +77,8 @@
 const TABLE_MS: u64 = 2_000;
 /// A gap between two ticks after which this process has been asleep.
 const ASLEEP_MS: u64 = 150;
+/// How lately something must have come from a group for another's suspicion to be put aside.
+const JUST_HEARD_MS: u64 = 150;
 /// How long a gateway that is not heard still counts for the budget.
 const BUDGET_PEER_MS: u64 = 20_000;
 
@@ -116,6 +118,10 @@
     pub peers: RefCell<BTreeMap<String, Peer>>,
     /// Groups that stand still, to be told to the leader.
     pub suspects: RefCell<HashMap<u64, Millis>>,
+    /// When other gateways last heard from targets.
+    pub heard_by_others: RefCell<HashMap<Target, Millis>>,
+    /// Asks for a heartbeat at once.
+    pub beat_now: Notify,
     /// Whether this process is stopping.
     pub stopping: watch::Sender<bool>,
     /// Requests under way.
@@ -158,6 +164,8 @@
             table_heard_at: Cell::new(0),
             peers: RefCell::default(),
             suspects: RefCell::default(),
+            heard_by_others: RefCell::default(),
+            beat_now: Notify::new(),
             stopping: watch::channel(false).0,
             open_requests: Cell::new(0),
             traffic: Cell::new(false),
@@ -312,7 +320,29 @@
     /// A group stands still: others and the leader are told.
     pub fn suspect(&self, epoch: u64) {
         let now = self.now();
-        self.suspects.borrow_mut().insert(epoch, now);
+        if self.suspects.borrow_mut().insert(epoch, now).is_none() {
+            self.beat_now.notify_one();
+        }
+        for planner in self.planners.borrow_mut().values_mut() {
+            planner.suspected(epoch);
+        }
+    }
+
+    /// Another gateway sees a group standing still: this one avoids it too, unless it just heard
+    /// from there itself.
+    pub fn suspected_by_another(&self, epoch: u64) {
+        let now = self.now();
+        let table = self.table.borrow();
+        let head = table.groups.iter().find(|group| group.epoch == epoch);
+        if let Some(group) = head {
+            let target = Target::of(&group.members[0]);
+            let mut balance = self.balance.borrow_mut();
+            let silent = balance.last_progress(target).is_none_or(|at| now > at + JUST_HEARD_MS);
+            if silent && !balance.suspended(now, target) {
+                balance.suspend(now, target);
+            }
+        }
+        drop(table);
         for planner in self.planners.borrow_mut().values_mut() {
             planner.suspected(epoch);
         }
--- a/crates/oliveworks-gateway/src/store.rs
+++ b/crates/oliveworks-gateway/src/store.rs
@@ -187,11 +187,15 @@
 /// Follows the configuration.
 pub async fn follow_configuration(gateway: Rc<Gateway>) {
     let mut follower = Follower::new(&gateway, Topic::Configuration);
-    let wait_ms = gateway.settings.store.configuration_wait_ms;
+    let longest_wait_ms = gateway.settings.store.configuration_wait_ms;
+    let mut wait_ms = longest_wait_ms;
     loop {
         let Some(step) = follower.step(wait_ms).await else { continue };
         let known = follower.from.is_some();
         let (sent, held_ms) = (step.sent, step.held_ms);
+        // An answer with records proves only what was so when the call was sent, perhaps long ago:
+        // the next call is answered at once and proves more.
+        wait_ms = if step.records.is_empty() { longest_wait_ms } else { 0 };
         take_configuration(&gateway, step);
         if known && gateway.lookup.borrow().is_some() {
             let mut freshness = gateway.freshness.get();
