Groups whose head is silent, ended groups, leaving members

Change: members whose head is silent leave and join nothing until it must have broken; epochs that ended for certain are told to the next leader; orders name the backend server; every gateway leaves out groups with members that it knows to be gone; no patience with missing entries unless the store is in trouble. Ruled out: a refused connection as proof of an end (cuts may refuse).

--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -136,6 +136,9 @@
 
 /// Epochs that one fence has room for.
 const EPOCHS_OF_FENCE: u64 = 1_000_000;
+/// Ended groups that are remembered, and that are told to others.
+const ENDED_MAX: usize = 4_096;
+const ENDED_TOLD: usize = 64;
 /// Loads that may begin at once.
 const LOAD_BURST: f64 = 2.0;
 /// Loads before traffic beyond those that run at full speed, so that none has to wait to be told.
@@ -152,6 +155,8 @@
     epochs: u64,
     hosts: BTreeMap<WorkerId, Host>,
     groups: BTreeMap<u64, Group>,
+    /// Epochs of groups that serve no more for certain: their members are free.
+    ended: BTreeSet<u64>,
     load_tokens: f64,
     load_tokens_at: Millis,
     /// When each domain last got a host.
@@ -170,6 +175,7 @@
             epochs: 0,
             hosts: BTreeMap::new(),
             groups: BTreeMap::new(),
+            ended: BTreeSet::new(),
             load_tokens: 0.0,
             load_tokens_at: now,
             grown_at: BTreeMap::new(),
@@ -197,6 +203,23 @@
         self.engine = engine;
     }
 
+    /// Epochs of groups that have ended for certain, the newest ones.
+    pub fn ended(&self) -> impl Iterator<Item = u64> {
+        self.ended.iter().rev().take(ENDED_TOLD).copied()
+    }
+
+    /// Takes over what an earlier leader knew of ended groups.
+    pub fn adopt_ended(&mut self, epochs: impl IntoIterator<Item = u64>) {
+        self.ended.extend(epochs);
+    }
+
+    fn end(&mut self, epoch: u64) {
+        self.ended.insert(epoch);
+        while self.ended.len() > ENDED_MAX {
+            self.ended.pop_first();
+        }
+    }
+
     /// Takes over groups that an earlier leader formed, once every host was asked or heard of.
     pub fn adopt(&mut self, now: Millis) {
         let mut found: BTreeMap<u64, BTreeMap<usize, (WorkerId, MemberState, String)>> =
@@ -237,7 +260,8 @@
                 host.joined = Some(epoch);
             }
         }
-        let group = Group { epoch, name: name.clone(), model, members, phase, since: now };
+        let name = name.clone();
+        let group = Group { epoch, name, model, members, phase, since: now, adopted: true };
         self.groups.insert(epoch, group);
     }
 
@@ -276,6 +300,14 @@
         }
     }
 
+    /// Another backend server answers at a host's address.
+    pub fn replaced(&mut self, now: Millis, id: &str) {
+        if let Some(host) = self.hosts.get_mut(id) {
+            host.replaced = true;
+            host.silent(now, true);
+        }
+    }
+
     /// Gateways see no progress in a group.
     pub fn suspected(&mut self, epoch: u64) {
         let Some(group) = self.groups.get(&epoch) else { return };
@@ -349,21 +381,28 @@
             host.joined = None;
             if let Some(old) = spare_group {
                 self.groups.remove(&old);
+                self.end(old);
             }
         }
         let name = format!("g{epoch}");
         let phase = Phase::Joining;
         let (model, members) = (plan.model, plan.members);
-        let group = Group { epoch, name, model, members, phase, since: now };
+        let group = Group { epoch, name, model, members, phase, since: now, adopted: false };
         self.groups.insert(epoch, group);
     }
 
-    fn dissolve(&mut self, epoch: u64, lock_until: Millis) {
+    /// The group serves no more for certain.
+    fn dissolve(&mut self, epoch: u64) {
+        self.end(epoch);
+        self.abandon(epoch);
+    }
+
+    /// The group's head may serve on: its members are freed one by one, see `free_strays`.
+    fn abandon(&mut self, epoch: u64) {
         let Some(group) = self.groups.remove(&epoch) else { return };
         for member in &group.members {
             if let Some(host) = self.hosts.get_mut(member) {
                 host.group = None;
-                host.locked_until = host.locked_until.max(lock_until);
             }
         }
     }
@@ -393,12 +432,15 @@
 
     fn advance_joining(&mut self, now: Millis, group: &Group, commands: &mut Vec<Command>) {
         if self.is_hurt(group) {
-            // No head was told to open, so the members are free at once.
-            self.dissolve(group.epoch, 0);
+            match group.adopted {
+                // An earlier leader may have told the head to open.
+                true => self.set_phase(now, group.epoch, Phase::Breaking),
+                false => self.dissolve(group.epoch),
+            }
             return;
         }
         let Some(model) = self.model(&group.model).cloned() else {
-            self.dissolve(group.epoch, 0);
+            self.dissolve(group.epoch);
             return;
         };
         let mut ready = true;
@@ -485,58 +527,67 @@
             return;
         }
         if head.heard_at > head.closed_at && head.is_ready_in(&group.name, group.epoch) {
-            self.dissolve(group.epoch, 0);
+            match head.open_unanswered == Some(group.epoch) {
+                // The order to open may yet be carried out: only a head that left cannot open.
+                true => self.set_phase(now, group.epoch, Phase::Breaking),
+                false => self.dissolve(group.epoch),
+            }
             return;
         }
         head.wants_probe |= now >= head.probed_at + host::PROBE_EVERY_MS;
     }
 
     fn advance_breaking(&mut self, now: Millis, group: &Group, commands: &mut Vec<Command>) {
-        let leave = Order::Leave { group: group.name.clone(), epoch: group.epoch };
-        let head_id = &group.members[0];
-        let Some(head) = self.hosts.get_mut(head_id) else {
-            self.dissolve(group.epoch, now + self.config.stall_ms + MARGIN_MS);
+        let Some(head) = self.hosts.get_mut(&group.members[0]) else {
+            self.abandon(group.epoch);
             return;
         };
-        if head.left == Some(group.epoch) || head.refused || head.is_outside(group.epoch) {
-            self.dissolve(group.epoch, 0);
+        if head.left == Some(group.epoch) || head.replaced || head.is_outside(group.epoch) {
+            self.dissolve(group.epoch);
             return;
         }
-        if !head.is_lost() {
-            if head.may_order(now) {
-                commands.push(head.order(now, leave));
-            }
+        if head.is_lost() {
+            self.abandon(group.epoch);
             return;
         }
-        // The head is silent and may serve on: it breaks by itself once its members have left.
-        let mut all_left = true;
-        for member in &group.members[1..] {
-            let Some(host) = self.hosts.get_mut(member) else { continue };
-            if host.left == Some(group.epoch) || host.is_lost() {
-                continue;
-            }
-            all_left = false;
-            if host.may_order(now) {
-                commands.push(host.order(now, leave.clone()));
-            }
-        }
-        if all_left {
-            self.dissolve(group.epoch, now + self.config.stall_ms + MARGIN_MS);
+        if head.may_order(now) {
+            let order = Order::Leave { group: group.name.clone(), epoch: group.epoch };
+            commands.push(head.order(now, order));
         }
     }
 
     fn advance_spare(&mut self, group: &Group) {
         if self.is_hurt(group) {
-            self.dissolve(group.epoch, 0);
+            self.dissolve(group.epoch);
         }
     }
 
-    /// Heads that serve a group that this leader does not know are told to leave it.
+    /// Frees hosts that say they belong to a group that this leader does not lead.
+    ///
+    /// A head leaves at once, and with it the group has ended. A member whose head is silent leaves
+    /// too, but joins nothing before the head has broken by itself: it may serve on, unseen.
     fn free_strays(&mut self, now: Millis, commands: &mut Vec<Command>) {
+        let left: Vec<u64> = self.hosts.values().filter_map(Host::left_as_head).collect();
+        for epoch in left {
+            self.end(epoch);
+        }
+        let heads: BTreeSet<u64> = self
+            .hosts
+            .values()
+            .filter(|host| !host.is_lost())
+            .filter_map(|host| host.holding.group.as_ref())
+            .filter(|member| member.rank == 0)
+            .map(|member| member.epoch)
+            .collect();
+        let lock_ms = self.config.stall_ms + MARGIN_MS;
         for host in self.hosts.values_mut() {
-            if let Some(order) = host.stray_order()
-                && host.may_order(now)
-            {
+            let Some(member) = host.stray(&self.ended) else { continue };
+            if member.rank > 0 && heads.contains(&member.epoch) {
+                continue;
+            }
+            if host.may_order(now) {
+                let order = Order::Leave { group: member.name, epoch: member.epoch };
+                host.lock_ms_on_leave = if member.rank > 0 { lock_ms } else { 0 };
                 commands.push(host.order(now, order));
             }
         }
--- a/crates/oliveworks-gateway-core/src/planner/allot.rs
+++ b/crates/oliveworks-gateway-core/src/planner/allot.rs
@@ -71,7 +71,7 @@
         match group {
             Some(group) if group.phase == Phase::Spare => domain.free.push(host),
             Some(_) => domain.used += 1,
-            None if host.is_free(now) => domain.free.push(host),
+            None if host.is_free(now, &planner.ended) => domain.free.push(host),
             None => {}
         }
     }
--- a/crates/oliveworks-gateway-core/src/planner/host.rs
+++ b/crates/oliveworks-gateway-core/src/planner/host.rs
@@ -1,9 +1,11 @@
 //! A host as the leader knows it.
 
+use std::collections::BTreeSet;
+
 use super::{Command, Order, Outcome};
 use crate::Millis;
 use crate::configuration::Model;
-use crate::workers::{Holding, MemberState, Worker};
+use crate::workers::{Holding, MemberState, Membership, Worker};
 
 /// The time between two questions to the same host.
 pub(super) const PROBE_EVERY_MS: u64 = 80;
@@ -36,8 +38,14 @@
     /// It joins nothing before this time.
     pub(super) locked_until: Millis,
     pub(super) unlisted: bool,
-    /// Its address answers that nothing listens there.
-    pub(super) refused: bool,
+    /// Another backend server answers at its address: this one has ended.
+    pub(super) replaced: bool,
+    /// How long it joins nothing after the order to leave that is under way.
+    pub(super) lock_ms_on_leave: u64,
+    /// The newest epoch that it was told to open without an answer.
+    pub(super) open_unanswered: Option<u64>,
+    /// The epoch that it left as a head.
+    left_as_head: Option<u64>,
     silences: u32,
     pending: bool,
     ordered_at: Millis,
@@ -64,7 +72,10 @@
             left: None,
             locked_until: 0,
             unlisted: false,
-            refused: false,
+            replaced: false,
+            lock_ms_on_leave: 0,
+            open_unanswered: None,
+            left_as_head: None,
             silences: 0,
             pending: false,
             ordered_at: 0,
@@ -95,7 +106,6 @@
 
     pub(super) fn answers(&mut self) {
         self.silences = 0;
-        self.refused = false;
         self.probing = false;
     }
 
@@ -104,7 +114,7 @@
         self.probed_at = now;
         self.silences += 1;
         if refused {
-            self.refused = true;
+            // Nothing listens there, or a cut says so: it gets nothing, but it may live.
             self.silences = self.silences.max(SILENCE_MAX);
         } else if self.silences < SILENCE_MAX {
             self.wants_probe = true;
@@ -163,12 +173,26 @@
         self.last_model.as_deref() == Some(model)
     }
 
-    pub(super) fn is_free(&self, now: Millis) -> bool {
+    pub(super) fn is_free(&self, now: Millis, ended: &BTreeSet<u64>) -> bool {
         self.group.is_none()
             && self.stays()
             && now >= self.locked_until
             && !self.pending
-            && self.stray_order().is_none()
+            && self.stray(ended).is_none()
+    }
+
+    /// The group that it says it belongs to, if that may not have ended and nobody leads it here.
+    pub(super) fn stray(&self, ended: &BTreeSet<u64>) -> Option<Membership> {
+        if self.group.is_some() || self.is_lost() {
+            return None;
+        }
+        let member = self.holding.group.as_ref()?;
+        let over = ended.contains(&member.epoch) || self.left == Some(member.epoch);
+        (!over).then(|| member.clone())
+    }
+
+    pub(super) fn left_as_head(&self) -> Option<u64> {
+        self.left_as_head
     }
 
     pub(super) fn may_order(&self, now: Millis) -> bool {
@@ -191,10 +215,14 @@
                 return;
             }
             Outcome::Gone => {
+                self.replaced = true;
                 self.silent(now, true);
                 return;
             }
             Outcome::Unanswered => {
+                if let Order::Open { epoch, .. } = order {
+                    self.open_unanswered = Some(*epoch);
+                }
                 self.wants_probe = true;
                 return;
             }
@@ -215,6 +243,12 @@
             }
             Order::Leave { epoch, .. } => {
                 self.left = Some(*epoch);
+                self.locked_until = self.locked_until.max(now + self.lock_ms_on_leave);
+                self.lock_ms_on_leave = 0;
+                let member = self.holding.group.as_ref().filter(|m| m.epoch == *epoch);
+                if member.is_some_and(|member| member.rank == 0) {
+                    self.left_as_head = Some(*epoch);
+                }
                 if self.holding.group.as_ref().is_some_and(|member| member.epoch == *epoch) {
                     self.holding.group = None;
                 }
@@ -231,20 +265,6 @@
         self.wants_probe |= waited >= first && now >= self.probed_at + every;
     }
 
-    /// The order that frees it from a group that the leader does not know.
-    pub(super) fn stray_order(&self) -> Option<Order> {
-        if self.group.is_some() || self.is_lost() {
-            return None;
-        }
-        let member = self.holding.group.as_ref()?;
-        let heads = member.rank == 0
-            && matches!(
-                member.state,
-                MemberState::Open | MemberState::Closing | MemberState::Broken
-            );
-        heads.then(|| Order::Leave { group: member.name.clone(), epoch: member.epoch })
-    }
-
     pub(super) fn probe(&mut self, now: Millis) -> Option<Command> {
         let lost_due =
             self.is_lost() && !self.unlisted && now >= self.probed_at + LOST_PROBE_EVERY_MS;
--- a/crates/oliveworks-gateway/src/dialect.rs
+++ b/crates/oliveworks-gateway/src/dialect.rs
@@ -60,8 +60,8 @@
     pub method: &'static str,
     /// Path and query.
     pub target: String,
-    /// The type of the body, if there is one.
-    pub content_type: Option<&'static str>,
+    /// Headers.
+    pub headers: Vec<(&'static str, String)>,
     /// The body.
     pub body: Bytes,
 }
@@ -185,15 +185,15 @@
     /// If it cannot be understood.
     fn claimed(&self, status: u16, body: &[u8]) -> Result<Claimed, Malformed>;
 
-    /// Gives an order.
-    fn order(&self, fence: u64, order: &Order) -> Call;
+    /// Gives an order to a backend server.
+    fn order(&self, worker: &str, fence: u64, order: &Order) -> Call;
     /// Reads how it was answered.
     fn ordered(&self, status: u16) -> Outcome;
     /// Asks a backend server for its state.
-    fn report(&self) -> Call;
-    /// Reads it.
+    fn report(&self, worker: &str) -> Call;
+    /// Reads it; nothing if another backend server answers at the address.
     ///
     /// # Errors
     /// If it cannot be understood.
-    fn reported(&self, status: u16, body: &[u8]) -> Result<Holding, Malformed>;
+    fn reported(&self, status: u16, body: &[u8]) -> Result<Option<Holding>, Malformed>;
 }
--- a/crates/oliveworks-gateway/src/exchange.rs
+++ b/crates/oliveworks-gateway/src/exchange.rs
@@ -158,8 +158,8 @@
 fn request_of(call: &Call, address: SocketAddr) -> Result<Request<Full<Bytes>>, Broken> {
     let mut request = Request::builder().method(call.method).uri(&call.target);
     request = request.header("host", address.to_string());
-    if let Some(kind) = call.content_type {
-        request = request.header("content-type", kind);
+    for (name, value) in &call.headers {
+        request = request.header(*name, value);
     }
     request.body(Full::new(call.body.clone())).map_err(|e| Broken::Connection(e.to_string()))
 }
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -95,19 +95,19 @@
     let mut asked = Vec::new();
     for worker in &workers {
         planner.listed(gateway.now(), worker);
-        let (gateway, address) = (gateway.clone(), worker.address);
-        asked.push((
-            worker.id.clone(),
-            ntex::rt::spawn(async move { ask(&gateway, address).await }),
-        ));
+        let (gateway, id, address) = (gateway.clone(), worker.id.clone(), worker.address);
+        let answer = ntex::rt::spawn(async move { ask(&gateway, &id, address).await });
+        asked.push((worker.id.clone(), answer));
     }
     for (id, answer) in asked {
         match answer.await {
             Ok(Asked::Holding(holding)) => planner.reported(gateway.now(), &id, &holding),
             Ok(Asked::Silent { refused }) => planner.silent(gateway.now(), &id, refused),
+            Ok(Asked::Replaced) => planner.replaced(gateway.now(), &id),
             Err(_) => {}
         }
     }
+    planner.adopt_ended(gateway.table.borrow().ended.iter().copied());
     planner.adopt(gateway.now());
     for line in planner.describe() {
         info!("leader: took over {line}");
@@ -118,14 +118,19 @@
 /// How a question for a backend server's state ended.
 enum Asked {
     Holding(oliveworks_gateway_core::workers::Holding),
-    Silent { refused: bool },
+    Silent {
+        refused: bool,
+    },
+    /// Another backend server answers there.
+    Replaced,
 }
 
-async fn ask(gateway: &Gateway, address: SocketAddr) -> Asked {
+async fn ask(gateway: &Gateway, worker: &str, address: SocketAddr) -> Asked {
     gateway.count("probes");
-    match make(address, &gateway.dialect.report(), PROBE_MS).await {
+    match make(address, &gateway.dialect.report(worker), PROBE_MS).await {
         Ok((status, body)) => match gateway.dialect.reported(status, &body) {
-            Ok(holding) => Asked::Holding(holding),
+            Ok(Some(holding)) => Asked::Holding(holding),
+            Ok(None) => Asked::Replaced,
             Err(_) => Asked::Silent { refused: false },
         },
         Err(refused) => Asked::Silent { refused },
@@ -148,14 +153,17 @@
     let now = gateway.now();
     let mut planners = gateway.planners.borrow_mut();
     let mut groups = Vec::new();
+    let mut ended = Vec::new();
     let mut commands = Vec::new();
     for (service, planner) in planners.iter_mut() {
         refresh(gateway, service, planner);
         planner.set_traffic(gateway.traffic.get());
         commands.extend(planner.tick(now).into_iter().map(|command| (service.clone(), command)));
         groups.extend(table_groups(gateway, service, planner));
+        ended.extend(planner.ended());
     }
     drop(planners);
+    gateway.table.borrow_mut().ended = ended;
     publish(gateway, fence, groups);
     for (service, command) in commands {
         ntex::rt::spawn(carry_out(gateway.clone(), fence, service, command));
@@ -208,7 +216,7 @@
 async fn carry_out(gateway: Rc<Gateway>, fence: u64, service: String, command: Command) {
     match command {
         Command::Probe { worker, address } => {
-            let answer = ask(&gateway, address).await;
+            let answer = ask(&gateway, &worker, address).await;
             let now = gateway.now();
             let mut planners = gateway.planners.borrow_mut();
             let Some(planner) = planners.get_mut(&service).filter(|p| p.fence() == fence) else {
@@ -217,22 +225,28 @@
             match answer {
                 Asked::Holding(holding) => planner.reported(now, &worker, &holding),
                 Asked::Silent { refused } => planner.silent(now, &worker, refused),
+                Asked::Replaced => planner.replaced(now, &worker),
             }
         }
         Command::Order { worker, address, order } => {
-            let outcome = give(&gateway, fence, address, &order).await;
+            let outcome = give(&gateway, fence, &worker, address, &order).await;
             info!("order: {order:?} to {worker}: {outcome:?}");
             ordered(&gateway, fence, &service, &worker, &order, outcome);
         }
     }
 }
 
-async fn give(gateway: &Gateway, fence: u64, address: SocketAddr, order: &Order) -> Outcome {
+async fn give(
+    gateway: &Gateway,
+    fence: u64,
+    worker: &str,
+    address: SocketAddr,
+    order: &Order,
+) -> Outcome {
     gateway.count("orders");
-    match make(address, &gateway.dialect.order(fence, order), ORDER_MS).await {
+    match make(address, &gateway.dialect.order(worker, fence, order), ORDER_MS).await {
         Ok((status, _)) => gateway.dialect.ordered(status),
-        Err(true) => Outcome::Gone,
-        Err(false) => Outcome::Unanswered,
+        Err(_) => Outcome::Unanswered,
     }
 }
 
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -49,6 +49,8 @@
     pub number: u64,
     /// The groups.
     pub groups: Vec<TableGroup>,
+    /// Epochs of groups that have ended for certain, for the next leader.
+    pub ended: Vec<u64>,
 }
 
 /// Somewhere that a request can be sent.
@@ -96,6 +98,9 @@
     pub freshness: Cell<Freshness>,
     /// Backend servers that the platform lists.
     pub directory: RefCell<Directory>,
+    /// Backend servers that were taken out of the directory, and when: a leader that cannot reach
+    /// the store may not know yet.
+    pub gone: RefCell<HashMap<WorkerId, Millis>>,
     /// Whether the directory was read at all.
     pub directory_read: Cell<bool>,
     /// When a call to the store last failed.
@@ -153,6 +158,7 @@
             lookup: RefCell::new(None),
             freshness: Cell::default(),
             directory: RefCell::default(),
+            gone: RefCell::default(),
             directory_read: Cell::new(false),
             store_failed_at: Cell::new(None),
             store_heard_at: Cell::new(now),
@@ -296,8 +302,11 @@
         let table = self.table.borrow();
         let groups = table.groups.iter().filter(|g| g.service == service && g.model == model);
         let staying = groups.filter(|group| {
-            let mut members = group.members.iter().map(|id| directory.get(id));
-            !members.any(|worker| worker.is_some_and(|worker| worker.draining))
+            let gone = self.gone.borrow();
+            !group.members.iter().any(|id| {
+                let draining = directory.get(id).is_some_and(|worker| worker.draining);
+                draining || gone.contains_key(id.as_str())
+            })
         });
         staying
             .map(|group| {
--- a/crates/oliveworks-gateway/src/store.rs
+++ b/crates/oliveworks-gateway/src/store.rs
@@ -22,10 +22,11 @@
 /// Reads of backend servers' records that follow each other soon after the start, and how soon.
 const FIRST_READS: u32 = 12;
 const FIRST_EVERY_MS: u64 = 300;
-/// How long a backend server may be missing from the list before it counts as gone.
-const MISSING_MS: u64 = 400;
-/// The same while the store has just been in trouble, when entries may go and come back.
+/// How long a backend server may be missing from the list before it counts as gone, while the store
+/// has just been in trouble: entries may then go and come back.
 const MISSING_TROUBLED_MS: u64 = 2_600;
+/// How long a backend server that is gone is remembered.
+const GONE_MS: u64 = 60_000;
 /// How long the store counts as troubled after a failed call.
 const TROUBLED_MS: u64 = 3_000;
 
@@ -214,13 +215,14 @@
         let failed_at = gateway.store_failed_at.get();
         match failed_at.is_some_and(|at| gateway.now() < at + TROUBLED_MS) {
             true => MISSING_TROUBLED_MS,
-            false => MISSING_MS,
+            false => 0,
         }
     }
 
     /// Takes out those that are missing for long.
     fn sweep(&mut self, gateway: &Gateway) {
         let now = gateway.now();
+        gateway.gone.borrow_mut().retain(|_, at| now < *at + GONE_MS);
         let patience_ms = Missing::patience_ms(gateway);
         self.0.retain(|id, since| {
             if now < *since + patience_ms {
@@ -228,6 +230,7 @@
             }
             info!("workers: {id} is no longer listed, for {} ms", now - *since);
             gateway.directory.borrow_mut().remove(id);
+            gateway.gone.borrow_mut().insert(id.clone(), now);
             for planner in gateway.planners.borrow_mut().values_mut() {
                 planner.unlisted(id);
             }
@@ -243,6 +246,7 @@
         match record {
             Record::Worker(worker) => {
                 missing.0.remove(&worker.id);
+                gateway.gone.borrow_mut().remove(&worker.id);
                 listed.insert(worker.id.clone());
                 if let Some(planner) = gateway.planners.borrow_mut().get_mut(&worker.service) {
                     planner.listed(now, &worker);
