A silent head's members leave for themselves and join at once

Cause: half of the losses of a two-host group were followed by 6.5 s in which its other host joined nothing. A member that left its group does not belong to it, whatever its head does, so it need not wait. Ruled out: taking a head for dead when no gateway hears it and its entry is gone: saves less, proves less.

--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -3,8 +3,8 @@
 //! A group is formed in steps: every member joins under a new epoch; once each is seen ready under
 //! that name and epoch, the head is told to open. A group that lost a member is taken apart at the
 //! head first, so that no host joins a group while the head of its old one may serve. If the head
-//! itself is silent, its members leave, and a head that lives on stands still and breaks by itself
-//! after a known time; until then they join nothing.
+//! itself is silent, every member is told to leave before it joins another group; a head that lives
+//! on, unseen, then stands still and breaks by itself.
 //!
 //! Spares hold a model without serving, so that a repair takes a moment and not a load. Loads are
 //! spread in time, below the weight store's rate.
@@ -110,8 +110,6 @@
 /// Bounds of a planner.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlannerConfig {
-    /// The time after which a head that lost a member breaks.
-    pub stall_ms: u64,
     /// The part of a domain that is kept as spares, in hundredths, at the most.
     pub spare_percent: usize,
     /// How long a group that is to end still takes requests that are on their way.
@@ -124,13 +122,7 @@
 
 impl Default for PlannerConfig {
     fn default() -> PlannerConfig {
-        PlannerConfig {
-            stall_ms: 6_000,
-            spare_percent: 20,
-            notice_ms: 60,
-            finish_ms: 9_000,
-            settle_ms: 1_300,
-        }
+        PlannerConfig { spare_percent: 20, notice_ms: 60, finish_ms: 9_000, settle_ms: 1_300 }
     }
 }
 
@@ -143,8 +135,6 @@
 const LOAD_BURST: f64 = 2.0;
 /// Loads before traffic beyond those that run at full speed, so that none has to wait to be told.
 const LOADS_BEYOND: u32 = 2;
-/// A little time beyond a bound, for clocks and messages.
-const MARGIN_MS: u64 = 500;
 
 /// The decisions on one service's groups, by the gateway that leads.
 #[derive(Clone, Debug)]
@@ -314,6 +304,7 @@
         for member in &group.members {
             if let Some(host) = self.hosts.get_mut(member) {
                 host.wants_probe = true;
+                host.suspected = true;
             }
         }
     }
@@ -565,7 +556,7 @@
     /// Frees hosts that say they belong to a group that this leader does not lead.
     ///
     /// A head leaves at once, and with it the group has ended. A member whose head is silent leaves
-    /// too, but joins nothing before the head has broken by itself: it may serve on, unseen.
+    /// for itself: the head may serve on, unseen, but no longer with this member.
     fn free_strays(&mut self, now: Millis, commands: &mut Vec<Command>) {
         let left: Vec<u64> = self.hosts.values().filter_map(Host::left_as_head).collect();
         for epoch in left {
@@ -579,7 +570,6 @@
             .filter(|member| member.rank == 0)
             .map(|member| member.epoch)
             .collect();
-        let lock_ms = self.config.stall_ms + MARGIN_MS;
         for host in self.hosts.values_mut() {
             let Some(member) = host.stray(&self.ended) else { continue };
             if member.rank > 0 && heads.contains(&member.epoch) {
@@ -587,7 +577,6 @@
             }
             if host.may_order(now) {
                 let order = Order::Leave { group: member.name, epoch: member.epoch };
-                host.lock_ms_on_leave = if member.rank > 0 { lock_ms } else { 0 };
                 commands.push(host.order(now, order));
             }
         }
@@ -609,14 +598,13 @@
     }
 
     /// A line for each domain: what its hosts are doing.
-    pub fn describe_domains(&self, now: Millis) -> Vec<String> {
+    pub fn describe_domains(&self) -> Vec<String> {
         let mut domains: BTreeMap<&str, BTreeMap<String, usize>> = BTreeMap::new();
         for host in self.hosts.values() {
             let what = match host.group.and_then(|epoch| self.groups.get(&epoch)) {
                 _ if host.is_lost() => "lost".to_owned(),
                 _ if host.worker.draining || host.unlisted => "leaving".to_owned(),
                 Some(group) => format!("{}:{}", group.model, group.phase.name()),
-                None if now < host.locked_until => format!("locked:{}", host.last_model()),
                 None => format!("free:{}", host.last_model()),
             };
             *domains.entry(&host.worker.domain).or_default().entry(what).or_default() += 1;
--- a/crates/oliveworks-gateway-core/src/planner/allot.rs
+++ b/crates/oliveworks-gateway-core/src/planner/allot.rs
@@ -62,7 +62,7 @@
     }
 }
 
-fn domains(now: Millis, planner: &Planner) -> BTreeMap<&str, Domain<'_>> {
+fn domains(planner: &Planner) -> BTreeMap<&str, Domain<'_>> {
     let mut domains: BTreeMap<&str, Domain<'_>> = BTreeMap::new();
     for host in planner.hosts.values().filter(|host| host.stays()) {
         let domain = domains.entry(&host.worker.domain).or_default();
@@ -71,7 +71,7 @@
         match group {
             Some(group) if group.phase == Phase::Spare => domain.free.push(host),
             Some(_) => domain.used += 1,
-            None if host.is_free(now, &planner.ended) => domain.free.push(host),
+            None if host.is_free(&planner.ended) => domain.free.push(host),
             None => {}
         }
     }
@@ -130,7 +130,7 @@
 
 /// The groups to form now.
 pub(super) fn allot(now: Millis, planner: &Planner) -> Vec<NewGroup> {
-    let mut domains = domains(now, planner);
+    let mut domains = domains(planner);
     let mut plans = Vec::new();
     for (name, domain) in &mut domains {
         domain.steady = planner.is_settled(now, name);
--- a/crates/oliveworks-gateway-core/src/planner/host.rs
+++ b/crates/oliveworks-gateway-core/src/planner/host.rs
@@ -35,18 +35,16 @@
     pub(super) closed: Option<u64>,
     pub(super) closed_at: Millis,
     pub(super) left: Option<u64>,
-    /// It joins nothing before this time.
-    pub(super) locked_until: Millis,
     pub(super) unlisted: bool,
     /// Another backend server answers at its address: this one has ended.
     pub(super) replaced: bool,
-    /// How long it joins nothing after the order to leave that is under way.
-    pub(super) lock_ms_on_leave: u64,
     /// The newest epoch that it was told to open without an answer.
     pub(super) open_unanswered: Option<u64>,
     /// The epoch that it left as a head.
     left_as_head: Option<u64>,
     silences: u32,
+    /// Gateways see its group standing still, so that one silence tells.
+    pub(super) suspected: bool,
     pending: bool,
     ordered_at: Millis,
     taken_at: Millis,
@@ -70,13 +68,12 @@
             closed: None,
             closed_at: 0,
             left: None,
-            locked_until: 0,
             unlisted: false,
             replaced: false,
-            lock_ms_on_leave: 0,
             open_unanswered: None,
             left_as_head: None,
             silences: 0,
+            suspected: false,
             pending: false,
             ordered_at: 0,
             taken_at: 0,
@@ -106,13 +103,14 @@
 
     pub(super) fn answers(&mut self) {
         self.silences = 0;
+        self.suspected = false;
         self.probing = false;
     }
 
     pub(super) fn silent(&mut self, now: Millis, refused: bool) {
         self.probing = false;
         self.probed_at = now;
-        self.silences += 1;
+        self.silences += if std::mem::take(&mut self.suspected) { SILENCE_MAX } else { 1 };
         if refused {
             // Nothing listens there, or a cut says so: it gets nothing, but it may live.
             self.silences = self.silences.max(SILENCE_MAX);
@@ -173,12 +171,8 @@
         self.last_model.as_deref() == Some(model)
     }
 
-    pub(super) fn is_free(&self, now: Millis, ended: &BTreeSet<u64>) -> bool {
-        self.group.is_none()
-            && self.stays()
-            && now >= self.locked_until
-            && !self.pending
-            && self.stray(ended).is_none()
+    pub(super) fn is_free(&self, ended: &BTreeSet<u64>) -> bool {
+        self.group.is_none() && self.stays() && !self.pending && self.stray(ended).is_none()
     }
 
     /// The group that it says it belongs to, if that may not have ended and nobody leads it here.
@@ -196,7 +190,7 @@
     }
 
     pub(super) fn may_order(&self, now: Millis) -> bool {
-        !self.pending && now >= self.ordered_at + ORDER_AGAIN_MS && now >= self.locked_until
+        !self.pending && now >= self.ordered_at + ORDER_AGAIN_MS
     }
 
     pub(super) fn order(&mut self, now: Millis, order: Order) -> Command {
@@ -243,8 +237,6 @@
             }
             Order::Leave { epoch, .. } => {
                 self.left = Some(*epoch);
-                self.locked_until = self.locked_until.max(now + self.lock_ms_on_leave);
-                self.lock_ms_on_leave = 0;
                 let member = self.holding.group.as_ref().filter(|m| m.epoch == *epoch);
                 if member.is_some_and(|member| member.rank == 0) {
                     self.left_as_head = Some(*epoch);
--- a/crates/oliveworks-gateway-core/src/workers.rs
+++ b/crates/oliveworks-gateway-core/src/workers.rs
@@ -100,6 +100,16 @@
         self.workers.get(id)
     }
 
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.workers.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.workers.is_empty()
+    }
+
     /// All of them, by id.
     pub fn iter(&self) -> impl Iterator<Item = &Worker> {
         self.workers.values()
--- a/crates/oliveworks-gateway/src/exchange.rs
+++ b/crates/oliveworks-gateway/src/exchange.rs
@@ -4,6 +4,7 @@
 //! connection, whose body ntex's client drops, and its pool is out of our hands. The connection is
 //! driven by whoever waits on it, so dropping an exchange closes it at once.
 
+use std::fmt;
 use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -42,6 +43,16 @@
     Large,
 }
 
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Broken::Connection(why) => write!(f, "connection: {why}"),
+            Broken::Late => write!(f, "late"),
+            Broken::Large => write!(f, "too large"),
+        }
+    }
+}
+
 /// A connection.
 pub struct Exchange {
     sender: http1::SendRequest<Full<Bytes>>,
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -50,7 +50,7 @@
 
 fn describe(gateway: &Gateway) {
     for planner in gateway.planners.borrow().values() {
-        for line in planner.describe_domains(gateway.now()) {
+        for line in planner.describe_domains() {
             info!("domains: {line}");
         }
     }
@@ -88,8 +88,7 @@
 
 /// A planner that knows the state of each of a service's hosts as it is now.
 async fn take_over(gateway: &Rc<Gateway>, service: &str, engine: &Engine, fence: u64) -> Planner {
-    let config =
-        PlannerConfig { stall_ms: gateway.settings.bounds.stall_ms, ..PlannerConfig::default() };
+    let config = PlannerConfig::default();
     let mut planner = Planner::new(config, engine.clone(), fence, gateway.now());
     let workers: Vec<Worker> = gateway.directory.borrow().of_service(service).cloned().collect();
     let mut asked = Vec::new();
--- a/crates/oliveworks-gateway/src/store.rs
+++ b/crates/oliveworks-gateway/src/store.rs
@@ -22,13 +22,13 @@
 /// Reads of backend servers' records that follow each other soon after the start, and how soon.
 const FIRST_READS: u32 = 12;
 const FIRST_EVERY_MS: u64 = 300;
-/// How long a backend server may be missing from the list before it counts as gone, while the store
-/// has just been in trouble: entries may then go and come back.
-const MISSING_TROUBLED_MS: u64 = 2_600;
+/// How long after the last trouble of the store entries that went together may come back.
+const MISSING_TROUBLED_MS: u64 = 2_300;
+/// How many entries that are missing together mean that the store let them go.
+const MANY: usize = 3;
+const MANY_PERCENT: usize = 15;
 /// How long a backend server that is gone is remembered.
 const GONE_MS: u64 = 60_000;
-/// How long the store counts as troubled after a failed call.
-const TROUBLED_MS: u64 = 3_000;
 
 /// A client of the store with one connection.
 struct Client {
@@ -61,7 +61,7 @@
                 self.gateway.store_answered();
                 Ok(answer)
             }
-            Err(why) => Err(format!("{why:?}")),
+            Err(why) => Err(why.to_string()),
         }
     }
 }
@@ -211,11 +211,16 @@
 struct Missing(BTreeMap<WorkerId, Millis>);
 
 impl Missing {
-    fn patience_ms(gateway: &Gateway) -> u64 {
-        let failed_at = gateway.store_failed_at.get();
-        match failed_at.is_some_and(|at| gateway.now() < at + TROUBLED_MS) {
-            true => MISSING_TROUBLED_MS,
-            false => 0,
+    /// Until when missing entries may come back.
+    ///
+    /// Only many at once, and only soon after the store was in trouble: then their leases ran out
+    /// and the next heartbeats bring them back. One that goes alone has left.
+    fn patient_until(&self, gateway: &Gateway) -> Millis {
+        let listed = gateway.directory.borrow().len();
+        let many = self.0.len() >= MANY && self.0.len() * 100 >= listed * MANY_PERCENT;
+        match gateway.store_failed_at.get() {
+            Some(failed_at) if many => failed_at + MISSING_TROUBLED_MS,
+            _ => 0,
         }
     }
 
@@ -223,19 +228,17 @@
     fn sweep(&mut self, gateway: &Gateway) {
         let now = gateway.now();
         gateway.gone.borrow_mut().retain(|_, at| now < *at + GONE_MS);
-        let patience_ms = Missing::patience_ms(gateway);
-        self.0.retain(|id, since| {
-            if now < *since + patience_ms {
-                return true;
-            }
-            info!("workers: {id} is no longer listed, for {} ms", now - *since);
-            gateway.directory.borrow_mut().remove(id);
-            gateway.gone.borrow_mut().insert(id.clone(), now);
+        if now < self.patient_until(gateway) {
+            return;
+        }
+        for (id, since) in std::mem::take(&mut self.0) {
+            info!("workers: {id} is no longer listed, for {} ms", now - since);
+            gateway.directory.borrow_mut().remove(&id);
             for planner in gateway.planners.borrow_mut().values_mut() {
-                planner.unlisted(id);
+                planner.unlisted(&id);
             }
-            false
-        });
+            gateway.gone.borrow_mut().insert(id, now);
+        }
     }
 }
 
