Spares that serve either model; groups yield to a needier model; spares serve when a model is busy

Cause: groups of four lay idle, three hosts each, for the 16 s of a load, while hosts of the other model were spare. Change: spares hold the smaller model and keep the larger one staged on the host; a group of the model that has more for its share ends so that the other is whole; spares serve above half load.

--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -50,6 +50,11 @@
         /// The group's epoch.
         epoch: u64,
     },
+    /// Load a model to the host's memory, beside everything else.
+    Stage {
+        /// The model.
+        model: String,
+    },
     /// Be no member any more.
     Leave {
         /// The group's name.
@@ -131,10 +136,13 @@
 /// Ended groups that are remembered, and that are told to others.
 const ENDED_MAX: usize = 4_096;
 const ENDED_TOLD: usize = 64;
+/// The weight of a new figure in a model's load, and the load above which spares should serve.
+const LOAD_WEIGHT: f64 = 0.08;
+const BUSY: f64 = 0.5;
 /// Loads that may begin at once.
 const LOAD_BURST: f64 = 2.0;
 /// Loads before traffic beyond those that run at full speed, so that none has to wait to be told.
-const LOADS_BEYOND: u32 = 2;
+const LOADS_BEYOND: u32 = 5;
 
 /// The decisions on one service's groups, by the gateway that leads.
 #[derive(Clone, Debug)]
@@ -151,6 +159,8 @@
     load_tokens_at: Millis,
     /// When each domain last got a host.
     grown_at: BTreeMap<String, Millis>,
+    /// How busy the groups of each model are: open requests for each slot.
+    busy: BTreeMap<String, f64>,
     /// Whether callers have been served, from which time on loads are slow and counted.
     traffic: bool,
 }
@@ -169,10 +179,22 @@
             load_tokens: 0.0,
             load_tokens_at: now,
             grown_at: BTreeMap::new(),
+            busy: BTreeMap::new(),
             traffic: true,
         }
     }
 
+    /// The load of the serving groups of a model now, in open requests for each slot.
+    pub fn set_load(&mut self, model: &str, load: f64) {
+        let busy = self.busy.entry(model.to_owned()).or_default();
+        *busy += (load - *busy) * LOAD_WEIGHT;
+    }
+
+    /// Whether a model's groups are so busy that spares should serve.
+    fn is_busy(&self, model: &Model) -> bool {
+        self.busy.get(&model.name).is_some_and(|busy| *busy > BUSY)
+    }
+
     /// Whether callers have been served at all.
     pub fn set_traffic(&mut self, traffic: bool) {
         self.traffic = traffic;
@@ -346,6 +368,10 @@
         for group in allot::allot(now, self) {
             self.found(now, group);
         }
+        if let Some(epoch) = allot::yielding(self) {
+            self.set_phase(now, epoch, Phase::Finishing);
+        }
+        self.stage(now, &mut commands);
         self.probe(now, &mut commands);
         commands
     }
@@ -355,9 +381,8 @@
         self.load_tokens_at = now;
         if !self.traffic {
             // Before traffic loads are short and free; only how many run at once matters.
-            let loading = self.hosts.values().filter(|host| host.is_loading()).count();
             let most = self.engine.loads_at_once + LOADS_BEYOND;
-            self.load_tokens = f64::from(most) - loading as f64;
+            self.load_tokens = f64::from(most) - self.loading() as f64;
             return;
         }
         self.load_tokens = (self.load_tokens + passed * self.engine.loads_per_s).min(LOAD_BURST);
@@ -582,6 +607,42 @@
         }
     }
 
+    /// Stages models with what the joins of this tick left of the loads.
+    fn stage(&mut self, now: Millis, commands: &mut Vec<Command>) {
+        let joins_wait = self.groups.values().any(|group| {
+            let unjoined = |id: &WorkerId| {
+                self.hosts.get(id).is_some_and(|host| host.joined != Some(group.epoch))
+            };
+            group.phase == Phase::Joining && group.members.iter().any(unjoined)
+        });
+        let busy = self.traffic && self.loading() >= self.engine.loads_at_once as usize;
+        if joins_wait || busy {
+            return;
+        }
+        for staging in allot::stage(self) {
+            if self.load_tokens < 1.0 {
+                return;
+            }
+            let Some(host) = self.hosts.get_mut(&staging.host) else { continue };
+            if host.may_order(now) {
+                self.load_tokens -= 1.0;
+                commands.push(host.order(now, Order::Stage { model: staging.model }));
+            }
+        }
+    }
+
+    /// Hosts that load something.
+    fn loading(&self) -> usize {
+        self.hosts.values().filter(|host| host.is_loading()).count()
+    }
+
+    /// Hosts of a domain, in groups of other models or free, that have the model staged.
+    fn flexible(&self, domain: &str, model: &Model) -> usize {
+        let here = self.hosts.values().filter(|host| host.worker.domain == domain);
+        let able = here.filter(|host| host.stays() && !host.held_last(&model.name));
+        able.filter(|host| host.has(&model.name)).count()
+    }
+
     fn forget_hosts(&mut self) {
         self.hosts.retain(|_, host| host.group.is_some() || !host.unlisted);
     }
--- a/crates/oliveworks-gateway-core/src/planner/allot.rs
+++ b/crates/oliveworks-gateway-core/src/planner/allot.rs
@@ -1,8 +1,10 @@
 //! Which free hosts form which new groups.
 //!
 //! How many groups each model should have follows its part of the work: the model with the fewest
-//! hosts for its share comes first, in the domain that has the most hosts left. Groups that stand
-//! are never taken apart for this. A part of each domain is kept as spares.
+//! hosts for its share comes first, in the domain that has the fewest groups of it. A part of each
+//! domain is kept as spares. Spares hold the smallest model, which loads soonest, and keep a larger
+//! one staged on their host, so that one spare repairs groups of either. Rejected: spares for each
+//! model (while one kind lay idle, groups of the other waited for a load).
 
 use std::collections::BTreeMap;
 
@@ -22,6 +24,7 @@
 /// A domain's hosts.
 #[derive(Default)]
 struct Domain<'a> {
+    name: &'a str,
     /// Hosts that live.
     living: usize,
     /// Hosts in groups that serve or will.
@@ -45,20 +48,21 @@
     Staged,
     /// It holds nothing and must load the model.
     Cold,
-    /// It holds another model, for whose groups it is kept.
+    /// It holds another model, and this one nowhere: it is kept for the other's groups.
     Taken,
 }
 
 fn warmth(planner: &Planner, host: &Host, model: &Model) -> Warmth {
-    let others = planner.engine.models.iter().filter(|other| other.name != model.name);
-    let holds_other = others.clone().any(|other| host.held_last(&other.name));
-    let stages_other = others.clone().any(|other| host.has(&other.name));
-    match (host.held_last(&model.name), host.has(&model.name)) {
-        (true, _) => Warmth::Hot,
-        _ if holds_other => Warmth::Taken,
-        (false, true) => Warmth::Staged,
-        (false, false) if stages_other => Warmth::Taken,
-        (false, false) => Warmth::Cold,
+    let mut others = planner.engine.models.iter().filter(|other| other.name != model.name);
+    if host.held_last(&model.name) {
+        return Warmth::Hot;
+    }
+    if host.has(&model.name) {
+        return Warmth::Staged;
+    }
+    match others.any(|other| host.has(&other.name)) {
+        true => Warmth::Taken,
+        false => Warmth::Cold,
     }
 }
 
@@ -66,6 +70,7 @@
     let mut domains: BTreeMap<&str, Domain<'_>> = BTreeMap::new();
     for host in planner.hosts.values().filter(|host| host.stays()) {
         let domain = domains.entry(&host.worker.domain).or_default();
+        domain.name = &host.worker.domain;
         domain.living += 1;
         let group = host.group.and_then(|epoch| planner.groups.get(&epoch));
         match group {
@@ -172,7 +177,7 @@
             let hosts = take(planner, &mut domain.free, model, fits)?;
             // What holds the model already may always serve it again; more takes room.
             let hot = hosts.iter().all(|host| warmth(planner, host, model) != Warmth::Cold);
-            if !fits && !(hot && has_none(domain, model)) {
+            if !fits && !(hot && (has_none(domain, model) || planner.is_busy(model))) {
                 domain.free.extend(hosts);
                 return None;
             }
@@ -202,53 +207,127 @@
     domain.groups.get(model.name.as_str()).copied().unwrap_or(0) == 0
 }
 
-/// Hosts that hold no model of use load the one that most lacks spares.
+/// Hosts that hold nothing become spares.
 fn keep_spares(
     planner: &Planner,
     domains: &mut BTreeMap<&str, Domain<'_>>,
     plans: &mut Vec<NewGroup>,
 ) {
+    let grouped: Vec<&Model> = planner.engine.models.iter().filter(|m| m.size > 1).collect();
+    let Some(smallest) = grouped.iter().min_by_key(|model| model.size) else { return };
     for domain in domains.values().filter(|domain| domain.steady) {
-        let mut spares: BTreeMap<&str, usize> = BTreeMap::new();
-        let mut cold: Vec<&Host> = Vec::new();
-        for host in &domain.free {
-            let models = &planner.engine.models;
-            let held = models.iter().find(|m| host.held_last(&m.name));
-            match held.or_else(|| models.iter().find(|m| host.has(&m.name))) {
-                Some(model) => *spares.entry(&model.name).or_default() += 1,
-                None => cold.push(host),
+        for host in domain.free.iter().filter(|host| host.group.is_none()) {
+            let held = grouped.iter().find(|model| host.held_last(&model.name));
+            let staged = grouped.iter().find(|model| host.has(&model.name));
+            if held.is_some() {
+                continue;
             }
+            // What is left of a group that lacks hosts waits for this one; otherwise it is a spare.
+            let waiting = grouped.iter().find(|model| waits(planner, domain, model));
+            let model = staged.or(waiting).unwrap_or(smallest);
+            plans.push(new_group(model, &[host]));
         }
-        for model in &domain.loading {
-            *spares.entry(model).or_default() += 1;
-        }
-        let staged = domain.free.iter().filter(|host| host.group.is_none());
-        for host in staged {
-            let mut models = planner.engine.models.iter().filter(|model| model.size > 1);
-            // A spare that only has the model on its host joins alone, so that a repair is short.
-            let model = models.find(|model| warmth(planner, host, model) == Warmth::Staged);
-            plans.extend(model.map(|model| new_group(model, &[host])));
+    }
+}
+
+/// Whether most of a group of the model lies idle in a domain, and no host there could be staged
+/// for it sooner than a new one loads it.
+fn waits(planner: &Planner, domain: &Domain<'_>, model: &Model) -> bool {
+    let hot = domain.free.iter().filter(|host| host.held_last(&model.name)).count();
+    let loading = domain.loading.iter().filter(|name| **name == model.name).count();
+    let held = hot + loading;
+    held * 2 >= model.size && held < model.size && planner.flexible(domain.name, model) == 0
+}
+
+/// A host that should load a model to its memory, beside what it does.
+pub(super) struct Staging {
+    pub(super) host: WorkerId,
+    pub(super) model: String,
+}
+
+/// Hosts of smaller models that should keep the largest one staged.
+pub(super) fn stage(planner: &Planner) -> Vec<Staging> {
+    let grouped = planner.engine.models.iter().filter(|model| model.size > 1);
+    let Some(largest) = grouped.max_by_key(|model| model.size) else { return Vec::new() };
+    let mut wanted: Vec<(usize, bool, WorkerId)> = Vec::new();
+    let mut staged: BTreeMap<&str, usize> = BTreeMap::new();
+    for host in planner.hosts.values().filter(|host| host.stays()) {
+        let group = host.group.and_then(|epoch| planner.groups.get(&epoch));
+        let settled = group.is_none_or(|g| matches!(g.phase, Phase::Spare | Phase::Open { .. }));
+        let smaller = planner
+            .engine
+            .models
+            .iter()
+            .any(|model| model.size < largest.size && host.held_last(&model.name));
+        if !smaller {
+            continue;
         }
-        for host in cold {
-            let models = planner.engine.models.iter().filter(|model| model.size > 1);
-            let lacking = models.min_by_key(|model| {
-                let has = spares.get(model.name.as_str()).copied().unwrap_or(0);
-                (urgency(has, model.size), std::cmp::Reverse(model.size))
-            });
-            let Some(model) = lacking else { return };
-            *spares.entry(&model.name).or_default() += 1;
-            plans.push(new_group(model, &[host]));
+        if host.has(&largest.name) || host.is_staging(&largest.name) {
+            *staged.entry(&host.worker.domain).or_default() += 1;
+        } else if settled {
+            let serves = group.is_some_and(|group| group.phase != Phase::Spare);
+            wanted.push((0, serves, host.worker.id.clone()));
         }
     }
+    let enough = if planner.traffic { STAGED_IN_TRAFFIC } else { usize::MAX };
+    for row in &mut wanted {
+        let Some(host) = planner.hosts.get(&row.2) else { continue };
+        let count = staged.entry(&host.worker.domain).or_default();
+        row.0 = *count;
+        *count += 1;
+    }
+    wanted.retain(|(count, _, _)| *count < enough);
+    wanted.sort();
+    let model = &largest.name;
+    wanted.into_iter().map(|(_, _, host)| Staging { host, model: model.clone() }).collect()
 }
 
-/// How urgently a model needs one more spare, 0 the most: what is left of a broken group waits for
-/// the hosts that it lacks; then every model should have one spare; then the rest.
-fn urgency(spares: usize, size: usize) -> usize {
-    match spares {
-        0 => 1,
-        1 => 2,
-        more if more < size => 0,
-        _ => 3,
+/// Hosts of a domain that keep a larger model staged, beyond which none is staged once loads cost.
+const STAGED_IN_TRAFFIC: usize = 4;
+
+/// A group to be ended so that a needier model gets its hosts.
+pub(super) fn yielding(planner: &Planner) -> Option<u64> {
+    let moving = planner.groups.values().any(|group| {
+        let ending = matches!(group.phase, Phase::Finishing | Phase::Breaking);
+        let joining = matches!(group.phase, Phase::Joining | Phase::Opening);
+        ending
+            || (joining
+                && planner.model(&group.model).is_some_and(|m| m.size == group.members.len()))
+    });
+    if moving {
+        return None;
+    }
+    let domains = domains(planner);
+    let hosts_of = |model: &Model| -> usize {
+        let counts = domains.values().map(|d| d.groups.get(model.name.as_str()).unwrap_or(&0));
+        counts.sum::<usize>() * model.size
+    };
+    let mut models: Vec<&Model> = planner.engine.models.iter().filter(|m| m.size > 1).collect();
+    let need = |model: &Model, hosts: usize| hosts as f64 / model.share.max(0.001);
+    models.sort_by(|a, b| need(a, hosts_of(a)).total_cmp(&need(b, hosts_of(b))));
+    let needy = models.first()?;
+    for domain in domains.values() {
+        let usable = |host: &&&Host| warmth(planner, host, needy) <= Warmth::Staged;
+        let free = domain.free.iter().filter(usable).count();
+        if free >= needy.size {
+            continue;
+        }
+        let here = planner.groups.values().filter(|group| {
+            let head = planner.hosts.get(&group.members[0]);
+            head.is_some_and(|head| head.worker.domain == domain.name)
+                && matches!(group.phase, Phase::Open { .. })
+                && group.model != needy.name
+        });
+        for group in here {
+            let Some(model) = planner.model(&group.model) else { continue };
+            let members = group.members.iter().filter_map(|id| planner.hosts.get(id));
+            let gained =
+                members.filter(|host| warmth(planner, host, needy) <= Warmth::Staged).count();
+            let after = need(model, hosts_of(model).saturating_sub(model.size));
+            if free + gained >= needy.size && after >= need(needy, hosts_of(needy)) {
+                return Some(group.epoch);
+            }
+        }
     }
+    None
 }
--- a/crates/oliveworks-gateway-core/src/planner/host.rs
+++ b/crates/oliveworks-gateway-core/src/planner/host.rs
@@ -48,6 +48,8 @@
     pending: bool,
     ordered_at: Millis,
     taken_at: Millis,
+    /// The model that it was told to stage and does not have yet.
+    staging: Option<String>,
     /// The model of its last join in this life.
     last_model: Option<String>,
     pub(super) wants_probe: bool,
@@ -77,6 +79,7 @@
             pending: false,
             ordered_at: 0,
             taken_at: 0,
+            staging: None,
             last_model: worker.holding.models.first().cloned(),
             wants_probe: false,
             probing: false,
@@ -99,6 +102,7 @@
         if let Some(model) = holding.models.first() {
             self.last_model = Some(model.clone());
         }
+        self.staging.take_if(|model| holding.staging.contains(model));
     }
 
     pub(super) fn answers(&mut self) {
@@ -134,7 +138,13 @@
         let member = self.holding.group.as_ref();
         let done =
             member.is_some_and(|m| Some(m.epoch) == self.joined && m.state != MemberState::Joining);
-        self.pending || (self.joined.is_some() && self.joined == self.group && !done)
+        let joins = self.joined.is_some() && self.joined == self.group && !done;
+        self.pending || joins || self.staging.is_some()
+    }
+
+    /// Whether it loads a model to its host's memory.
+    pub(super) fn is_staging(&self, model: &str) -> bool {
+        self.staging.as_deref() == Some(model)
     }
 
     pub(super) fn is_ready_in(&self, name: &str, epoch: u64) -> bool {
@@ -229,7 +239,10 @@
                 self.joined = Some(*epoch);
                 self.joined_at = now;
                 self.last_model = Some(model.clone());
+                // A load stages its model in place of what was to be staged.
+                self.staging = None;
             }
+            Order::Stage { model } => self.staging = Some(model.clone()),
             Order::Open { epoch, .. } => self.opened = Some(*epoch),
             Order::Close { epoch, .. } => {
                 self.closed = Some(*epoch);
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use log::info;
+use oliveworks_gateway_core::balance::Target;
 use oliveworks_gateway_core::configuration::Engine;
 use oliveworks_gateway_core::planner::{Command, Order, Outcome, Planner, PlannerConfig};
 use oliveworks_gateway_core::workers::{Worker, WorkerId};
@@ -157,6 +158,7 @@
     for (service, planner) in planners.iter_mut() {
         refresh(gateway, service, planner);
         planner.set_traffic(gateway.traffic.get());
+        tell_load(gateway, service, planner);
         commands.extend(planner.tick(now).into_iter().map(|command| (service.clone(), command)));
         groups.extend(table_groups(gateway, service, planner));
         ended.extend(planner.ended());
@@ -176,6 +178,21 @@
     }
 }
 
+/// Tells the planner how busy the groups of each model are.
+fn tell_load(gateway: &Gateway, service: &str, planner: &mut Planner) {
+    let now = gateway.now();
+    let mut loads: BTreeMap<String, (u32, u32)> = BTreeMap::new();
+    let table = gateway.table.borrow();
+    for group in table.groups.iter().filter(|group| group.service == service) {
+        let load = loads.entry(group.model.clone()).or_default();
+        load.0 += gateway.balance.borrow().open(now, Target::of(&group.members[0]));
+        load.1 += group.slots;
+    }
+    for (model, (open, slots)) in loads {
+        planner.set_load(&model, f64::from(open) / f64::from(slots.max(1)));
+    }
+}
+
 fn table_groups(gateway: &Gateway, service: &str, planner: &Planner) -> Vec<TableGroup> {
     let directory = gateway.directory.borrow();
     let lookup = gateway.lookup();
