--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -138,7 +138,7 @@
 const ENDED_TOLD: usize = 64;
 /// The weight of a new figure in a model's load, and the load above which spares should serve.
 const LOAD_WEIGHT: f64 = 0.08;
-const BUSY: f64 = 0.5;
+const BUSY: f64 = 0.65;
 /// Loads that may begin at once.
 const LOAD_BURST: f64 = 2.0;
 /// Loads before traffic beyond those that run at full speed, so that none has to wait to be told.
@@ -615,8 +615,9 @@
             };
             group.phase == Phase::Joining && group.members.iter().any(unjoined)
         });
-        let busy = self.traffic && self.loading() >= self.engine.loads_at_once as usize;
-        if joins_wait || busy {
+        // A part of the loads that run at full speed is left to joins.
+        let most = self.engine.loads_at_once as usize * 2 / 3;
+        if joins_wait || (self.traffic && self.loading() >= most.max(1)) {
             return;
         }
         for staging in allot::stage(self) {
--- a/crates/oliveworks-gateway-core/src/planner/allot.rs
+++ b/crates/oliveworks-gateway-core/src/planner/allot.rs
@@ -245,41 +245,51 @@
     pub(super) model: String,
 }
 
-/// Hosts of smaller models that should keep the largest one staged.
+/// Hosts that should keep another model staged than the one that they hold: the largest one, whose
+/// groups are hardest to repair, or, if they hold that, the smallest.
 pub(super) fn stage(planner: &Planner) -> Vec<Staging> {
-    let grouped = planner.engine.models.iter().filter(|model| model.size > 1);
-    let Some(largest) = grouped.max_by_key(|model| model.size) else { return Vec::new() };
-    let mut wanted: Vec<(usize, bool, WorkerId)> = Vec::new();
-    let mut staged: BTreeMap<&str, usize> = BTreeMap::new();
+    let grouped = || planner.engine.models.iter().filter(|model| model.size > 1);
+    let (Some(largest), Some(smallest)) =
+        (grouped().max_by_key(|model| model.size), grouped().min_by_key(|model| model.size))
+    else {
+        return Vec::new();
+    };
+    if largest.name == smallest.name {
+        return Vec::new();
+    }
+    let mut staged: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+    let mut wanted: Vec<(usize, bool, &Host, &Model)> = Vec::new();
     for host in planner.hosts.values().filter(|host| host.stays()) {
+        let holds = grouped().find(|model| host.held_last(&model.name));
+        let Some(holds) = holds else { continue };
+        let other = if holds.name == largest.name { smallest } else { largest };
         let group = host.group.and_then(|epoch| planner.groups.get(&epoch));
         let settled = group.is_none_or(|g| matches!(g.phase, Phase::Spare | Phase::Open { .. }));
-        let smaller = planner
-            .engine
-            .models
-            .iter()
-            .any(|model| model.size < largest.size && host.held_last(&model.name));
-        if !smaller {
-            continue;
-        }
-        if host.has(&largest.name) || host.is_staging(&largest.name) {
-            *staged.entry(&host.worker.domain).or_default() += 1;
+        if host.has(&other.name) || host.is_staging(&other.name) {
+            *staged.entry((&host.worker.domain, &other.name)).or_default() += 1;
         } else if settled {
             let serves = group.is_some_and(|group| group.phase != Phase::Spare);
-            wanted.push((0, serves, host.worker.id.clone()));
+            wanted.push((0, serves, host, other));
         }
     }
-    let enough = if planner.traffic { STAGED_IN_TRAFFIC } else { usize::MAX };
-    for row in &mut wanted {
-        let Some(host) = planner.hosts.get(&row.2) else { continue };
-        let count = staged.entry(&host.worker.domain).or_default();
-        row.0 = *count;
-        *count += 1;
+    // Hosts that serve nothing first, then one after the other in every domain.
+    wanted.sort_by_key(|(_, serves, host, _)| (*serves, host.worker.id.clone()));
+    for (count, _, host, other) in &mut wanted {
+        let staged = staged.entry((&host.worker.domain, &other.name)).or_default();
+        *count = *staged;
+        *staged += 1;
     }
-    wanted.retain(|(count, _, _)| *count < enough);
-    wanted.sort();
-    let model = &largest.name;
-    wanted.into_iter().map(|(_, _, host)| Staging { host, model: model.clone() }).collect()
+    let enough = if planner.traffic { STAGED_IN_TRAFFIC } else { usize::MAX };
+    wanted.retain(|(count, ..)| *count < enough);
+    wanted
+        .sort_by_key(|(count, serves, _, other)| (*serves, std::cmp::Reverse(other.size), *count));
+    wanted
+        .into_iter()
+        .map(|(_, _, host, other)| Staging {
+            host: host.worker.id.clone(),
+            model: other.name.clone(),
+        })
+        .collect()
 }
 
 /// Hosts of a domain that keep a larger model staged, beyond which none is staged once loads cost.
