--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -273,7 +273,16 @@
             }
         }
         let name = name.clone();
-        let group = Group { epoch, name, model, members, phase, since: now, adopted: true };
+        let group = Group {
+            epoch,
+            name,
+            model,
+            members,
+            phase,
+            since: now,
+            adopted: true,
+            yields_to: None,
+        };
         self.groups.insert(epoch, group);
     }
 
@@ -368,8 +377,13 @@
         for group in allot::allot(now, self) {
             self.found(now, group);
         }
-        if let Some(epoch) = allot::yielding(self) {
-            self.set_phase(now, epoch, Phase::Finishing);
+        if let Some(plan) = allot::yielding(self) {
+            for epoch in plan.epochs {
+                self.set_phase(now, epoch, Phase::Finishing);
+                if let Some(group) = self.groups.get_mut(&epoch) {
+                    group.yields_to = Some(plan.model.clone());
+                }
+            }
         }
         self.stage(now, &mut commands);
         self.probe(now, &mut commands);
@@ -403,7 +417,16 @@
         let name = format!("g{epoch}");
         let phase = Phase::Joining;
         let (model, members) = (plan.model, plan.members);
-        let group = Group { epoch, name, model, members, phase, since: now, adopted: false };
+        let group = Group {
+            epoch,
+            name,
+            model,
+            members,
+            phase,
+            since: now,
+            adopted: false,
+            yields_to: None,
+        };
         self.groups.insert(epoch, group);
     }
 
--- a/crates/oliveworks-gateway-core/src/planner/allot.rs
+++ b/crates/oliveworks-gateway-core/src/planner/allot.rs
@@ -35,6 +35,8 @@
     groups: BTreeMap<&'a str, usize>,
     /// Whether it has had the same hosts for a while.
     steady: bool,
+    /// The model for which groups here are being ended.
+    kept_for: Option<&'a str>,
     /// Models that spares load.
     loading: Vec<&'a str>,
 }
@@ -80,6 +82,14 @@
             None => {}
         }
     }
+    for group in planner.groups.values() {
+        let Some(model) = &group.yields_to else { continue };
+        let head = planner.hosts.get(&group.members[0]);
+        let domain = head.and_then(|head| domains.get_mut(head.worker.domain.as_str()));
+        if let Some(domain) = domain {
+            domain.kept_for = Some(model);
+        }
+    }
     for group in planner.groups.values().filter(|group| group.counts()) {
         let size = planner.model(&group.model).map_or(0, |model| model.size);
         let head = planner.hosts.get(&group.members[0]);
@@ -164,13 +174,21 @@
             hosts as f64 / model.share.max(0.001)
         };
         let Some(model) = open.min_by(|a, b| need(a).total_cmp(&need(b))) else { return };
+        let groups_in =
+            |domain: &Domain<'_>| domain.groups.get(model.name.as_str()).copied().unwrap_or(0);
         let mut names: Vec<&str> = domains.keys().copied().collect();
+        // Spread over domains, so that the loss of one leaves groups of every model.
         names.sort_by_key(|name| {
             let domain = &domains[name];
-            let groups = domain.groups.get(model.name.as_str()).copied().unwrap_or(0);
-            // Spread over domains, so that the loss of one leaves groups of every model.
-            (groups, std::cmp::Reverse(room(planner, domain)))
+            (groups_in(domain), std::cmp::Reverse(room(planner, domain)))
         });
+        let unsteady = domains.values().any(|domain| !domain.steady);
+        if !planner.traffic && unsteady {
+            // Hosts are still being listed: a domain that has no room yet will have.
+            let fewest = domains.values().map(groups_in).min();
+            names.retain(|name| Some(groups_in(&domains[name])) == fewest);
+        }
+        names.retain(|name| domains[name].kept_for.is_none_or(|kept| kept == model.name));
         let formed = names.into_iter().find_map(|name| {
             let domain = domains.get_mut(name)?;
             let fits = room(planner, domain) >= model.size as isize;
@@ -191,7 +209,7 @@
                 *counts.entry(model.name.as_str()).or_default() += 1;
             }
             // Before traffic the hosts that are listed next may make room for it.
-            None if !planner.traffic && domains.values().any(|domain| !domain.steady) => return,
+            None if !planner.traffic && unsteady => return,
             None => skipped.push(&model.name),
         }
     }
@@ -295,16 +313,26 @@
 /// Hosts of a domain that keep a larger model staged, beyond which none is staged once loads cost.
 const STAGED_IN_TRAFFIC: usize = 4;
 
-/// A group to be ended so that a needier model gets its hosts.
-pub(super) fn yielding(planner: &Planner) -> Option<u64> {
-    let moving = planner.groups.values().any(|group| {
-        let ending = matches!(group.phase, Phase::Finishing | Phase::Breaking);
-        let joining = matches!(group.phase, Phase::Joining | Phase::Opening);
-        ending
-            || (joining
-                && planner.model(&group.model).is_some_and(|m| m.size == group.members.len()))
-    });
-    if moving {
+/// Groups that end so that a needier model gets their hosts.
+pub(super) struct Yield {
+    pub(super) epochs: Vec<u64>,
+    pub(super) model: String,
+}
+
+/// Whether a group is on its way in or out, so that the picture is about to change.
+fn is_moving(planner: &Planner) -> bool {
+    planner.groups.values().any(|group| match group.phase {
+        Phase::Finishing | Phase::Breaking => true,
+        Phase::Joining | Phase::Opening => {
+            planner.model(&group.model).is_some_and(|model| model.size == group.members.len())
+        }
+        Phase::Open { .. } | Phase::Spare => false,
+    })
+}
+
+/// Groups to be ended so that a needier model gets their hosts.
+pub(super) fn yielding(planner: &Planner) -> Option<Yield> {
+    if is_moving(planner) {
         return None;
     }
     let domains = domains(planner);
@@ -312,32 +340,31 @@
         let counts = domains.values().map(|d| d.groups.get(model.name.as_str()).unwrap_or(&0));
         counts.sum::<usize>() * model.size
     };
-    let mut models: Vec<&Model> = planner.engine.models.iter().filter(|m| m.size > 1).collect();
     let need = |model: &Model, hosts: usize| hosts as f64 / model.share.max(0.001);
-    models.sort_by(|a, b| need(a, hosts_of(a)).total_cmp(&need(b, hosts_of(b))));
-    let needy = models.first()?;
-    for domain in domains.values() {
-        let usable = |host: &&&Host| warmth(planner, host, needy) <= Warmth::Staged;
-        let free = domain.free.iter().filter(usable).count();
-        if free >= needy.size {
-            continue;
-        }
-        let here = planner.groups.values().filter(|group| {
-            let head = planner.hosts.get(&group.members[0]);
-            head.is_some_and(|head| head.worker.domain == domain.name)
-                && matches!(group.phase, Phase::Open { .. })
-                && group.model != needy.name
-        });
-        for group in here {
-            let Some(model) = planner.model(&group.model) else { continue };
-            let members = group.members.iter().filter_map(|id| planner.hosts.get(id));
-            let gained =
-                members.filter(|host| warmth(planner, host, needy) <= Warmth::Staged).count();
-            let after = need(model, hosts_of(model).saturating_sub(model.size));
-            if free + gained >= needy.size && after >= need(needy, hosts_of(needy)) {
-                return Some(group.epoch);
+    let grouped = planner.engine.models.iter().filter(|model| model.size > 1);
+    let needy = grouped.min_by(|a, b| need(a, hosts_of(a)).total_cmp(&need(b, hosts_of(b))))?;
+    let able = |host: &Host| warmth(planner, host, needy) <= Warmth::Staged;
+    domains.values().find_map(|domain| {
+        let mut held = domain.free.iter().filter(|host| able(host)).count();
+        let mut epochs = Vec::new();
+        let mut given: BTreeMap<&str, usize> = BTreeMap::new();
+        for group in planner.groups.values().filter(|group| group.model != needy.name) {
+            let members = || group.members.iter().filter_map(|id| planner.hosts.get(id));
+            let here = members().all(|host| host.worker.domain == domain.name);
+            if held >= needy.size || !here || !matches!(group.phase, Phase::Open { .. }) {
+                continue;
+            }
+            let model = planner.model(&group.model)?;
+            let given = given.entry(&group.model).or_default();
+            let left = hosts_of(model).saturating_sub(*given + model.size);
+            if need(model, left) < need(needy, hosts_of(needy)) {
+                continue;
             }
+            *given += model.size;
+            held += members().filter(|host| able(host)).count();
+            epochs.push(group.epoch);
         }
-    }
-    None
+        let enough = held >= needy.size && !epochs.is_empty();
+        enough.then(|| Yield { epochs, model: needy.name.clone() })
+    })
 }
--- a/crates/oliveworks-gateway-core/src/planner/group.rs
+++ b/crates/oliveworks-gateway-core/src/planner/group.rs
@@ -46,6 +46,8 @@
     pub(super) phase: Phase,
     /// When it came into its phase.
     pub(super) since: Millis,
+    /// The model that is to get its hosts.
+    pub(super) yields_to: Option<String>,
     /// Whether an earlier leader formed it.
     pub(super) adopted: bool,
 }
