--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -638,9 +638,8 @@
             };
             group.phase == Phase::Joining && group.members.iter().any(unjoined)
         });
-        // A part of the loads that run at full speed is left to joins.
-        let most = self.engine.loads_at_once as usize * 2 / 3;
-        if joins_wait || (self.traffic && self.loading() >= most.max(1)) {
+        let most = self.engine.loads_at_once as usize;
+        if joins_wait || (self.traffic && self.loading() >= most) {
             return;
         }
         for staging in allot::stage(self) {
@@ -657,7 +656,7 @@
 
     /// Hosts that load something.
     fn loading(&self) -> usize {
-        self.hosts.values().filter(|host| host.is_loading()).count()
+        self.hosts.values().filter(|host| host.stays() && host.is_loading()).count()
     }
 
     /// Hosts of a domain, in groups of other models or free, that have the model staged.
--- a/crates/oliveworks-gateway-core/src/planner/allot.rs
+++ b/crates/oliveworks-gateway-core/src/planner/allot.rs
@@ -234,6 +234,15 @@
     let grouped: Vec<&Model> = planner.engine.models.iter().filter(|m| m.size > 1).collect();
     let Some(smallest) = grouped.iter().min_by_key(|model| model.size) else { return };
     for domain in domains.values().filter(|domain| domain.steady) {
+        let mut spares: BTreeMap<&str, usize> = BTreeMap::new();
+        for model in &domain.loading {
+            *spares.entry(model).or_default() += 1;
+        }
+        for host in &domain.free {
+            if let Some(model) = grouped.iter().find(|model| host.held_last(&model.name)) {
+                *spares.entry(&model.name).or_default() += 1;
+            }
+        }
         for host in domain.free.iter().filter(|host| host.group.is_none()) {
             let held = grouped.iter().find(|model| host.held_last(&model.name));
             let staged = grouped.iter().find(|model| host.has(&model.name));
@@ -242,7 +251,9 @@
             }
             // What is left of a group that lacks hosts waits for this one; otherwise it is a spare.
             let waiting = grouped.iter().find(|model| waits(planner, domain, model));
-            let model = staged.or(waiting).unwrap_or(smallest);
+            let staged = staged.filter(|model| spares.get(model.name.as_str()).is_none());
+            let model = waiting.or(staged).unwrap_or(smallest);
+            *spares.entry(&model.name).or_default() += 1;
             plans.push(new_group(model, &[host]));
         }
     }
@@ -344,7 +355,7 @@
     let grouped = planner.engine.models.iter().filter(|model| model.size > 1);
     let needy = grouped.min_by(|a, b| need(a, hosts_of(a)).total_cmp(&need(b, hosts_of(b))))?;
     let able = |host: &Host| warmth(planner, host, needy) <= Warmth::Staged;
-    domains.values().find_map(|domain| {
+    let plans = domains.values().filter_map(|domain| {
         let mut held = domain.free.iter().filter(|host| able(host)).count();
         let mut epochs = Vec::new();
         let mut given: BTreeMap<&str, usize> = BTreeMap::new();
@@ -354,7 +365,10 @@
             if held >= needy.size || !here || !matches!(group.phase, Phase::Open { .. }) {
                 continue;
             }
-            let model = planner.model(&group.model)?;
+            // Only smaller groups yield: what a large one gives is seldom worth its end.
+            let Some(model) = planner.model(&group.model).filter(|m| m.size < needy.size) else {
+                continue;
+            };
             let given = given.entry(&group.model).or_default();
             let left = hosts_of(model).saturating_sub(*given + model.size);
             if need(model, left) < need(needy, hosts_of(needy)) {
@@ -366,5 +380,6 @@
         }
         let enough = held >= needy.size && !epochs.is_empty();
         enough.then(|| Yield { epochs, model: needy.name.clone() })
-    })
+    });
+    plans.min_by_key(|plan| plan.epochs.len())
 }
