--- a/crates/oliveworks-gateway-core/src/planner/allot.rs
+++ b/crates/oliveworks-gateway-core/src/planner/allot.rs
@@ -108,7 +108,7 @@
 /// How many hosts of a domain are kept as spares.
 fn reserve(planner: &Planner, domain: &Domain<'_>) -> usize {
     let models = planner.engine.models.iter().filter(|model| model.size > 1).count();
-    models.min(domain.living * planner.config.spare_percent / 100)
+    models.min((domain.living * planner.config.spare_percent).div_ceil(100))
 }
 
 /// Takes the hosts out of `free` that serve the model soonest.
@@ -191,7 +191,8 @@
         names.retain(|name| domains[name].kept_for.is_none_or(|kept| kept == model.name));
         let formed = names.into_iter().find_map(|name| {
             let domain = domains.get_mut(name)?;
-            let fits = room(planner, domain) >= model.size as isize;
+            let waiting = waiting_hosts(planner, domain, model) as isize;
+            let fits = room(planner, domain) - waiting >= model.size as isize;
             let hosts = take(planner, &mut domain.free, model, fits)?;
             // What holds the model already may always serve it again; more takes room.
             let hot = hosts.iter().all(|host| warmth(planner, host, model) != Warmth::Cold);
@@ -220,6 +221,13 @@
     domain.living as isize - domain.used as isize - reserve(planner, domain) as isize
 }
 
+/// Hosts of a domain that wait for what their larger model's group lacks.
+fn waiting_hosts(planner: &Planner, domain: &Domain<'_>, model: &Model) -> usize {
+    let larger = planner.engine.models.iter().filter(|other| other.size > model.size);
+    let hot = |other: &Model| domain.free.iter().filter(|h| h.held_last(&other.name)).count();
+    larger.map(hot).filter(|count| *count > 1).sum()
+}
+
 /// Whether a domain has no group of the model.
 fn has_none(domain: &Domain<'_>, model: &Model) -> bool {
     domain.groups.get(model.name.as_str()).copied().unwrap_or(0) == 0
@@ -324,6 +332,9 @@
 /// Hosts of a domain that keep a larger model staged, beyond which none is staged once loads cost.
 const STAGED_IN_TRAFFIC: usize = 4;
 
+/// How many hosts for its share a model keeps when it yields, in parts of what the other then has.
+const YIELD_RATIO: f64 = 0.8;
+
 /// Groups that end so that a needier model gets their hosts.
 pub(super) struct Yield {
     pub(super) epochs: Vec<u64>,
@@ -371,7 +382,9 @@
             };
             let given = given.entry(&group.model).or_default();
             let left = hosts_of(model).saturating_sub(*given + model.size);
-            if need(model, left) < need(needy, hosts_of(needy)) {
+            // Worth it only if the one that yields is not much the needier of the two afterwards.
+            let gained = hosts_of(needy) + needy.size;
+            if need(model, left) < need(needy, gained) * YIELD_RATIO {
                 continue;
             }
             *given += model.size;
