Requests go where the least prompt is unread; hosts that only stage a rich model load the poor one

Cause: after a domain came back all its hosts became groups of the large model, while the small one was full; equal counts of requests hid unread prompts.

--- a/crates/oliveworks-gateway-core/src/balance.rs
+++ b/crates/oliveworks-gateway-core/src/balance.rs
@@ -31,14 +31,27 @@
     pub slots: u32,
     /// Whether it is in this gateway's zone.
     pub near: bool,
+    /// What each request that is open there costs the next one, in ms.
+    pub open_ms: f64,
+    /// What each token of a prompt that is not read yet costs the next request, in ms.
+    pub token_ms: f64,
+}
+
+/// What is open at a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests.
+    pub requests: u32,
+    /// Tokens of prompts that have not begun to be answered.
+    pub tokens: u32,
 }
 
 /// The most that other gateways' counts are believed for.
 const PEER_COUNT_MS: u64 = 1_500;
-/// What being in another zone weighs, in requests.
-const FAR_WEIGHT: f64 = 0.4;
-/// What a recent failure weighs, in requests; fades with time.
-const FAILURE_WEIGHT: f64 = 6.0;
+/// What being in another zone costs, in ms: the way there and back.
+const FAR_MS: f64 = 3.0;
+/// What a recent failure costs, in ms; fades with time.
+const FAILURE_MS: f64 = 120.0;
 /// The time in which the weight of failures halves.
 const FAILURE_HALF_MS: f64 = 1_500.0;
 /// How long a target that stands still gets nothing.
@@ -49,6 +62,8 @@
 #[derive(Clone, Debug, Default)]
 struct Own {
     open: u32,
+    /// Tokens of prompts of requests that have not begun.
+    tokens: u32,
     /// Streams among them that have begun.
     writing: u32,
     last_progress: Millis,
@@ -71,7 +86,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Balance {
     own: HashMap<Target, Own>,
-    peers: HashMap<u64, (Millis, HashMap<Target, u16>)>,
+    peers: HashMap<u64, (Millis, HashMap<Target, Load>)>,
 }
 
 /// Why no target was chosen.
@@ -85,22 +100,27 @@
 
 impl Balance {
     /// What another gateway has open, by target.
-    pub fn peer(&mut self, now: Millis, peer: u64, open: HashMap<Target, u16>) {
+    pub fn peer(&mut self, now: Millis, peer: u64, open: HashMap<Target, Load>) {
         self.peers.insert(peer, (now, open));
     }
 
     /// What this gateway has open, by target.
-    pub fn own_open(&self) -> impl Iterator<Item = (Target, u16)> {
+    pub fn own_open(&self) -> impl Iterator<Item = (Target, Load)> {
         let busy = self.own.iter().filter(|(_, own)| own.open > 0);
-        busy.map(|(target, own)| (*target, own.open.min(u32::from(u16::MAX)) as u16))
+        busy.map(|(target, own)| (*target, Load { requests: own.open, tokens: own.tokens }))
     }
 
     /// What all gateways have open at a target.
-    pub fn open(&self, now: Millis, target: Target) -> u32 {
-        let own = self.own.get(&target).map_or(0, |own| own.open);
-        let heard = self.peers.values().filter(|(at, _)| now < at + PEER_COUNT_MS);
-        let peers: u32 = heard.map(|(_, open)| u32::from(*open.get(&target).unwrap_or(&0))).sum();
-        own + peers
+    pub fn load(&self, now: Millis, target: Target) -> Load {
+        let own = self.own.get(&target);
+        let mut load =
+            own.map(|own| Load { requests: own.open, tokens: own.tokens }).unwrap_or_default();
+        for (_, open) in self.peers.values().filter(|(at, _)| now < at + PEER_COUNT_MS) {
+            let peer = open.get(&target).copied().unwrap_or_default();
+            load.requests += peer.requests;
+            load.tokens += peer.tokens;
+        }
+        load
     }
 
     /// Chooses among targets; `full_at` is the load, in slots, at which a target takes no more.
@@ -125,14 +145,17 @@
                 continue;
             }
             any = true;
-            let open = self.open(now, candidate.target);
+            let load = self.load(now, candidate.target);
             let slots = f64::from(candidate.slots.max(1));
-            if f64::from(open) >= slots * full_at {
+            if f64::from(load.requests) >= slots * full_at {
                 continue;
             }
-            let far = if candidate.near { 0.0 } else { FAR_WEIGHT };
+            let far = if candidate.near { 0.0 } else { FAR_MS };
             let failures = self.own.get(&candidate.target).map_or(0.0, |own| own.failures(now));
-            let cost = (f64::from(open) + far + failures * FAILURE_WEIGHT) / slots;
+            let cost = far
+                + failures * FAILURE_MS
+                + f64::from(load.requests) * candidate.open_ms
+                + f64::from(load.tokens) * candidate.token_ms;
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, candidate.target));
             }
@@ -141,13 +164,14 @@
         best.map(|(_, target)| target).ok_or(none)
     }
 
-    /// A request goes to a target.
-    pub fn started(&mut self, now: Millis, target: Target) {
+    /// A request with a prompt of `tokens` goes to a target.
+    pub fn started(&mut self, now: Millis, target: Target, tokens: u32) {
         let own = self.own.entry(target).or_default();
         if own.open == 0 {
             own.last_progress = now;
         }
         own.open += 1;
+        own.tokens += tokens;
     }
 
     /// Something came from a target.
@@ -160,9 +184,10 @@
     }
 
     /// A stream at a target has begun.
-    pub fn began(&mut self, target: Target) {
+    pub fn began(&mut self, target: Target, tokens: u32) {
         if let Some(own) = self.own.get_mut(&target) {
             own.writing += 1;
+            own.tokens = own.tokens.saturating_sub(tokens);
         }
     }
 
@@ -184,10 +209,13 @@
 
     /// A request at a target has ended; `began` if its stream had begun, `failed` if the target is
     /// to blame.
-    pub fn ended(&mut self, now: Millis, target: Target, began: bool, failed: bool) {
+    pub fn ended(&mut self, now: Millis, target: Target, tokens: u32, began: bool, failed: bool) {
         let Some(own) = self.own.get_mut(&target) else { return };
         own.open = own.open.saturating_sub(1);
-        own.writing = own.writing.saturating_sub(u32::from(began));
+        match began {
+            true => own.writing = own.writing.saturating_sub(1),
+            false => own.tokens = own.tokens.saturating_sub(tokens),
+        }
         if failed {
             own.failures = own.failures(now) + 1.0;
             own.failures_at = now;
--- a/crates/oliveworks-gateway-core/src/planner/allot.rs
+++ b/crates/oliveworks-gateway-core/src/planner/allot.rs
@@ -189,6 +189,11 @@
             names.retain(|name| Some(groups_in(&domains[name])) == fewest);
         }
         names.retain(|name| domains[name].kept_for.is_none_or(|kept| kept == model.name));
+        // While another model lacks hosts much more, those that only stage this one load that.
+        let others = planner.engine.models.iter().filter(|other| other.name != model.name);
+        let least = others.map(&need).fold(f64::INFINITY, f64::min);
+        let then = need(model) + model.size as f64 / model.share.max(0.001);
+        let only_hot = planner.traffic && then > least * RICH_RATIO;
         let formed = names.into_iter().find_map(|name| {
             let domain = domains.get_mut(name)?;
             let waiting = waiting_hosts(planner, domain, model) as isize;
@@ -196,6 +201,11 @@
             let hosts = take(planner, &mut domain.free, model, fits)?;
             // What holds the model already may always serve it again; more takes room.
             let hot = hosts.iter().all(|host| warmth(planner, host, model) != Warmth::Cold);
+            let staged = hosts.iter().any(|host| !host.held_last(&model.name));
+            if only_hot && staged {
+                domain.free.extend(hosts);
+                return None;
+            }
             if !fits && !(hot && (has_none(domain, model) || planner.is_busy(model))) {
                 domain.free.extend(hosts);
                 return None;
@@ -216,6 +226,10 @@
     }
 }
 
+/// How many times the hosts for its share a model may have, against the one that has the fewest,
+/// before hosts that only stage it are used for that one.
+const RICH_RATIO: f64 = 1.6;
+
 /// Hosts of a domain that are neither used nor to be kept as spares.
 fn room(planner: &Planner, domain: &Domain<'_>) -> isize {
     domain.living as isize - domain.used as isize - reserve(planner, domain) as isize
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -185,7 +185,7 @@
     let table = gateway.table.borrow();
     for group in table.groups.iter().filter(|group| group.service == service) {
         let load = loads.entry(group.model.clone()).or_default();
-        load.0 += gateway.balance.borrow().open(now, Target::of(&group.members[0]));
+        load.0 += gateway.balance.borrow().load(now, Target::of(&group.members[0])).requests;
         load.1 += group.slots;
     }
     for (model, (open, slots)) in loads {
--- a/crates/oliveworks-gateway/src/peers.rs
+++ b/crates/oliveworks-gateway/src/peers.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use log::{info, warn};
-use oliveworks_gateway_core::balance::Target;
+use oliveworks_gateway_core::balance::{Load, Target};
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -42,7 +42,7 @@
     /// The fence under which the sender leads.
     leads: Option<u64>,
     /// Requests that the sender has open, by target.
-    open: Vec<(Target, u16)>,
+    open: Vec<(Target, Load)>,
     /// Groups that the sender sees standing still.
     suspects: Vec<u64>,
     /// Targets from which the sender has just heard.
@@ -132,7 +132,7 @@
     if beat.traffic {
         gateway.traffic.set(true);
     }
-    let open: HashMap<Target, u16> = beat.open.into_iter().collect();
+    let open: HashMap<Target, Load> = beat.open.into_iter().collect();
     gateway.balance.borrow_mut().peer(now, xxh3_64(beat.node.as_bytes()), open);
     for target in beat.heard {
         gateway.heard_by_others.borrow_mut().insert(target, now);
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -39,7 +39,9 @@
 /// The same when keys are not honoured for a while.
 const COME_BACK_STALE_MS: u64 = 1_000;
 /// The silence after which a plain request that may be repeated goes elsewhere.
-const PLAIN_SILENCE_MS: u64 = 450;
+const PLAIN_SILENCE_MS: u64 = 400;
+/// The same, in times of its route's goal, if that is longer.
+const PLAIN_SILENCE_GOALS: u64 = 2;
 /// What a replica group may be silent beyond its longest pass, while a stream of ours runs there.
 const WRITING_SLACK_MS: u64 = 50;
 /// The same while all our requests there wait for their first event.
@@ -256,11 +258,17 @@
                 return self.give_up(connection, verdict, COME_BACK_MS).await;
             }
             let target = place.candidate.target;
+            let tokens = self.asked.prompt_tokens;
             self.tried.push(target);
             let now = self.gateway.now();
-            self.gateway.balance.borrow_mut().started(now, target);
-            let mut open =
-                Open { gateway: self.gateway, target, began: Cell::new(false), failed: false };
+            self.gateway.balance.borrow_mut().started(now, target, tokens);
+            let mut open = Open {
+                gateway: self.gateway,
+                target,
+                tokens,
+                began: Cell::new(false),
+                failed: false,
+            };
             let tried = self.attempt(connection, &place, &open.began).await;
             open.failed =
                 matches!(tried, Tried::Failed { failure, .. } if failure != Failure::Refused);
@@ -474,7 +482,10 @@
         }
         let base = since.max(self.gateway.awake_since());
         if self.model.is_none() {
-            return Some(base + PLAIN_SILENCE_MS);
+            // Where it cannot go elsewhere, it waits until its time is over.
+            let again = self.attempts.sent() < self.route.max_attempts;
+            let silence_ms = PLAIN_SILENCE_MS.max(self.route.goal_ms * PLAIN_SILENCE_GOALS);
+            return again.then_some(base + silence_ms);
         }
         let balance = self.gateway.balance.borrow();
         let last = balance.last_progress(place.candidate.target).unwrap_or(0);
@@ -560,7 +571,10 @@
                 return Tried::Failed { failure: Failure::Lost, gone: false };
             };
             if !events.is_empty() && !began.replace(true) {
-                self.gateway.balance.borrow_mut().began(place.candidate.target);
+                self.gateway
+                    .balance
+                    .borrow_mut()
+                    .began(place.candidate.target, self.asked.prompt_tokens);
             }
             let mut bytes = Vec::new();
             for event in events {
@@ -608,6 +622,8 @@
 struct Open<'a> {
     gateway: &'a Gateway,
     target: Target,
+    /// Tokens of its prompt.
+    tokens: u32,
     began: Cell<bool>,
     failed: bool,
 }
@@ -615,6 +631,7 @@
 impl Drop for Open<'_> {
     fn drop(&mut self) {
         let now = self.gateway.now();
-        self.gateway.balance.borrow_mut().ended(now, self.target, self.began.get(), self.failed);
+        let mut balance = self.gateway.balance.borrow_mut();
+        balance.ended(now, self.target, self.tokens, self.began.get(), self.failed);
     }
 }
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -77,6 +77,10 @@
 
 /// How long a leader's table is believed without a heartbeat.
 const TABLE_MS: u64 = 2_000;
+/// What an open request costs the next one at a plain backend server, in ms.
+const PLAIN_OPEN_MS: f64 = 5.0;
+/// The same at a replica group, beside what its prompt costs.
+const GROUP_OPEN_MS: f64 = 2.5;
 /// A gap between two ticks after which this process has been asleep.
 const ASLEEP_MS: u64 = 150;
 /// How lately something must have come from a group for another's suspicion to be put aside.
@@ -275,6 +279,8 @@
             target: Target::of(&worker.id),
             slots: worker.slots,
             near: worker.zone == self.settings.zone,
+            open_ms: PLAIN_OPEN_MS,
+            token_ms: 0.0,
         };
         Place { worker: worker.id.clone(), address: worker.address, candidate, epoch }
     }
@@ -299,6 +305,12 @@
 
     fn table_places(&self, service: &str, model: &str) -> Vec<Place> {
         let directory = self.directory.borrow();
+        let lookup = self.lookup();
+        let engine = lookup.as_ref().and_then(|l| l.service(service)?.engine.as_ref());
+        let token_ms = engine.map_or(0.0, |engine| {
+            let pace = engine.model(model).map_or(1.0, |model| model.pace);
+            pace / engine.read_per_ms.max(0.001)
+        });
         let table = self.table.borrow();
         let groups = table.groups.iter().filter(|g| g.service == service && g.model == model);
         let staying = groups.filter(|group| {
@@ -315,6 +327,8 @@
                     target: Target::of(head),
                     slots: group.slots,
                     near: group.zone == self.settings.zone,
+                    open_ms: GROUP_OPEN_MS,
+                    token_ms,
                 };
                 Place {
                     worker: head.as_str().into(),
