--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -190,9 +190,14 @@
         *busy += (load - *busy) * LOAD_WEIGHT;
     }
 
+    /// The load of a model's groups: open requests for each slot.
+    fn load(&self, model: &Model) -> f64 {
+        self.busy.get(&model.name).copied().unwrap_or(0.0)
+    }
+
     /// Whether a model's groups are so busy that spares should serve.
     fn is_busy(&self, model: &Model) -> bool {
-        self.busy.get(&model.name).is_some_and(|busy| *busy > BUSY)
+        self.load(model) > BUSY
     }
 
     /// Whether callers have been served at all.
--- a/crates/oliveworks-gateway-core/src/planner/allot.rs
+++ b/crates/oliveworks-gateway-core/src/planner/allot.rs
@@ -349,6 +349,9 @@
 /// How many hosts for its share a model keeps when it yields, in parts of what the other then has.
 const YIELD_RATIO: f64 = 0.8;
 
+/// How much busier, in requests for each slot, a model must be than the one that yields.
+const YIELD_LOAD: f64 = 0.1;
+
 /// Groups that end so that a needier model gets their hosts.
 pub(super) struct Yield {
     pub(super) epochs: Vec<u64>,
@@ -396,6 +399,10 @@
             };
             let given = given.entry(&group.model).or_default();
             let left = hosts_of(model).saturating_sub(*given + model.size);
+            // Measured load goes first: a model yields only to one that is busier.
+            if hosts_of(needy) > 0 && planner.load(needy) < planner.load(model) + YIELD_LOAD {
+                continue;
+            }
             // Worth it only if the one that yields is not much the needier of the two afterwards.
             let gained = hosts_of(needy) + needy.size;
             if need(model, left) < need(needy, gained) * YIELD_RATIO {
