--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -139,6 +139,8 @@
 /// The weight of a new figure in a model's load, and the load above which spares should serve.
 const LOAD_WEIGHT: f64 = 0.08;
 const BUSY: f64 = 0.65;
+/// How much later than told a head may be open.
+const FORM_MARGIN_MS: u64 = 100;
 /// Loads that may begin at once.
 const LOAD_BURST: f64 = 2.0;
 /// Loads before traffic beyond those that run at full speed, so that none has to wait to be told.
@@ -562,7 +564,12 @@
         if now < group.since + self.config.notice_ms {
             return;
         }
+        let form_ms = self.engine.form_ms;
         let Some(head) = self.hosts.get_mut(&group.members[0]) else { return };
+        if now < head.opened_at + form_ms + FORM_MARGIN_MS {
+            // A head that still forms says that it is ready, and opens all the same.
+            return;
+        }
         if head.closed != Some(group.epoch) {
             if head.may_order(now) {
                 let order = Order::Close { group: group.name.clone(), epoch: group.epoch };
--- a/crates/oliveworks-gateway-core/src/planner/host.rs
+++ b/crates/oliveworks-gateway-core/src/planner/host.rs
@@ -32,6 +32,7 @@
     pub(super) joined: Option<u64>,
     pub(super) joined_at: Millis,
     pub(super) opened: Option<u64>,
+    pub(super) opened_at: Millis,
     pub(super) closed: Option<u64>,
     pub(super) closed_at: Millis,
     pub(super) left: Option<u64>,
@@ -67,6 +68,7 @@
             joined: None,
             joined_at: 0,
             opened: None,
+            opened_at: 0,
             closed: None,
             closed_at: 0,
             left: None,
@@ -243,7 +245,10 @@
                 self.staging = None;
             }
             Order::Stage { model } => self.staging = Some(model.clone()),
-            Order::Open { epoch, .. } => self.opened = Some(*epoch),
+            Order::Open { epoch, .. } => {
+                self.opened = Some(*epoch);
+                self.opened_at = now;
+            }
             Order::Close { epoch, .. } => {
                 self.closed = Some(*epoch);
                 self.closed_at = now;
