--- a/crates/oliveworks-gateway/src/settings.rs
+++ b/crates/oliveworks-gateway/src/settings.rs
@@ -50,9 +50,10 @@
 pub struct Store {
     /// Its address.
     pub address: SocketAddr,
-    /// The longest that it holds a call back when the configuration has not changed.
-    #[serde(default = "default_configuration_wait_ms")]
-    pub configuration_wait_ms: u64,
+    /// The longest that it holds a call back when the configuration has not changed; by default
+    /// half of `bounds.apply_ms`.
+    #[serde(default)]
+    pub configuration_wait_ms: Option<u64>,
     /// The time between two reads of backend servers' records.
     #[serde(default = "default_workers_every_ms")]
     pub workers_every_ms: u64,
@@ -67,6 +68,8 @@
 pub struct Bounds {
     /// The time after which a leaving backend server gets nothing new.
     pub drain_ms: u64,
+    /// The time after which a published configuration is in force.
+    pub apply_ms: u64,
     /// The time that a stopping process has.
     pub grace_ms: u64,
     /// The time after which a key that was taken away serves nothing; none if it is not bound.
@@ -100,10 +103,6 @@
     }
 }
 
-fn default_configuration_wait_ms() -> u64 {
-    2_400
-}
-
 fn default_workers_every_ms() -> u64 {
     1_000
 }
@@ -112,13 +111,22 @@
     1_000
 }
 
+impl Settings {
+    /// The longest that the store holds a read of the configuration back. It may miss to answer one
+    /// that comes with a change, so that only the next read brings it: well within the bound.
+    pub fn configuration_wait_ms(&self) -> u64 {
+        self.store.configuration_wait_ms.unwrap_or(self.bounds.apply_ms / 2)
+    }
+}
+
 impl Check for Settings {
     fn check(&self) -> Result<(), String> {
         let positive = [
-            ("store.configuration_wait_ms", self.store.configuration_wait_ms),
+            ("store.configuration_wait_ms", self.configuration_wait_ms()),
             ("store.workers_every_ms", self.store.workers_every_ms),
             ("store.call_ms", self.store.call_ms),
             ("bounds.drain_ms", self.bounds.drain_ms),
+            ("bounds.apply_ms", self.bounds.apply_ms),
             ("bounds.grace_ms", self.bounds.grace_ms),
             ("bounds.repeat_window_ms", self.bounds.repeat_window_ms),
             ("requests.connect_ms", self.requests.connect_ms),
--- a/crates/oliveworks-gateway/src/store.rs
+++ b/crates/oliveworks-gateway/src/store.rs
@@ -188,7 +188,7 @@
 /// Follows the configuration.
 pub async fn follow_configuration(gateway: Rc<Gateway>) {
     let mut follower = Follower::new(&gateway, Topic::Configuration);
-    let longest_wait_ms = gateway.settings.store.configuration_wait_ms;
+    let longest_wait_ms = gateway.settings.configuration_wait_ms();
     let mut wait_ms = longest_wait_ms;
     loop {
         let Some(step) = follower.step(wait_ms).await else { continue };
