--- /dev/null
+++ b/crates/oliveworks-gateway-core/tests/decisions.rs
@@ -0,0 +1,272 @@
+//! Freshness, retry budget, attempts, events, balance, election: each decision by a table.
+
+use std::collections::HashMap;
+
+use oliveworks_gateway_core::attempts::{Attempts, Failure, Next, Terms, Verdict};
+use oliveworks_gateway_core::balance::{Balance, Candidate, Load, NoTarget, Target};
+use oliveworks_gateway_core::budget::{Budget, BudgetConfig};
+use oliveworks_gateway_core::election::{Claim, Election, ElectionConfig};
+use oliveworks_gateway_core::events::{Pass, Progress, Splitter};
+use oliveworks_gateway_core::freshness::Freshness;
+use proptest::prelude::*;
+use test_case::test_case;
+
+#[test_case(&[], 1_000, Some(5_000), false; "nothing proved yet")]
+#[test_case(&[(1_000, 0)], 4_900, Some(5_000), true; "young enough")]
+#[test_case(&[(1_000, 0)], 5_000, Some(5_000), false; "four fifths of the bound")]
+#[test_case(&[(1_000, 2_000)], 6_900, Some(5_000), true; "held back proves later")]
+#[test_case(&[(5_000, 0), (1_000, 0)], 8_900, Some(5_000), true; "an older proof takes nothing back")]
+#[test_case(&[(1_000, 0)], 90_000, None, true; "without a bound any proof will do")]
+fn keys_are_honoured(proofs: &[(u64, u64)], now: u64, bound: Option<u64>, expected: bool) {
+    let mut freshness = Freshness::default();
+    for (sent, held) in proofs {
+        freshness.proved(*sent, *held);
+    }
+    assert_eq!(freshness.honours_keys(now, bound), expected);
+}
+
+const BUDGET: BudgetConfig = BudgetConfig { ratio: 0.2, extra: 160.0, window_ms: 10_000 };
+
+/// The bound holds over every window, for all gateways together.
+#[test_case(1; "one gateway")]
+#[test_case(5; "five")]
+fn all_gateways_stay_within_the_bound(gateways: usize) {
+    let mut budgets = vec![Budget::new(BUDGET); gateways];
+    let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+    for now in (0..60_000u64).step_by(10) {
+        for budget in &mut budgets {
+            budget.request(now, "lm");
+            requests.push(now);
+            for _ in 0..3 {
+                if budget.take(now, "lm", gateways) {
+                    repeats.push(now);
+                }
+            }
+        }
+    }
+    for start in (0..50_000u64).step_by(500) {
+        let within = |times: &[u64]| {
+            times.iter().filter(|t| (start..start + 10_000).contains(*t)).count() as f64
+        };
+        let bound = 0.2 * within(&requests) + 160.0;
+        assert!(within(&repeats) <= bound, "window at {start}: {} > {bound}", within(&repeats));
+    }
+    assert!(repeats.len() > 1_000, "repeats are allowed at all");
+}
+
+#[test]
+fn services_have_budgets_of_their_own() {
+    let mut budget = Budget::new(BudgetConfig { ratio: 0.0, extra: 4.0, window_ms: 10_000 });
+    let taken =
+        |budget: &mut Budget, service: &str| (0..9).filter(|_| budget.take(0, service, 1)).count();
+    assert_eq!((taken(&mut budget, "a"), taken(&mut budget, "b")), (3, 3));
+}
+
+const TERMS: Terms = Terms { repeatable: true, max_attempts: 2, deadline: 1_000 };
+const ONCE: Terms = Terms { repeatable: false, max_attempts: 2, deadline: 1_000 };
+
+#[test_case(TERMS, 1, Failure::Lost, false, 10, Next::Again; "a repeatable one goes on")]
+#[test_case(TERMS, 2, Failure::Lost, false, 10, Next::GiveUp(Verdict::MayHaveRun); "not beyond the attempts")]
+#[test_case(TERMS, 2, Failure::Stalled, true, 10, Next::Again; "one that ended is not counted")]
+#[test_case(TERMS, 1, Failure::Lost, false, 1_000, Next::GiveUp(Verdict::TimedOut); "its time is over")]
+#[test_case(ONCE, 1, Failure::Lost, false, 10, Next::GiveUp(Verdict::MayHaveRun); "may have run once")]
+#[test_case(ONCE, 1, Failure::Refused, false, 10, Next::Again; "refused has not run")]
+#[test_case(ONCE, 2, Failure::Refused, false, 10, Next::GiveUp(Verdict::NotRun); "refused by all")]
+#[test_case(ONCE, 0, Failure::NotSent, false, 10, Next::Again; "not sent at all")]
+#[test_case(ONCE, 0, Failure::NotSent, false, 1_000, Next::GiveUp(Verdict::NotRun); "not sent in time")]
+fn after_a_failure(
+    terms: Terms,
+    sent: u32,
+    failure: Failure,
+    gone: bool,
+    now: u64,
+    expected: Next,
+) {
+    let mut attempts = Attempts::new(terms);
+    for _ in 0..sent {
+        attempts.connecting();
+        attempts.sending();
+    }
+    assert_eq!(attempts.failed(now, failure, gone), expected);
+}
+
+/// What may have run once is never called "not run" afterwards.
+#[test]
+fn uncertainty_stays() {
+    let mut attempts = Attempts::new(Terms { max_attempts: 3, ..TERMS });
+    attempts.sending();
+    attempts.failed(10, Failure::Lost, false);
+    attempts.sending();
+    attempts.failed(20, Failure::Refused, false);
+    assert_eq!(attempts.verdict(30), Verdict::MayHaveRun);
+}
+
+#[test_case(Verdict::NotRun, 503, true)]
+#[test_case(Verdict::MayHaveRun, 502, false)]
+#[test_case(Verdict::TimedOut, 504, false)]
+#[test_case(Verdict::NoKey, 401, false)]
+#[test_case(Verdict::NoRoute, 404, false)]
+#[test_case(Verdict::BodyTooLarge, 413, false)]
+#[test_case(Verdict::HeadTooLarge, 431, false)]
+fn answers(verdict: Verdict, status: u16, come_back: bool) {
+    let answer = verdict.answer();
+    assert_eq!((answer.status, answer.come_back), (status, come_back));
+}
+
+proptest! {
+    /// However the bytes of a stream are cut, the same whole events come out.
+    #[test]
+    fn events_do_not_depend_on_cuts(ids in prop::collection::vec(0u64..99, 0..9), cut in 1usize..9) {
+        let text: String = ids.iter().map(|id| format!("id: {id}\ndata: x{id}\n\n")).collect();
+        let mut splitter = Splitter::default();
+        let mut events = Vec::new();
+        for part in text.as_bytes().chunks(cut) {
+            events.extend(splitter.push(part).expect("short events"));
+        }
+        let found: Vec<u64> = events.iter().filter_map(|event| event.id).collect();
+        let joined: Vec<u8> = events.into_iter().flat_map(|event| event.bytes).collect();
+        prop_assert_eq!(found, ids);
+        prop_assert_eq!(joined, text.into_bytes());
+        prop_assert!(splitter.rest().is_empty());
+    }
+
+    /// Nothing that a backend server sends makes it panic or grow without bound.
+    #[test]
+    fn any_bytes_are_borne(bytes in prop::collection::vec(any::<u8>(), 0..2_000)) {
+        let mut splitter = Splitter::default();
+        let events = splitter.push(&bytes).expect("below the bound");
+        let passed: usize = events.iter().map(|event| event.bytes.len()).sum();
+        prop_assert_eq!(passed + splitter.rest().len(), bytes.len());
+    }
+}
+
+#[test]
+fn an_event_without_end_is_refused() {
+    let mut splitter = Splitter::default();
+    let long = vec![b'x'; 300_000];
+    let refused = (0..9).any(|_| splitter.push(&long).is_err());
+    assert!(refused);
+}
+
+#[test]
+fn a_cut_event_is_not_passed_on() {
+    let mut splitter = Splitter::default();
+    let events = splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").expect("short");
+    assert_eq!((events.len(), splitter.rest()), (1, b"id: 2\nda".as_slice()));
+}
+
+#[test_case(None, &[Some(1), Some(2)], &[Pass::On, Pass::On]; "from the start")]
+#[test_case(Some(2), &[Some(2), Some(3)], &[Pass::Known, Pass::On]; "taken up with a repeat")]
+#[test_case(Some(2), &[Some(4)], &[Pass::Gap]; "a piece is missing")]
+#[test_case(Some(2), &[None, Some(3)], &[Pass::On, Pass::On]; "an event without an id")]
+fn taken_up(after: Option<u64>, ids: &[Option<u64>], expected: &[Pass]) {
+    let mut progress = Progress::after(after);
+    let passes: Vec<Pass> = ids.iter().map(|id| progress.next(*id)).collect();
+    assert_eq!(passes, expected);
+}
+
+fn candidates(count: u64) -> Vec<Candidate> {
+    let each = (0..count).map(|n| Candidate {
+        target: Target(n),
+        slots: 4,
+        near: true,
+        open_ms: 1.0,
+        token_ms: 0.1,
+    });
+    each.collect()
+}
+
+#[test]
+fn the_least_busy_is_chosen_with_what_others_sent() {
+    let mut balance = Balance::default();
+    balance.started(0, Target(0), 0);
+    let others = HashMap::from([(Target(1), Load { requests: 2, tokens: 0 })]);
+    balance.peer(0, 7, others);
+    assert_eq!(balance.choose(10, &candidates(3), &[], 1.0, 0), Ok(Target(2)));
+    assert_eq!(balance.choose(10, &candidates(2), &[], 1.0, 0), Ok(Target(0)));
+    // Old counts are not believed for ever.
+    assert_eq!(balance.choose(9_000, &candidates(2), &[], 1.0, 0), Ok(Target(1)));
+}
+
+#[test]
+fn an_unread_prompt_weighs_more_than_open_streams() {
+    let mut balance = Balance::default();
+    balance.started(0, Target(0), 4_000);
+    for _ in 0..3 {
+        balance.started(0, Target(1), 100);
+        balance.began(Target(1), 100);
+    }
+    assert_eq!(balance.choose(10, &candidates(2), &[], 1.0, 0), Ok(Target(1)));
+}
+
+#[test]
+fn full_suspended_and_tried_targets_get_nothing() {
+    let mut balance = Balance::default();
+    for _ in 0..4 {
+        balance.started(0, Target(0), 0);
+    }
+    assert_eq!(balance.choose(0, &candidates(1), &[], 1.0, 0), Err(NoTarget::Full));
+    balance.suspend(0, Target(1));
+    assert_eq!(balance.choose(0, &candidates(3), &[Target(2)], 1.0, 0), Err(NoTarget::Full));
+    assert_eq!(balance.choose(5_000, &candidates(3), &[Target(2)], 1.0, 0), Ok(Target(1)));
+    assert_eq!(balance.choose(0, &[], &[], 1.0, 0), Err(NoTarget::None));
+}
+
+fn election(claimant: u64) -> Election {
+    Election::new(ElectionConfig::default(), claimant, 0)
+}
+
+#[test]
+fn the_first_start_needs_no_patience() {
+    let mut first = election(1);
+    assert_eq!(first.claim(0, 0), None, "nothing was read yet");
+    first.read(0, None, 0);
+    assert_eq!(first.claim(0, 0), Some(0));
+    assert_eq!(first.claim(1, 0), None, "one claim at a time");
+}
+
+#[test]
+fn a_silent_leader_is_replaced_by_rank() {
+    let mut second = election(2);
+    second.read(0, Some(Claim { fence: 1, claimant: 1 }), 1);
+    second.heartbeat(1_000, 1);
+    assert_eq!(second.claim(1_600, 0), None);
+    assert_eq!(second.claim(1_700, 0), Some(1));
+    let mut third = election(3);
+    third.read(0, Some(Claim { fence: 1, claimant: 1 }), 1);
+    third.heartbeat(1_000, 1);
+    assert_eq!(third.claim(1_700, 1), None, "the one before it goes first");
+}
+
+#[test]
+fn records_that_have_gone_are_no_first_start() {
+    let mut late = election(4);
+    late.read(0, None, 9);
+    assert_eq!(late.claim(0, 0), None);
+    assert_eq!(late.claim(700, 0), Some(9));
+}
+
+/// A leader that was paused ends when it hears of, or is refused for, a higher fence.
+#[test]
+fn an_old_leader_steps_down() {
+    let mut old = election(1);
+    old.read(0, Some(Claim { fence: 1, claimant: 1 }), 1);
+    assert_eq!(old.leads(), Some(1));
+    let mut refused = old.clone();
+    refused.fenced(1);
+    assert_eq!(refused.leads(), None);
+    let mut told = old.clone();
+    told.heartbeat(10, 2);
+    assert_eq!(told.leads(), None);
+    old.read(10, Some(Claim { fence: 2, claimant: 2 }), 2);
+    assert_eq!(old.leads(), None);
+}
+
+/// An older record that is read late does not bring an old leader back.
+#[test]
+fn leadership_never_goes_back() {
+    let mut election = election(1);
+    election.read(0, Some(Claim { fence: 5, claimant: 2 }), 5);
+    election.read(1, Some(Claim { fence: 3, claimant: 1 }), 5);
+    assert_eq!((election.leads(), election.fence()), (None, Some(5)));
+}
