--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -143,6 +143,8 @@
 const FORM_MARGIN_MS: u64 = 100;
 /// Loads that may begin at once.
 const LOAD_BURST: f64 = 2.0;
+/// The part of the weight store's rate that is used: orders that are carried out late come on top.
+const LOAD_RATE: f64 = 0.75;
 /// Loads before traffic beyond those that run at full speed, so that none has to wait to be told.
 const LOADS_BEYOND: u32 = 5;
 
@@ -241,6 +243,9 @@
 
     /// Takes over groups that an earlier leader formed, once every host was asked or heard of.
     pub fn adopt(&mut self, now: Millis) {
+        for host in self.hosts.values_mut() {
+            host.knows_fence = false;
+        }
         let mut found: BTreeMap<u64, BTreeMap<usize, (WorkerId, MemberState, String)>> =
             BTreeMap::new();
         for host in self.hosts.values() {
@@ -248,6 +253,8 @@
             let row = (host.worker.id.clone(), member.state, member.name.clone());
             found.entry(member.epoch).or_default().insert(member.rank, row);
         }
+        // What the earlier leader gave up must not come back: it may have dealt with the hosts.
+        found.retain(|epoch, _| !self.ended.contains(epoch));
         for (epoch, ranks) in found {
             self.adopt_group(now, epoch, &ranks);
         }
@@ -379,6 +386,7 @@
         for epoch in epochs {
             self.advance(now, epoch, &mut commands);
         }
+        self.show_fence(now, &mut commands);
         self.free_strays(now, &mut commands);
         self.forget_hosts();
         for group in allot::allot(now, self) {
@@ -406,7 +414,8 @@
             self.load_tokens = f64::from(most) - self.loading() as f64;
             return;
         }
-        self.load_tokens = (self.load_tokens + passed * self.engine.loads_per_s).min(LOAD_BURST);
+        let rate = self.engine.loads_per_s * LOAD_RATE;
+        self.load_tokens = (self.load_tokens + passed * rate).min(LOAD_BURST);
     }
 
     fn found(&mut self, now: Millis, plan: allot::NewGroup) {
@@ -443,6 +452,16 @@
         self.abandon(epoch);
     }
 
+    /// The group's head serves no more. If any of its orders went unanswered, one may yet be carried
+    /// out, so that its members leave for themselves.
+    fn end_of(&mut self, group: &Group) {
+        let hosts = group.members.iter().filter_map(|id| self.hosts.get(id));
+        match hosts.clone().any(|host| host.unanswered == Some(group.epoch)) {
+            true => self.abandon(group.epoch),
+            false => self.dissolve(group.epoch),
+        }
+    }
+
     /// The group's head may serve on: its members are freed one by one, see `free_strays`.
     fn abandon(&mut self, epoch: u64) {
         let Some(group) = self.groups.remove(&epoch) else { return };
@@ -578,11 +597,7 @@
             return;
         }
         if head.heard_at > head.closed_at && head.is_ready_in(&group.name, group.epoch) {
-            match head.open_unanswered == Some(group.epoch) {
-                // The order to open may yet be carried out: only a head that left cannot open.
-                true => self.set_phase(now, group.epoch, Phase::Breaking),
-                false => self.dissolve(group.epoch),
-            }
+            self.end_of(group);
             return;
         }
         head.wants_probe |= now >= head.probed_at + host::PROBE_EVERY_MS;
@@ -594,7 +609,7 @@
             return;
         };
         if head.left == Some(group.epoch) || head.replaced || head.is_outside(group.epoch) {
-            self.dissolve(group.epoch);
+            self.end_of(group);
             return;
         }
         if head.is_lost() {
@@ -613,28 +628,25 @@
         }
     }
 
+    /// Makes every host that an earlier leader may still give orders to know this leader's fence, by
+    /// an order that holds already: to stage what it has staged.
+    fn show_fence(&mut self, now: Millis, commands: &mut Vec<Command>) {
+        for host in self.hosts.values_mut().filter(|host| !host.knows_fence && host.stays()) {
+            let Some(model) = host.holding.staging.first().cloned() else { continue };
+            if host.may_order(now) {
+                commands.push(host.order(now, Order::Stage { model }));
+            }
+        }
+    }
+
     /// Frees hosts that say they belong to a group that this leader does not lead.
     ///
-    /// A head leaves at once, and with it the group has ended. A member whose head is silent leaves
-    /// for itself: the head may serve on, unseen, but no longer with this member.
+    /// Each leaves for itself, whatever becomes of its head: the head may serve on, unseen, or open
+    /// late, but then without this member. Rejected: waiting until the head has left, which a late
+    /// join and a late order to open can undo.
     fn free_strays(&mut self, now: Millis, commands: &mut Vec<Command>) {
-        let left: Vec<u64> = self.hosts.values().filter_map(Host::left_as_head).collect();
-        for epoch in left {
-            self.end(epoch);
-        }
-        let heads: BTreeSet<u64> = self
-            .hosts
-            .values()
-            .filter(|host| !host.is_lost())
-            .filter_map(|host| host.holding.group.as_ref())
-            .filter(|member| member.rank == 0)
-            .map(|member| member.epoch)
-            .collect();
         for host in self.hosts.values_mut() {
             let Some(member) = host.stray(&self.ended) else { continue };
-            if member.rank > 0 && heads.contains(&member.epoch) {
-                continue;
-            }
             if host.may_order(now) {
                 let order = Order::Leave { group: member.name, epoch: member.epoch };
                 commands.push(host.order(now, order));
--- a/crates/oliveworks-gateway-core/src/planner/host.rs
+++ b/crates/oliveworks-gateway-core/src/planner/host.rs
@@ -37,12 +37,12 @@
     pub(super) closed_at: Millis,
     pub(super) left: Option<u64>,
     pub(super) unlisted: bool,
+    /// Whether it has taken an order of this leader's, or never had one of another's.
+    pub(super) knows_fence: bool,
     /// Another backend server answers at its address: this one has ended.
     pub(super) replaced: bool,
-    /// The newest epoch that it was told to open without an answer.
-    pub(super) open_unanswered: Option<u64>,
-    /// The epoch that it left as a head.
-    left_as_head: Option<u64>,
+    /// The newest epoch of which an order to join or open went unanswered.
+    pub(super) unanswered: Option<u64>,
     silences: u32,
     /// Gateways see its group standing still, so that one silence tells.
     pub(super) suspected: bool,
@@ -73,9 +73,9 @@
             closed_at: 0,
             left: None,
             unlisted: false,
+            knows_fence: true,
             replaced: false,
-            open_unanswered: None,
-            left_as_head: None,
+            unanswered: None,
             silences: 0,
             suspected: false,
             pending: false,
@@ -193,14 +193,12 @@
             return None;
         }
         let member = self.holding.group.as_ref()?;
-        let over = ended.contains(&member.epoch) || self.left == Some(member.epoch);
+        // Orders that come late may bring it back, and even open a group that has ended.
+        let serves = !matches!(member.state, MemberState::Joining | MemberState::Ready);
+        let over = ended.contains(&member.epoch) && !(member.rank == 0 && serves);
         (!over).then(|| member.clone())
     }
 
-    pub(super) fn left_as_head(&self) -> Option<u64> {
-        self.left_as_head
-    }
-
     pub(super) fn may_order(&self, now: Millis) -> bool {
         !self.pending && now >= self.ordered_at + ORDER_AGAIN_MS
     }
@@ -226,13 +224,14 @@
                 return;
             }
             Outcome::Unanswered => {
-                if let Order::Open { epoch, .. } = order {
-                    self.open_unanswered = Some(*epoch);
+                if let Order::Open { epoch, .. } | Order::Join { epoch, .. } = order {
+                    self.unanswered = Some(*epoch);
                 }
                 self.wants_probe = true;
                 return;
             }
         }
+        self.knows_fence = true;
         // The next order may follow at once.
         self.ordered_at = 0;
         self.taken_at = now;
@@ -244,6 +243,7 @@
                 // A load stages its model in place of what was to be staged.
                 self.staging = None;
             }
+            Order::Stage { model } if self.holding.staging.contains(model) => {}
             Order::Stage { model } => self.staging = Some(model.clone()),
             Order::Open { epoch, .. } => {
                 self.opened = Some(*epoch);
@@ -255,10 +255,6 @@
             }
             Order::Leave { epoch, .. } => {
                 self.left = Some(*epoch);
-                let member = self.holding.group.as_ref().filter(|m| m.epoch == *epoch);
-                if member.is_some_and(|member| member.rank == 0) {
-                    self.left_as_head = Some(*epoch);
-                }
                 if self.holding.group.as_ref().is_some_and(|member| member.epoch == *epoch) {
                     self.holding.group = None;
                 }
--- a/crates/oliveworks-gateway-core/tests/planner_world.rs
+++ b/crates/oliveworks-gateway-core/tests/planner_world.rs
@@ -214,6 +214,7 @@
                 }
                 Outcome::Taken
             }
+            Order::Stage { model } if host.staging.contains(model) => Outcome::Taken,
             Order::Stage { model } => {
                 let figures = engine.model(model).expect("a model of the engine");
                 self.loads.push(now);
@@ -452,9 +453,18 @@
     }
 }
 
+/// How many seeds are run; more by hand.
+const SEEDS: u64 = 60;
+/// Names another number of seeds.
+const SEEDS_VARIABLE: &str = "OLIVEWORKS_SEEDS";
+
+fn seeds() -> u64 {
+    std::env::var(SEEDS_VARIABLE).ok().and_then(|text| text.parse().ok()).unwrap_or(SEEDS)
+}
+
 #[test]
 fn no_rule_is_broken_and_groups_come_back() {
-    for seed in 0..60 {
+    for seed in 0..seeds() {
         let (breaches, large, small) = run(seed, Broken::default());
         assert!(breaches.is_empty(), "seed {seed}: {:?}", &breaches[..breaches.len().min(3)]);
         assert!(large >= 1 && small >= 2, "seed {seed}: {large} large, {small} small at the end");
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -19,6 +19,8 @@
 
 /// The time between two looks at the plans.
 const TICK_MS: u64 = 40;
+/// How long a leader that was paused gives no orders.
+const LISTEN_MS: u64 = 250;
 /// The time between two lines on each domain.
 const DESCRIBE_MS: u64 = 1_000;
 /// The longest that an order may take to be answered.
@@ -38,7 +40,10 @@
             fence = leads;
             change(&gateway, fence).await;
         }
-        if let Some(fence) = fence {
+        // After a pause others may lead: what they said meanwhile is heard first.
+        let listens =
+            gateway.now() < gateway.awake_since() + LISTEN_MS && gateway.awake_since() > 0;
+        if let Some(fence) = fence.filter(|_| !listens) {
             plan(&gateway, fence);
             if gateway.now() >= described_at + DESCRIBE_MS {
                 described_at = gateway.now();
