Structured log lines with fields, bounded and written by a thread of their own

Each decision on a request or a belief is a JSON line on standard output: request id, route, model, outcome, steps, age of the configuration's proof, version of the leader's table; start, stop, reload; each order with fence and outcome; each lost and regained dependency.

--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -519,6 +519,13 @@
                 host.probe_when_due(now, &model);
                 continue;
             }
+            if let Some(old) = host.belongs_elsewhere(group.epoch, &self.ended) {
+                // A late order has brought it back to its old group, whose head may serve.
+                if host.may_order(now) {
+                    commands.push(host.order(now, old));
+                }
+                continue;
+            }
             let load = !host.has(&model.name);
             if !host.may_order(now) || (load && self.load_tokens < 1.0) {
                 continue;
--- a/crates/oliveworks-gateway-core/src/planner/host.rs
+++ b/crates/oliveworks-gateway-core/src/planner/host.rs
@@ -47,6 +47,9 @@
     /// Gateways see its group standing still, so that one silence tells.
     pub(super) suspected: bool,
     pending: bool,
+    /// Its last order went unanswered: it is asked before the next one, since an order that came late
+    /// may have changed it.
+    ask_first: bool,
     ordered_at: Millis,
     taken_at: Millis,
     /// The model that it was told to stage and does not have yet.
@@ -79,6 +82,7 @@
             silences: 0,
             suspected: false,
             pending: false,
+            ask_first: false,
             ordered_at: 0,
             taken_at: 0,
             staging: None,
@@ -199,8 +203,16 @@
         (!over).then(|| member.clone())
     }
 
+    /// The order to leave another group that it says it belongs to and that may not have ended.
+    pub(super) fn belongs_elsewhere(&self, epoch: u64, ended: &BTreeSet<u64>) -> Option<Order> {
+        let member = self.holding.group.as_ref()?;
+        let other = member.epoch != epoch && !ended.contains(&member.epoch);
+        other.then(|| Order::Leave { group: member.name.clone(), epoch: member.epoch })
+    }
+
     pub(super) fn may_order(&self, now: Millis) -> bool {
-        !self.pending && now >= self.ordered_at + ORDER_AGAIN_MS
+        let again_at = self.ordered_at + ORDER_AGAIN_MS;
+        !self.pending && now >= again_at && (!self.ask_first || self.heard_at >= again_at)
     }
 
     pub(super) fn order(&mut self, now: Millis, order: Order) -> Command {
@@ -211,6 +223,7 @@
 
     pub(super) fn answered(&mut self, now: Millis, order: &Order, outcome: Outcome) {
         self.pending = false;
+        self.ask_first = outcome == Outcome::Unanswered;
         match outcome {
             Outcome::Taken => self.answers(),
             Outcome::Unfit | Outcome::Fenced => {
@@ -274,7 +287,9 @@
     pub(super) fn probe(&mut self, now: Millis) -> Option<Command> {
         let lost_due =
             self.is_lost() && !self.unlisted && now >= self.probed_at + LOST_PROBE_EVERY_MS;
-        if self.probing || !(self.wants_probe || lost_due) {
+        let again_at = self.ordered_at + ORDER_AGAIN_MS;
+        let ask_first = self.ask_first && now >= again_at && self.heard_at < again_at;
+        if self.probing || !(self.wants_probe || lost_due || ask_first) {
             return None;
         }
         self.wants_probe = false;
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -5,14 +5,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use log::info;
 use oliveworks_gateway_core::balance::Target;
 use oliveworks_gateway_core::configuration::Engine;
 use oliveworks_gateway_core::planner::{Command, Order, Outcome, Planner, PlannerConfig};
 use oliveworks_gateway_core::workers::{Worker, WorkerId};
+use serde_json::{Map, Value};
 use tokio::time::sleep;
 
 use crate::dialect::Call;
+use crate::events::Event;
 use crate::exchange::{self, Broken, Exchange, NoConnection};
 use crate::state::{Gateway, TableGroup};
 use crate::{peers, store};
@@ -57,7 +58,7 @@
 fn describe(gateway: &Gateway) {
     for planner in gateway.planners.borrow().values() {
         for line in planner.describe_domains() {
-            info!("domains: {line}");
+            Event::new("domain").with("hosts", line).write();
         }
     }
 }
@@ -78,10 +79,10 @@
 async fn change(gateway: &Rc<Gateway>, fence: Option<u64>) {
     gateway.planners.borrow_mut().clear();
     let Some(fence) = fence else {
-        info!("leader: this gateway leads no more");
+        Event::new("leads").with("fence", Value::Null).write();
         return;
     };
-    info!("leader: this gateway leads under fence {fence}");
+    Event::new("leads").with("fence", fence).write();
     let Some(lookup) = gateway.lookup() else { return };
     for service in &lookup.configuration.services {
         let Some(engine) = service.engine.as_ref().filter(|e| !e.models.is_empty()) else {
@@ -115,7 +116,7 @@
     planner.adopt_ended(gateway.table.borrow().ended.iter().copied());
     planner.adopt(gateway.now());
     for line in planner.describe() {
-        info!("leader: took over {line}");
+        Event::new("group_taken_over").with("group", line).with("fence", fence).write();
     }
     planner
 }
@@ -230,7 +231,13 @@
                 *all.entry(g.model.as_str()).or_default() += 1;
                 all
             });
-        info!("groups: {counts:?} serve, table {}.{}", fence, table.number);
+        let counts: Map<String, Value> =
+            counts.into_iter().map(|(model, count)| (model.to_owned(), count.into())).collect();
+        Event::new("groups_serve")
+            .with("groups", counts)
+            .with("fence", fence)
+            .with("table", table.number)
+            .write();
     }
 }
 
@@ -251,7 +258,12 @@
         }
         Command::Order { worker, address, order } => {
             let outcome = give(&gateway, fence, &worker, address, &order).await;
-            info!("order: {order:?} to {worker}: {outcome:?}");
+            Event::new("order")
+                .with("host", &*worker)
+                .with("fence", fence)
+                .debug("order", &order)
+                .debug("outcome", outcome)
+                .write();
             ordered(&gateway, fence, &service, &worker, &order, outcome);
         }
     }
--- a/crates/oliveworks-gateway/src/lib.rs
+++ b/crates/oliveworks-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod callers;
 pub mod dialect;
+mod events;
 mod exchange;
 mod leader;
 mod peers;
--- a/crates/oliveworks-gateway/src/peers.rs
+++ b/crates/oliveworks-gateway/src/peers.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use log::{info, warn};
+use log::warn;
 use oliveworks_gateway_core::balance::{Load, Target};
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
@@ -16,6 +16,7 @@
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::events::Event;
 use crate::state::{Gateway, Peer, Table};
 
 /// The time between two heartbeats.
@@ -119,7 +120,8 @@
         let mut peers = gateway.peers.borrow_mut();
         let new = peers.insert(beat.node.clone(), Peer { address: from, heard_at: now }).is_none();
         if new {
-            info!("peers: {} at {from}", beat.node);
+            let (name, address) = (beat.node.as_str(), from.to_string());
+            Event::new("peer_heard").with("peer", name).with("address", address).write();
         }
         for (name, address) in beat.peers {
             if name != gateway.settings.node {
--- a/crates/oliveworks-gateway/src/process.rs
+++ b/crates/oliveworks-gateway/src/process.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use log::info;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::sleep;
 
 use crate::callers::{self, Audience};
 use crate::dialect::Dialect;
+use crate::events::Event;
 use crate::relay::STOP_NOTICE_MS;
 use crate::settings::Settings;
 use crate::state::Gateway;
@@ -29,7 +29,11 @@
     let ready = TcpListener::bind(listen.ready).await.context("listen.ready")?;
     let socket = Rc::new(UdpSocket::bind(listen.peers).await.context("listen.peers")?);
     let gateway = Rc::new(Gateway::new(settings, dialect));
-    info!("process: starts as {}, life {}", gateway.settings.node, gateway.life);
+    Event::new("start")
+        .with("node", gateway.settings.node.as_str())
+        .with("life", gateway.life)
+        .with("version", env!("CARGO_PKG_VERSION"))
+        .write();
     ntex::rt::spawn(store::follow_configuration(gateway.clone()));
     ntex::rt::spawn(store::follow_workers(gateway.clone()));
     ntex::rt::spawn(store::follow_leaders(gateway.clone()));
@@ -41,7 +45,7 @@
     let mut hang_up = signal(SignalKind::hangup())?;
     ntex::rt::spawn(async move {
         while hang_up.recv().await.is_some() {
-            info!("process: settings are read at the next start");
+            Event::new("reload").with("outcome", "settings are read at the next start").write();
         }
     });
     signal(SignalKind::terminate())?.recv().await;
@@ -51,7 +55,7 @@
 
 /// Lets the platform notice, finishes what is under way, and ends.
 async fn stop(gateway: &Rc<Gateway>) {
-    info!("process: stops, {} requests are under way", gateway.open_requests.get());
+    Event::new("stop_begins").with("open_requests", gateway.open_requests.get()).write();
     let began = gateway.now();
     gateway.stopping.send_replace(true);
     let last = began + gateway.settings.bounds.grace_ms.saturating_sub(GRACE_MARGIN_MS);
@@ -63,5 +67,7 @@
         }
         sleep(Duration::from_millis(50)).await;
     }
-    info!("process: ends, {} requests are cut off", gateway.open_requests.get());
+    Event::new("stop_ends").with("cut_off", gateway.open_requests.get()).write();
+    // The thread that writes lines gets a moment.
+    sleep(Duration::from_millis(20)).await;
 }
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -8,7 +8,6 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
-use log::info;
 use ntex::http::StatusCode;
 use oliveworks_gateway_core::Millis;
 use oliveworks_gateway_core::attempts::{Attempts, Failure, Next, Terms, Verdict};
@@ -19,6 +18,7 @@
 
 use crate::callers::{Connection, Gone, Whole};
 use crate::dialect::{Answered, Asked, Headers, Said};
+use crate::events::Event;
 use crate::exchange::{Exchange, NoConnection, headers_of};
 use crate::state::{Gateway, Place};
 
@@ -99,6 +99,8 @@
     begun: bool,
     /// The longest pause between two parts of its stream.
     longest_gap_ms: u64,
+    /// The leader's table by which it was sent: fence and number.
+    table: (u64, u64),
     log: Vec<String>,
 }
 
@@ -156,21 +158,29 @@
     let mut job = match job(gateway, &lookup, &request, asked) {
         Ok(job) => job,
         Err(verdict) => {
-            info!("request: {id} refused: {verdict:?}");
+            Event::new("request")
+                .with("request", id.as_str())
+                .debug("outcome", verdict)
+                .with("configuration", lookup.configuration.version)
+                .write();
             return refuse(gateway, connection, &id, verdict, COME_BACK_MS).await;
         }
     };
     let (end, outcome) = job.run(connection).await;
     let took = gateway.now() - job.received;
-    info!(
-        "request: {id} route {} model {:?} {outcome} after {took} ms, {} sent, longest gap {} ms, configuration {} [{}]",
-        job.route.name,
-        job.model,
-        job.attempts.sent(),
-        job.longest_gap_ms,
-        lookup.configuration.version,
-        job.log.join("; ")
-    );
+    Event::new("request")
+        .with("request", id.as_str())
+        .with("route", job.route.name.as_str())
+        .with("model", job.model.clone())
+        .with("outcome", outcome)
+        .with("took_ms", took)
+        .with("sent", job.attempts.sent())
+        .with("longest_gap_ms", job.longest_gap_ms)
+        .with("configuration", lookup.configuration.version)
+        .with("proof_age_ms", gateway.freshness.get().age_ms(gateway.now()))
+        .with("table", format!("{}.{}", job.table.0, job.table.1))
+        .with("steps", job.log)
+        .write();
     end
 }
 
@@ -218,6 +228,7 @@
         tried: Vec::new(),
         begun: false,
         longest_gap_ms: 0,
+        table: (0, 0),
         log: Vec::new(),
     })
 }
@@ -257,6 +268,7 @@
                 let verdict = self.attempts.verdict(self.gateway.now());
                 return self.give_up(connection, verdict, COME_BACK_MS).await;
             }
+            self.table = self.gateway.table_version();
             let target = place.candidate.target;
             let tokens = self.asked.prompt_tokens;
             self.tried.push(target);
@@ -412,7 +424,12 @@
         let now = self.gateway.now();
         self.gateway.balance.borrow_mut().suspend(now, place.candidate.target);
         if let Some(epoch) = place.epoch {
-            info!("groups: head {} of epoch {epoch}: no connection, {why:?}", place.worker);
+            Event::new("head_unreachable")
+                .with("host", &*place.worker)
+                .with("epoch", epoch)
+                .debug("why", why)
+                .with("request", self.asked.id.as_str())
+                .write();
             self.gateway.suspect(epoch);
         }
     }
@@ -500,7 +517,14 @@
         if let Some(epoch) = place.epoch {
             let mut balance = self.gateway.balance.borrow_mut();
             if !balance.suspended(now, place.candidate.target) {
-                info!("groups: epoch {epoch} at {} stands still", place.worker);
+                let last = balance.last_progress(place.candidate.target).unwrap_or(now);
+                Event::new("group_stands_still")
+                    .with("host", &*place.worker)
+                    .with("epoch", epoch)
+                    .with("silent_ms", now - last)
+                    .with("longest_pass_ms", self.pass_ms)
+                    .with("request", self.asked.id.as_str())
+                    .write();
                 balance.suspend(now, place.candidate.target);
             }
             drop(balance);
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use log::info;
 use oliveworks_gateway_core::Millis;
 use oliveworks_gateway_core::balance::{Balance, Candidate, Target};
 use oliveworks_gateway_core::budget::{Budget, BudgetConfig};
@@ -19,6 +18,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::dialect::Dialect;
+use crate::events::Event;
 use crate::settings::Settings;
 
 /// A replica group as the leader publishes it.
@@ -244,8 +244,18 @@
         1 + peers.values().filter(|peer| now < peer.heard_at + BUDGET_PEER_MS).count()
     }
 
-    /// The state of the store has been heard.
+    /// The newest table that this gateway knows: fence and number.
+    pub fn table_version(&self) -> (u64, u64) {
+        let table = self.table.borrow();
+        (table.fence, table.number)
+    }
+
+    /// The store has answered.
     pub fn store_answered(&self) {
+        let silent_ms = self.now() - self.store_heard_at.get();
+        if self.store_failed_at.get().is_some_and(|at| at > self.store_heard_at.get()) {
+            Event::new("store_answers_again").with("after_ms", silent_ms).write();
+        }
         self.store_heard_at.set(self.now());
     }
 
@@ -253,10 +263,11 @@
     pub fn store_failed(&self, what: &str, why: &str) {
         let now = self.now();
         if self.store_failed_at.get().is_none_or(|at| now > at + 1_000) {
-            info!(
-                "store: {what} failed: {why}; last answer {} ms ago",
-                now - self.store_heard_at.get()
-            );
+            Event::new("store_call_failed")
+                .with("call", what)
+                .with("why", why)
+                .with("last_answer_ms_ago", now - self.store_heard_at.get())
+                .write();
         }
         self.store_failed_at.set(Some(now));
     }
--- a/crates/oliveworks-gateway/src/store.rs
+++ b/crates/oliveworks-gateway/src/store.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use log::{info, warn};
+use log::warn;
 use oliveworks_gateway_core::Millis;
 use oliveworks_gateway_core::configuration::Lookup;
 use oliveworks_gateway_core::election::Claim;
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 
 use crate::dialect::{Call, Claimed, Record, Tail, Topic};
+use crate::events::Event;
 use crate::exchange::{self, Exchange};
 use crate::state::Gateway;
 
@@ -153,7 +154,11 @@
                 Ok(Step { records, snapshot: false, sent, held_ms })
             }
             Tail::Expired(first) => {
-                info!("store: {:?} is kept only from {first} on", self.topic);
+                Event::new("records_expired")
+                    .debug("topic", self.topic)
+                    .with("from", from)
+                    .with("first", first)
+                    .write();
                 self.from = (self.topic == Topic::Leaders).then_some(first);
                 Ok(Step { records: Vec::new(), snapshot: false, sent, held_ms: 0 })
             }
@@ -170,13 +175,12 @@
                 if held.is_some_and(|held| held >= configuration.version) {
                     continue;
                 }
-                info!(
-                    "configuration: version {} after {held:?}: {} routes, {} services, {} workspaces",
-                    configuration.version,
-                    configuration.routes.len(),
-                    configuration.services.len(),
-                    configuration.tenants.as_ref().map_or(0, Vec::len),
-                );
+                Event::new("configuration")
+                    .with("version", configuration.version)
+                    .with("before", held)
+                    .with("routes", configuration.routes.len())
+                    .with("workspaces", configuration.tenants.as_ref().map_or(0, Vec::len))
+                    .write();
                 *gateway.lookup.borrow_mut() = Some(Rc::new(Lookup::new(configuration)));
             }
             Record::Unknown(why) => warn!("configuration: {why}"),
@@ -232,7 +236,8 @@
             return;
         }
         for (id, since) in std::mem::take(&mut self.0) {
-            info!("workers: {id} is no longer listed, for {} ms", now - since);
+            let missing_ms = now - since;
+            Event::new("host_gone").with("host", &*id).with("missing_ms", missing_ms).write();
             gateway.directory.borrow_mut().remove(&id);
             for planner in gateway.planners.borrow_mut().values_mut() {
                 planner.unlisted(&id);
@@ -257,7 +262,11 @@
                 let id = worker.id.clone();
                 let (service, domain) = (worker.service.clone(), worker.domain.clone());
                 if gateway.directory.borrow().get(&id).is_none() {
-                    info!("workers: {id} of {service} is listed, in domain {domain}");
+                    Event::new("host_listed")
+                        .with("host", &*id)
+                        .with("service", service)
+                        .with("domain", domain)
+                        .write();
                 }
                 gateway.directory.borrow_mut().put(worker);
             }
@@ -314,7 +323,7 @@
         }
         if let Some(claim) = &newest {
             let own = claim.claimant == gateway.life;
-            info!("leader: fence {}, this gateway: {own}", claim.fence);
+            Event::new("leader").with("fence", claim.fence).with("this_gateway", own).write();
         }
         // The first read that answers tells the end of the topic; only then may this one wait.
         if let (Some(end), true) =
@@ -333,7 +342,7 @@
 pub async fn claim_leadership(gateway: Rc<Gateway>, end: u64) {
     let mut client = Client::new(&gateway);
     let call = gateway.dialect.claim(end, gateway.life);
-    info!("leader: claims at {end}");
+    Event::new("claims_to_lead").with("end", end).write();
     let answer = client.call(&call, 0).await;
     let claimed = answer.and_then(|(status, body)| {
         gateway.dialect.claimed(status, &body).map_err(|error| error.to_string())
