--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -161,6 +161,8 @@
     ended: BTreeSet<u64>,
     load_tokens: f64,
     load_tokens_at: Millis,
+    /// The most hosts that each domain had.
+    most_hosts: BTreeMap<String, usize>,
     /// When each domain last got a host.
     grown_at: BTreeMap<String, Millis>,
     /// How busy the groups of each model are: open requests for each slot.
@@ -182,6 +184,7 @@
             ended: BTreeSet::new(),
             load_tokens: 0.0,
             load_tokens_at: now,
+            most_hosts: BTreeMap::new(),
             grown_at: BTreeMap::new(),
             busy: BTreeMap::new(),
             traffic: true,
@@ -389,6 +392,7 @@
         self.show_fence(now, &mut commands);
         self.free_strays(now, &mut commands);
         self.forget_hosts();
+        self.count_hosts();
         for group in allot::allot(now, self) {
             self.found(now, group);
         }
@@ -701,6 +705,17 @@
         self.hosts.retain(|_, host| host.group.is_some() || !host.unlisted);
     }
 
+    fn count_hosts(&mut self) {
+        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+        for host in self.hosts.values().filter(|host| host.stays()) {
+            *counts.entry(&host.worker.domain).or_default() += 1;
+        }
+        for (domain, count) in counts {
+            let most = self.most_hosts.entry(domain.to_owned()).or_default();
+            *most = (*most).max(count);
+        }
+    }
+
     fn probe(&mut self, now: Millis, commands: &mut Vec<Command>) {
         for host in self.hosts.values_mut() {
             commands.extend(host.probe(now));
--- a/crates/oliveworks-gateway-core/src/planner/allot.rs
+++ b/crates/oliveworks-gateway-core/src/planner/allot.rs
@@ -105,10 +105,13 @@
     domains
 }
 
-/// How many hosts of a domain are kept as spares.
+/// How many hosts of a domain are kept as spares: a part of the most that it had, less those that
+/// it has lost since, for whose groups spares are.
 fn reserve(planner: &Planner, domain: &Domain<'_>) -> usize {
     let models = planner.engine.models.iter().filter(|model| model.size > 1).count();
-    models.min((domain.living * planner.config.spare_percent).div_ceil(100))
+    let most = planner.most_hosts.get(domain.name).copied().unwrap_or(domain.living);
+    let spares = models.min((most * planner.config.spare_percent).div_ceil(100));
+    spares.saturating_sub(most.saturating_sub(domain.living))
 }
 
 /// Takes the hosts out of `free` that serve the model soonest.
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -48,6 +48,8 @@
 const FIRST_SLACK_MS: u64 = 200;
 /// The time before the deadline at which the final answer is given.
 const DEADLINE_MARGIN_MS: u64 = 30;
+/// The status of a backend server that is not the one meant.
+const MISDIRECTED: u16 = 421;
 /// Headers that concern one connection only.
 const CONNECTION_HEADERS: [&str; 9] = [
     "connection",
@@ -412,6 +414,12 @@
         let headers = headers_of(&response);
         let answered = self.gateway.dialect.answered(status, &headers);
         if let Some(failed) = self.judge(status, &answered) {
+            if status == MISDIRECTED
+                && let Some(epoch) = place.epoch
+            {
+                // It is no head, or another backend server has its address: the leader asks.
+                self.gateway.suspect(epoch);
+            }
             return failed;
         }
         if self.route.stream && (200..300).contains(&status) {
@@ -441,7 +449,7 @@
         if !mine || answered.encoded || (success && !answered.signed) {
             return Some(Tried::Failed { failure: Failure::Lost, gone: false });
         }
-        if answered.not_run || status == 421 {
+        if answered.not_run || status == MISDIRECTED {
             return Some(Tried::Failed { failure: Failure::Refused, gone: false });
         }
         let own_failure = status >= 500 && self.route.repeat == Repeat::Idempotent;
