--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -523,6 +523,10 @@
                 host.probe_when_due(now, &model);
                 continue;
             }
+            if host.may_have_changed(now) {
+                host.wants_probe |= host.may_order(now);
+                continue;
+            }
             if let Some(old) = host.belongs_elsewhere(group.epoch, &self.ended) {
                 // A late order has brought it back to its old group, whose head may serve.
                 if host.may_order(now) {
--- a/crates/oliveworks-gateway-core/src/planner/allot.rs
+++ b/crates/oliveworks-gateway-core/src/planner/allot.rs
@@ -276,7 +276,7 @@
             }
             // What is left of a group that lacks hosts waits for this one; otherwise it is a spare.
             let waiting = grouped.iter().find(|model| waits(planner, domain, model));
-            let staged = staged.filter(|model| spares.get(model.name.as_str()).is_none());
+            let staged = staged.filter(|model| !spares.contains_key(model.name.as_str()));
             let model = waiting.or(staged).unwrap_or(smallest);
             *spares.entry(&model.name).or_default() += 1;
             plans.push(new_group(model, &[host]));
--- a/crates/oliveworks-gateway-core/src/planner/host.rs
+++ b/crates/oliveworks-gateway-core/src/planner/host.rs
@@ -15,6 +15,10 @@
 const SILENCE_MAX: u32 = 2;
 /// The time after which an order that was not answered is given again.
 const ORDER_AGAIN_MS: u64 = 300;
+/// How long after it was given an order without an answer may be carried out.
+const LATE_MS: u64 = 15_000;
+/// How long what a host said of itself is taken for its state, while such an order is about.
+const FRESH_MS: u64 = 60;
 /// How much older than its reading a record of the store may be.
 const RECORD_LAG_MS: u64 = 1_500;
 /// The time that a member which has the model needs to join.
@@ -43,6 +47,7 @@
     pub(super) replaced: bool,
     /// The newest epoch of which an order to join or open went unanswered.
     pub(super) unanswered: Option<u64>,
+    unanswered_at: Millis,
     silences: u32,
     /// Gateways see its group standing still, so that one silence tells.
     pub(super) suspected: bool,
@@ -79,6 +84,7 @@
             knows_fence: true,
             replaced: false,
             unanswered: None,
+            unanswered_at: 0,
             silences: 0,
             suspected: false,
             pending: false,
@@ -203,6 +209,13 @@
         (!over).then(|| member.clone())
     }
 
+    /// Whether an order that went unanswered may have changed it since it was last heard.
+    pub(super) fn may_have_changed(&self, now: Millis) -> bool {
+        self.unanswered.is_some()
+            && now < self.unanswered_at + LATE_MS
+            && now > self.heard_at + FRESH_MS
+    }
+
     /// The order to leave another group that it says it belongs to and that may not have ended.
     pub(super) fn belongs_elsewhere(&self, epoch: u64, ended: &BTreeSet<u64>) -> Option<Order> {
         let member = self.holding.group.as_ref()?;
@@ -239,6 +252,7 @@
             Outcome::Unanswered => {
                 if let Order::Open { epoch, .. } | Order::Join { epoch, .. } = order {
                     self.unanswered = Some(*epoch);
+                    self.unanswered_at = now;
                 }
                 self.wants_probe = true;
                 return;
--- a/crates/oliveworks-gateway-core/tests/planner_world.rs
+++ b/crates/oliveworks-gateway-core/tests/planner_world.rs
@@ -392,7 +392,7 @@
         }
         let now = world.now;
         for leader in &mut leaders {
-            if now % 1_000 == 0 && now >= leader.paused_until {
+            if now.is_multiple_of(1_000) && now >= leader.paused_until {
                 leader.read_list(&world);
             }
             leader.tick(&mut world, now > 10_000);
