--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -342,10 +342,10 @@
             let candidates: Vec<_> = places.iter().map(|place| place.candidate).collect();
             let now = self.gateway.now();
             let full_at = self.gateway.settings.requests.full_at;
-            let draw = rand::random();
-            let balance = self.gateway.balance.borrow();
-            let chosen = balance.choose(now, &candidates, &self.tried, full_at, draw);
-            drop(balance);
+            let chosen = {
+                let balance = self.gateway.balance.borrow();
+                balance.choose(now, &candidates, &self.tried, full_at, rand::random())
+            };
             let none = match chosen {
                 Ok(target) => {
                     let found = places.into_iter().find(|place| place.candidate.target == target);
