Larger models are weighed by the root of their size; spares serve above half load

Cause: first events of the large model are late once one of three groups is lost (p50 231 ms with three groups, 373 to 510 ms with two, goal 400), while the small one has six.

--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -138,7 +138,7 @@
 const ENDED_TOLD: usize = 64;
 /// The weight of a new figure in a model's load, and the load above which spares should serve.
 const LOAD_WEIGHT: f64 = 0.08;
-const BUSY: f64 = 0.65;
+const BUSY: f64 = 0.5;
 /// How much later than told a head may be open.
 const FORM_MARGIN_MS: u64 = 100;
 /// Loads that may begin at once.
--- a/crates/oliveworks-gateway-core/src/planner/allot.rs
+++ b/crates/oliveworks-gateway-core/src/planner/allot.rs
@@ -158,6 +158,18 @@
     plans
 }
 
+/// Hosts of a model, measured by its weight: the least needs hosts the most.
+///
+/// The weight is the model's share times the root of its size: of larger groups there are fewer, so
+/// that the loss of one takes a larger part of what the model can do.
+fn per_weight(hosts: usize, model: &Model) -> f64 {
+    let weight = model.share.max(SHARE_MIN) * (model.size as f64).sqrt();
+    hosts as f64 / weight
+}
+
+/// The least share that a model is taken to have.
+const SHARE_MIN: f64 = 0.001;
+
 fn form<'a>(
     planner: &'a Planner,
     domains: &mut BTreeMap<&str, Domain<'a>>,
@@ -174,7 +186,7 @@
         let open = planner.engine.models.iter().filter(|m| !skipped.contains(&m.name.as_str()));
         let need = |model: &Model| {
             let hosts = counts.get(model.name.as_str()).copied().unwrap_or(0) * model.size;
-            hosts as f64 / model.share.max(0.001)
+            per_weight(hosts, model)
         };
         let Some(model) = open.min_by(|a, b| need(a).total_cmp(&need(b))) else { return };
         let groups_in =
@@ -195,7 +207,7 @@
         // While another model lacks hosts much more, those that only stage this one load that.
         let others = planner.engine.models.iter().filter(|other| other.name != model.name);
         let least = others.map(&need).fold(f64::INFINITY, f64::min);
-        let then = need(model) + model.size as f64 / model.share.max(0.001);
+        let then = need(model) + per_weight(model.size, model);
         let only_hot = planner.traffic && then > least * RICH_RATIO;
         let formed = names.into_iter().find_map(|name| {
             let domain = domains.get_mut(name)?;
@@ -382,7 +394,7 @@
         let counts = domains.values().map(|d| d.groups.get(model.name.as_str()).unwrap_or(&0));
         counts.sum::<usize>() * model.size
     };
-    let need = |model: &Model, hosts: usize| hosts as f64 / model.share.max(0.001);
+    let need = |model: &Model, hosts: usize| per_weight(hosts, model);
     let grouped = planner.engine.models.iter().filter(|model| model.size > 1);
     let needy = grouped.min_by(|a, b| need(a, hosts_of(a)).total_cmp(&need(b, hosts_of(b))))?;
     let able = |host: &Host| warmth(planner, host, needy) <= Warmth::Staged;
