Refused callers come back after 1.3 to 2.6 s

Cause: most who were refused came back while the group was still being repaired or the model still full, and were refused again.

--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -33,9 +33,9 @@
 /// The time between two looks for a place.
 const LOOK_MS: u64 = 15;
 /// When a caller may come back.
-const COME_BACK_MS: u64 = 700;
+const COME_BACK_MS: u64 = 1_300;
 /// A random time on top, so that those who were refused together do not come back together.
-const COME_BACK_SPREAD_MS: u64 = 900;
+const COME_BACK_SPREAD_MS: u64 = 1_300;
 /// The same when keys are not honoured for a while.
 const COME_BACK_STALE_MS: u64 = 1_000;
 /// The silence after which a plain request that may be repeated goes elsewhere.
