--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -9,127 +9,20 @@
 //! Spares hold a model without serving, so that a repair takes a moment and not a load. Loads are
 //! spread in time, below the weight store's rate.
 
+mod advance;
 mod allot;
 mod group;
 mod host;
+mod order;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 
 use crate::Millis;
 use crate::configuration::{Engine, Model};
 use crate::workers::{Holding, MemberState, Worker, WorkerId};
 use group::{Group, Phase};
 use host::Host;
-
-/// An order to a backend server.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum Order {
-    /// Become a member of a group.
-    Join {
-        /// The group's name.
-        group: String,
-        /// The group's epoch.
-        epoch: u64,
-        /// The model.
-        model: String,
-        /// All members, the head first.
-        members: Vec<WorkerId>,
-    },
-    /// To a head: serve.
-    Open {
-        /// The group's name.
-        group: String,
-        /// The group's epoch.
-        epoch: u64,
-    },
-    /// To a head: finish what was taken and serve no more.
-    Close {
-        /// The group's name.
-        group: String,
-        /// The group's epoch.
-        epoch: u64,
-    },
-    /// Load a model to the host's memory, beside everything else.
-    Stage {
-        /// The model.
-        model: String,
-    },
-    /// Be no member any more.
-    Leave {
-        /// The group's name.
-        group: String,
-        /// The group's epoch.
-        epoch: u64,
-    },
-}
-
-/// What the planner wants done.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Command {
-    /// Give an order; its outcome comes back through [`Planner::ordered`].
-    Order {
-        /// To whom.
-        worker: WorkerId,
-        /// Where it listens.
-        address: SocketAddr,
-        /// The order.
-        order: Order,
-    },
-    /// Ask for its state; the answer comes back through [`Planner::reported`] or
-    /// [`Planner::silent`].
-    Probe {
-        /// Whom.
-        worker: WorkerId,
-        /// Where it listens.
-        address: SocketAddr,
-    },
-}
-
-/// How an order was answered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// It has begun, holds already, or is done.
-    Taken,
-    /// It does not fit the backend server's state.
-    Unfit,
-    /// A higher fence or epoch was seen.
-    Fenced,
-    /// Another backend server is at that address, or none.
-    Gone,
-    /// No answer: it may have been taken, or may be later.
-    Unanswered,
-}
-
-/// A group as gateways need to know it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Serving {
-    /// The group's epoch.
-    pub epoch: u64,
-    /// Its model.
-    pub model: String,
-    /// Its members, the head first.
-    pub members: Vec<WorkerId>,
-}
-
-/// Bounds of a planner.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct PlannerConfig {
-    /// The part of a domain that is kept as spares, in hundredths, at the most.
-    pub spare_percent: usize,
-    /// How long a group that is to end still takes requests that are on their way.
-    pub notice_ms: u64,
-    /// The longest that a group may take to finish its work.
-    pub finish_ms: u64,
-    /// How long a domain's hosts must have been the same before cold ones become spares.
-    pub settle_ms: u64,
-}
-
-impl Default for PlannerConfig {
-    fn default() -> PlannerConfig {
-        PlannerConfig { spare_percent: 20, notice_ms: 60, finish_ms: 9_000, settle_ms: 1_300 }
-    }
-}
+pub use order::{Command, Order, Outcome, PlannerConfig, Serving};
 
 /// Epochs that one fence has room for.
 const EPOCHS_OF_FENCE: u64 = 1_000_000;
@@ -139,8 +32,6 @@
 /// The weight of a new figure in a model's load, and the load above which spares should serve.
 const LOAD_WEIGHT: f64 = 0.08;
 const BUSY: f64 = 0.5;
-/// How much later than told a head may be open.
-const FORM_MARGIN_MS: u64 = 100;
 /// Loads that may begin at once.
 const LOAD_BURST: f64 = 2.0;
 /// The part of the weight store's rate that is used: orders that are carried out late come on top.
@@ -480,169 +371,6 @@
         self.engine.model(name)
     }
 
-    fn advance(&mut self, now: Millis, epoch: u64, commands: &mut Vec<Command>) {
-        let Some(group) = self.groups.get(&epoch).cloned() else { return };
-        match group.phase {
-            Phase::Joining => self.advance_joining(now, &group, commands),
-            Phase::Opening => self.advance_opening(now, &group, commands),
-            Phase::Open { .. } => self.advance_open(now, &group),
-            Phase::Finishing => self.advance_finishing(now, &group, commands),
-            Phase::Breaking => self.advance_breaking(now, &group, commands),
-            Phase::Spare => self.advance_spare(&group),
-        }
-    }
-
-    fn set_phase(&mut self, now: Millis, epoch: u64, phase: Phase) {
-        if let Some(group) = self.groups.get_mut(&epoch) {
-            group.phase = phase;
-            group.since = now;
-        }
-    }
-
-    fn advance_joining(&mut self, now: Millis, group: &Group, commands: &mut Vec<Command>) {
-        if self.is_hurt(group) {
-            match group.adopted {
-                // An earlier leader may have told the head to open.
-                true => self.set_phase(now, group.epoch, Phase::Breaking),
-                false => self.dissolve(group.epoch),
-            }
-            return;
-        }
-        let Some(model) = self.model(&group.model).cloned() else {
-            self.dissolve(group.epoch);
-            return;
-        };
-        let mut ready = true;
-        for member in &group.members {
-            let Some(host) = self.hosts.get_mut(member) else { continue };
-            if host.is_ready_in(&group.name, group.epoch) {
-                continue;
-            }
-            ready = false;
-            if host.joined == Some(group.epoch) {
-                host.probe_when_due(now, &model);
-                continue;
-            }
-            if host.may_have_changed(now) {
-                host.wants_probe |= host.may_order(now);
-                continue;
-            }
-            if let Some(old) = host.belongs_elsewhere(group.epoch, &self.ended) {
-                // A late order has brought it back to its old group, whose head may serve.
-                if host.may_order(now) {
-                    commands.push(host.order(now, old));
-                }
-                continue;
-            }
-            let load = !host.has(&model.name);
-            if !host.may_order(now) || (load && self.load_tokens < 1.0) {
-                continue;
-            }
-            if load {
-                self.load_tokens -= 1.0;
-            }
-            let order = Order::Join {
-                group: group.name.clone(),
-                epoch: group.epoch,
-                model: group.model.clone(),
-                members: group.members.clone(),
-            };
-            commands.push(host.order(now, order));
-        }
-        if ready {
-            let whole = group.members.len() == model.size;
-            let phase = if whole { Phase::Opening } else { Phase::Spare };
-            self.set_phase(now, group.epoch, phase);
-        }
-    }
-
-    fn advance_opening(&mut self, now: Millis, group: &Group, commands: &mut Vec<Command>) {
-        if self.is_hurt(group) {
-            self.set_phase(now, group.epoch, Phase::Breaking);
-            return;
-        }
-        let form_ms = self.engine.form_ms;
-        let Some(head) = self.hosts.get_mut(&group.members[0]) else { return };
-        if head.opened == Some(group.epoch) {
-            self.set_phase(now, group.epoch, Phase::Open { from: now + form_ms });
-            return;
-        }
-        if head.may_order(now) {
-            let order = Order::Open { group: group.name.clone(), epoch: group.epoch };
-            commands.push(head.order(now, order));
-        }
-    }
-
-    fn advance_open(&mut self, now: Millis, group: &Group) {
-        let hosts = group.members.iter().filter_map(|id| self.hosts.get(id));
-        let (mut lost, mut leaving, mut astray) =
-            (hosts.clone().count() < group.members.len(), false, false);
-        for host in hosts {
-            lost |= host.is_lost();
-            leaving |= !host.is_lost() && !host.stays();
-            astray |= host.is_astray(group.epoch);
-        }
-        if lost || astray {
-            self.set_phase(now, group.epoch, Phase::Breaking);
-        } else if leaving {
-            self.set_phase(now, group.epoch, Phase::Finishing);
-        }
-    }
-
-    fn advance_finishing(&mut self, now: Millis, group: &Group, commands: &mut Vec<Command>) {
-        let lost = group.members.iter().any(|id| self.hosts.get(id).is_none_or(Host::is_lost));
-        if lost || now > group.since + self.config.finish_ms {
-            self.set_phase(now, group.epoch, Phase::Breaking);
-            return;
-        }
-        if now < group.since + self.config.notice_ms {
-            return;
-        }
-        let form_ms = self.engine.form_ms;
-        let Some(head) = self.hosts.get_mut(&group.members[0]) else { return };
-        if now < head.opened_at + form_ms + FORM_MARGIN_MS {
-            // A head that still forms says that it is ready, and opens all the same.
-            return;
-        }
-        if head.closed != Some(group.epoch) {
-            if head.may_order(now) {
-                let order = Order::Close { group: group.name.clone(), epoch: group.epoch };
-                commands.push(head.order(now, order));
-            }
-            return;
-        }
-        if head.heard_at > head.closed_at && head.is_ready_in(&group.name, group.epoch) {
-            self.end_of(group);
-            return;
-        }
-        head.wants_probe |= now >= head.probed_at + host::PROBE_EVERY_MS;
-    }
-
-    fn advance_breaking(&mut self, now: Millis, group: &Group, commands: &mut Vec<Command>) {
-        let Some(head) = self.hosts.get_mut(&group.members[0]) else {
-            self.abandon(group.epoch);
-            return;
-        };
-        if head.left == Some(group.epoch) || head.replaced || head.is_outside(group.epoch) {
-            self.end_of(group);
-            return;
-        }
-        if head.is_lost() {
-            self.abandon(group.epoch);
-            return;
-        }
-        if head.may_order(now) {
-            let order = Order::Leave { group: group.name.clone(), epoch: group.epoch };
-            commands.push(head.order(now, order));
-        }
-    }
-
-    fn advance_spare(&mut self, group: &Group) {
-        if self.is_hurt(group) {
-            self.dissolve(group.epoch);
-        }
-    }
-
     /// Makes every host that an earlier leader may still give orders to know this leader's fence, by
     /// an order that holds already: to stage what it has staged.
     fn show_fence(&mut self, now: Millis, commands: &mut Vec<Command>) {
--- /dev/null
+++ b/crates/oliveworks-gateway-core/src/planner/advance.rs
@@ -0,0 +1,175 @@
+//! What each group needs next, phase by phase.
+
+use super::group::{Group, Phase};
+use super::host::{self, Host};
+use super::{Command, Order, Planner};
+use crate::Millis;
+
+/// How much later than told a head may be open.
+const FORM_MARGIN_MS: u64 = 100;
+
+impl Planner {
+    /// Takes a group a step further.
+    pub(super) fn advance(&mut self, now: Millis, epoch: u64, commands: &mut Vec<Command>) {
+        let Some(group) = self.groups.get(&epoch).cloned() else { return };
+        match group.phase {
+            Phase::Joining => self.advance_joining(now, &group, commands),
+            Phase::Opening => self.advance_opening(now, &group, commands),
+            Phase::Open { .. } => self.advance_open(now, &group),
+            Phase::Finishing => self.advance_finishing(now, &group, commands),
+            Phase::Breaking => self.advance_breaking(now, &group, commands),
+            Phase::Spare => self.advance_spare(&group),
+        }
+    }
+
+    pub(super) fn set_phase(&mut self, now: Millis, epoch: u64, phase: Phase) {
+        if let Some(group) = self.groups.get_mut(&epoch) {
+            group.phase = phase;
+            group.since = now;
+        }
+    }
+
+    fn advance_joining(&mut self, now: Millis, group: &Group, commands: &mut Vec<Command>) {
+        if self.is_hurt(group) {
+            match group.adopted {
+                // An earlier leader may have told the head to open.
+                true => self.set_phase(now, group.epoch, Phase::Breaking),
+                false => self.dissolve(group.epoch),
+            }
+            return;
+        }
+        let Some(model) = self.model(&group.model).cloned() else {
+            self.dissolve(group.epoch);
+            return;
+        };
+        let mut ready = true;
+        for member in &group.members {
+            let Some(host) = self.hosts.get_mut(member) else { continue };
+            if host.is_ready_in(&group.name, group.epoch) {
+                continue;
+            }
+            ready = false;
+            if host.joined == Some(group.epoch) {
+                host.probe_when_due(now, &model);
+                continue;
+            }
+            if host.may_have_changed(now) {
+                host.wants_probe |= host.may_order(now);
+                continue;
+            }
+            if let Some(old) = host.belongs_elsewhere(group.epoch, &self.ended) {
+                // A late order has brought it back to its old group, whose head may serve.
+                if host.may_order(now) {
+                    commands.push(host.order(now, old));
+                }
+                continue;
+            }
+            let load = !host.has(&model.name);
+            if !host.may_order(now) || (load && self.load_tokens < 1.0) {
+                continue;
+            }
+            if load {
+                self.load_tokens -= 1.0;
+            }
+            let order = Order::Join {
+                group: group.name.clone(),
+                epoch: group.epoch,
+                model: group.model.clone(),
+                members: group.members.clone(),
+            };
+            commands.push(host.order(now, order));
+        }
+        if ready {
+            let whole = group.members.len() == model.size;
+            let phase = if whole { Phase::Opening } else { Phase::Spare };
+            self.set_phase(now, group.epoch, phase);
+        }
+    }
+
+    fn advance_opening(&mut self, now: Millis, group: &Group, commands: &mut Vec<Command>) {
+        if self.is_hurt(group) {
+            self.set_phase(now, group.epoch, Phase::Breaking);
+            return;
+        }
+        let form_ms = self.engine.form_ms;
+        let Some(head) = self.hosts.get_mut(&group.members[0]) else { return };
+        if head.opened == Some(group.epoch) {
+            self.set_phase(now, group.epoch, Phase::Open { from: now + form_ms });
+            return;
+        }
+        if head.may_order(now) {
+            let order = Order::Open { group: group.name.clone(), epoch: group.epoch };
+            commands.push(head.order(now, order));
+        }
+    }
+
+    fn advance_open(&mut self, now: Millis, group: &Group) {
+        let hosts = group.members.iter().filter_map(|id| self.hosts.get(id));
+        let (mut lost, mut leaving, mut astray) =
+            (hosts.clone().count() < group.members.len(), false, false);
+        for host in hosts {
+            lost |= host.is_lost();
+            leaving |= !host.is_lost() && !host.stays();
+            astray |= host.is_astray(group.epoch);
+        }
+        if lost || astray {
+            self.set_phase(now, group.epoch, Phase::Breaking);
+        } else if leaving {
+            self.set_phase(now, group.epoch, Phase::Finishing);
+        }
+    }
+
+    fn advance_finishing(&mut self, now: Millis, group: &Group, commands: &mut Vec<Command>) {
+        let lost = group.members.iter().any(|id| self.hosts.get(id).is_none_or(Host::is_lost));
+        if lost || now > group.since + self.config.finish_ms {
+            self.set_phase(now, group.epoch, Phase::Breaking);
+            return;
+        }
+        if now < group.since + self.config.notice_ms {
+            return;
+        }
+        let form_ms = self.engine.form_ms;
+        let Some(head) = self.hosts.get_mut(&group.members[0]) else { return };
+        if now < head.opened_at + form_ms + FORM_MARGIN_MS {
+            // A head that still forms says that it is ready, and opens all the same.
+            return;
+        }
+        if head.closed != Some(group.epoch) {
+            if head.may_order(now) {
+                let order = Order::Close { group: group.name.clone(), epoch: group.epoch };
+                commands.push(head.order(now, order));
+            }
+            return;
+        }
+        if head.heard_at > head.closed_at && head.is_ready_in(&group.name, group.epoch) {
+            self.end_of(group);
+            return;
+        }
+        head.wants_probe |= now >= head.probed_at + host::PROBE_EVERY_MS;
+    }
+
+    fn advance_breaking(&mut self, now: Millis, group: &Group, commands: &mut Vec<Command>) {
+        let Some(head) = self.hosts.get_mut(&group.members[0]) else {
+            self.abandon(group.epoch);
+            return;
+        };
+        if head.left == Some(group.epoch) || head.replaced || head.is_outside(group.epoch) {
+            self.end_of(group);
+            return;
+        }
+        if head.is_lost() {
+            self.abandon(group.epoch);
+            return;
+        }
+        if head.may_order(now) {
+            let order = Order::Leave { group: group.name.clone(), epoch: group.epoch };
+            commands.push(head.order(now, order));
+        }
+    }
+
+    fn advance_spare(&mut self, group: &Group) {
+        if self.is_hurt(group) {
+            self.dissolve(group.epoch);
+        }
+    }
+}
