--- a/crates/oliveworks-gateway/src/settings.rs
+++ b/crates/oliveworks-gateway/src/settings.rs
@@ -51,12 +51,13 @@
     /// Its address.
     pub address: SocketAddr,
     /// The longest that it holds a call back when the configuration has not changed; by default
-    /// half of `bounds.apply_ms`.
+    /// 65 in 100 of `bounds.apply_ms`.
     #[serde(default)]
     pub configuration_wait_ms: Option<u64>,
-    /// The time between two reads of backend servers' records.
-    #[serde(default = "default_workers_every_ms")]
-    pub workers_every_ms: u64,
+    /// The time between two reads of backend servers' records; by default 65 in 100 of
+    /// `bounds.drain_ms`.
+    #[serde(default)]
+    pub workers_every_ms: Option<u64>,
     /// The longest that a call may take beyond its waiting.
     #[serde(default = "default_call_ms")]
     pub call_ms: u64,
@@ -103,19 +104,24 @@
     }
 }
 
-fn default_workers_every_ms() -> u64 {
-    1_000
-}
-
 fn default_call_ms() -> u64 {
     1_000
 }
 
+/// The part of a bound that a read of the store may be late, in hundredths: each read is priced.
+const READ_PERCENT: u64 = 65;
+
 impl Settings {
     /// The longest that the store holds a read of the configuration back. It may miss to answer one
     /// that comes with a change, so that only the next read brings it: well within the bound.
     pub fn configuration_wait_ms(&self) -> u64 {
-        self.store.configuration_wait_ms.unwrap_or(self.bounds.apply_ms / 2)
+        self.store.configuration_wait_ms.unwrap_or(self.bounds.apply_ms * READ_PERCENT / 100)
+    }
+
+    /// The time between two reads of backend servers' records: one that leaves is seen by the next,
+    /// and what is left of its bound is for the read itself and for requests on their way.
+    pub fn workers_every_ms(&self) -> u64 {
+        self.store.workers_every_ms.unwrap_or(self.bounds.drain_ms * READ_PERCENT / 100)
     }
 }
 
@@ -123,7 +129,7 @@
     fn check(&self) -> Result<(), String> {
         let positive = [
             ("store.configuration_wait_ms", self.configuration_wait_ms()),
-            ("store.workers_every_ms", self.store.workers_every_ms),
+            ("store.workers_every_ms", self.workers_every_ms()),
             ("store.call_ms", self.store.call_ms),
             ("bounds.drain_ms", self.bounds.drain_ms),
             ("bounds.apply_ms", self.bounds.apply_ms),
--- a/crates/oliveworks-gateway/src/store.rs
+++ b/crates/oliveworks-gateway/src/store.rs
@@ -291,7 +291,7 @@
 /// Follows the list of backend servers.
 pub async fn follow_workers(gateway: Rc<Gateway>) {
     let mut follower = Follower::new(&gateway, Topic::Workers);
-    let every_ms = gateway.settings.store.workers_every_ms;
+    let every_ms = gateway.settings.workers_every_ms();
     let mut missing = Missing::default();
     let mut reads = 0;
     loop {
