--- a/crates/oliveworks-gateway/src/process.rs
+++ b/crates/oliveworks-gateway/src/process.rs
@@ -19,11 +19,27 @@
 /// Time of the grace that is left unused.
 const GRACE_MARGIN_MS: u64 = 700;
 
-/// Runs a gateway until it is told to stop.
+/// Runs a gateway until SIGTERM.
 ///
 /// # Errors
 /// If it cannot listen where its settings say.
 pub async fn run(settings: Settings, dialect: Rc<dyn Dialect>) -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let told = async move {
+        terminate.recv().await;
+    };
+    run_until(settings, dialect, told).await
+}
+
+/// Runs a gateway until it is told to stop.
+///
+/// # Errors
+/// If it cannot listen where its settings say.
+pub async fn run_until(
+    settings: Settings,
+    dialect: Rc<dyn Dialect>,
+    told: impl Future<Output = ()>,
+) -> anyhow::Result<()> {
     let listen = settings.listen.clone();
     let callers = TcpListener::bind(listen.callers).await.context("listen.callers")?;
     let ready = TcpListener::bind(listen.ready).await.context("listen.ready")?;
@@ -48,7 +64,7 @@
             Event::new("reload").with("outcome", "settings are read at the next start").write();
         }
     });
-    signal(SignalKind::terminate())?.recv().await;
+    told.await;
     stop(&gateway).await;
     Ok(())
 }
@@ -57,6 +73,7 @@
 async fn stop(gateway: &Rc<Gateway>) {
     Event::new("stop_begins").with("open_requests", gateway.open_requests.get()).write();
     let began = gateway.now();
+    gateway.stop_began_at.set(Some(began));
     gateway.stopping.send_replace(true);
     let last = began + gateway.settings.bounds.grace_ms.saturating_sub(GRACE_MARGIN_MS);
     loop {
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -35,6 +35,8 @@
 const COME_BACK_MS: u64 = 1_300;
 /// A random time on top, so that those who were refused together do not come back together.
 const COME_BACK_SPREAD_MS: u64 = 1_300;
+/// The same from a gateway that stops: others take callers, or it is back soon.
+const COME_BACK_STOPPING_MS: u64 = 200;
 /// The same when keys are not honoured for a while.
 const COME_BACK_STALE_MS: u64 = 1_000;
 /// How an answer ended.
@@ -118,6 +120,14 @@
         Err(_) => return refuse(gateway, connection, "", Verdict::BadRequest, 0).await,
     };
     let id = asked.id.clone();
+    if gateway.refuses_new() {
+        connection.closes();
+        Event::new("request")
+            .with("request", id.as_str())
+            .with("outcome", "refused: stopping")
+            .write();
+        return refuse(gateway, connection, &id, Verdict::NotRun, COME_BACK_STOPPING_MS).await;
+    }
     let Some(lookup) = gateway.lookup() else {
         return refuse(gateway, connection, &id, Verdict::NotRun, COME_BACK_MS).await;
     };
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -19,6 +19,7 @@
 
 use crate::dialect::Dialect;
 use crate::events::Event;
+use crate::relay::STOP_NOTICE_MS;
 use crate::settings::Settings;
 
 /// A replica group as the leader publishes it.
@@ -133,6 +134,8 @@
     pub beat_now: Notify,
     /// Whether this process is stopping.
     pub stopping: watch::Sender<bool>,
+    /// When it was told to.
+    pub stop_began_at: Cell<Option<Millis>>,
     /// Requests under way.
     pub open_requests: Cell<usize>,
     /// Whether any gateway has had a request.
@@ -177,6 +180,7 @@
             heard_by_others: RefCell::default(),
             beat_now: Notify::new(),
             stopping: watch::channel(false).0,
+            stop_began_at: Cell::new(None),
             open_requests: Cell::new(0),
             traffic: Cell::new(false),
             life,
@@ -232,6 +236,13 @@
         *self.stopping.borrow()
     }
 
+    /// Whether new requests are refused: the platform had time to send its callers elsewhere, and
+    /// what is taken now may not be finished. It may send them here all the same, if there is no
+    /// other gateway in the zone.
+    pub fn refuses_new(&self) -> bool {
+        self.stop_began_at.get().is_some_and(|at| self.now() >= at + STOP_NOTICE_MS)
+    }
+
     /// Whether it should be sent callers.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping() && self.lookup.borrow().is_some() && self.directory_read.get()
