--- a/crates/oliveworks-gateway/src/settings.rs
+++ b/crates/oliveworks-gateway/src/settings.rs
@@ -76,8 +76,6 @@
     /// The time after which a key that was taken away serves nothing; none if it is not bound.
     #[serde(default)]
     pub revoke_ms: Option<u64>,
-    /// The time after which a replica group that lost a member breaks by itself.
-    pub stall_ms: u64,
     /// Repeats for each request, over all gateways.
     pub repeat_ratio: f64,
     /// Repeats beyond that in a window, over all gateways.
