Groups by quotas per domain, the largest packed first; spares of the largest model; stillness by what all hear

Cause: on the grown sites the larger model (8 hosts) had 2 groups where 3 or 4 fit, later 0 to 2. Groups were formed one after the other as hosts came in, the small ones spread over all domains, and a pause of the list's reads (12 quick ones had run out) was taken for its end.

Change: quota.rs says how many groups of each model every domain should hold, from scratch, the largest packed first; allot.rs forms up to that, spares load the largest model, a small group ends only where the quota says a large one should stand; stage.rs says what is staged in which order; the list is read quickly while new hosts come. A group that only first events are awaited from is judged by what any gateway hears from it. Tests: quota, listing, stillness.

--- a/crates/oliveworks-gateway-core/src/balance.rs
+++ b/crates/oliveworks-gateway-core/src/balance.rs
@@ -59,6 +59,12 @@
 /// The largest suspension of a target that fails again and again.
 const SUSPEND_MAX_MS: u64 = 4_000;
 
+/// What a replica group may be silent beyond its longest pass, while a stream of ours runs there.
+const WRITING_SLACK_MS: u64 = 50;
+/// Passes until a first event, one that reads and one that writes, and what may come on top.
+const FIRST_PASSES: u64 = 2;
+const FIRST_SLACK_MS: u64 = 100;
+
 #[derive(Clone, Debug, Default)]
 struct Own {
     open: u32,
@@ -87,6 +93,8 @@
 pub struct Balance {
     own: HashMap<Target, Own>,
     peers: HashMap<u64, (Millis, HashMap<Target, Load>)>,
+    /// When other gateways last heard from targets, as far as they told.
+    heard_elsewhere: HashMap<Target, Millis>,
 }
 
 /// Why no target was chosen.
@@ -201,6 +209,26 @@
         self.own.get(&target).filter(|own| own.open > 0).map(|own| own.last_progress)
     }
 
+    /// Another gateway has just heard from a target.
+    pub fn heard_elsewhere(&mut self, now: Millis, target: Target) {
+        self.heard_elsewhere.insert(target, now);
+    }
+
+    /// When a replica group counts as standing still, if nothing comes from it and requests of this
+    /// gateway wait there since `since`; `pass_ms` is its longest pass.
+    ///
+    /// Where a stream of ours has begun, an event must come with every pass. Where all of ours wait
+    /// for their first event, a pass may read prompts only, and whether others hear from it tells
+    /// more. Rejected: to judge by our own requests alone (half of all suspicions were false).
+    pub fn silent_at(&self, target: Target, since: Millis, pass_ms: u64) -> Millis {
+        let own = self.last_progress(target).unwrap_or(0).max(since);
+        if self.is_writing(target) {
+            return own + pass_ms + WRITING_SLACK_MS;
+        }
+        let elsewhere = self.heard_elsewhere.get(&target).copied().unwrap_or(0);
+        own.max(elsewhere) + pass_ms * FIRST_PASSES + FIRST_SLACK_MS
+    }
+
     /// Targets from which something has come since a time.
     pub fn heard_since(&self, since: Millis) -> impl Iterator<Item = Target> {
         let heard = self.own.iter().filter(move |(_, own)| own.heard_at >= since);
@@ -238,5 +266,6 @@
     /// Forgets targets that are gone and hold nothing open.
     pub fn retain(&mut self, keep: impl Fn(Target) -> bool) {
         self.own.retain(|target, own| own.open > 0 || keep(*target));
+        self.heard_elsewhere.retain(|target, _| keep(*target));
     }
 }
--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -10,7 +10,9 @@
 //! | [`configuration`] | which service a request belongs to, and whose key it carries |
 //! | [`freshness`] | whether the configuration is young enough to honour keys |
 //! | [`workers`] | what the platform's records say of backend servers |
+//! | [`listing`] | how soon the list of backend servers is read again |
 //! | [`planner`] | which hosts form each replica group, and every order |
+//! | [`quota`] | how many groups of each model every domain should hold |
 //! | [`election`] | which gateway gives orders |
 //! | [`balance`] | where a request goes |
 //! | [`budget`] | whether a request may be sent once more |
@@ -24,7 +26,9 @@
 pub mod election;
 pub mod events;
 pub mod freshness;
+pub mod listing;
 pub mod planner;
+pub mod quota;
 pub mod workers;
 
 /// A point on the process's steady clock, in milliseconds.
--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -11,14 +11,17 @@
 
 mod advance;
 mod allot;
+mod domain;
 mod group;
 mod host;
 mod order;
+mod stage;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::Millis;
 use crate::configuration::{Engine, Model};
+use crate::quota::{self, Quotas, Room};
 use crate::workers::{Holding, MemberState, Worker, WorkerId};
 use group::{Group, Phase};
 use host::Host;
@@ -58,6 +61,9 @@
     grown_at: BTreeMap<String, Millis>,
     /// How busy the groups of each model are: open requests for each slot.
     busy: BTreeMap<String, f64>,
+    /// What the domains can hold, and the groups that they should hold for it.
+    rooms: BTreeMap<String, Room>,
+    quotas: Quotas,
     /// Whether callers have been served, from which time on loads are slow and counted.
     traffic: bool,
 }
@@ -78,6 +84,8 @@
             most_hosts: BTreeMap::new(),
             grown_at: BTreeMap::new(),
             busy: BTreeMap::new(),
+            rooms: BTreeMap::new(),
+            quotas: Quotas::new(),
             traffic: true,
         }
     }
@@ -114,8 +122,20 @@
     }
 
     /// Takes over the engine's figures of a newer configuration.
-    pub fn set_engine(&mut self, engine: Engine) {
-        self.engine = engine;
+    pub fn set_engine(&mut self, engine: &Engine) {
+        if self.engine != *engine {
+            self.engine = engine.clone();
+            self.rooms.clear();
+        }
+    }
+
+    /// Works out how many groups each domain should hold, if anything has changed.
+    fn update_quotas(&mut self) {
+        let rooms = domain::rooms(self);
+        if rooms != self.rooms {
+            self.quotas = quota::quotas(&self.engine.models, &rooms);
+            self.rooms = rooms;
+        }
     }
 
     /// Epochs of groups that have ended for certain, the newest ones.
@@ -284,10 +304,11 @@
         self.free_strays(now, &mut commands);
         self.forget_hosts();
         self.count_hosts();
+        self.update_quotas();
         for group in allot::allot(now, self) {
             self.found(now, group);
         }
-        if let Some(plan) = allot::yielding(self) {
+        if let Some(plan) = allot::yielding(now, self) {
             for epoch in plan.epochs {
                 self.set_phase(now, epoch, Phase::Finishing);
                 if let Some(group) = self.groups.get_mut(&epoch) {
@@ -399,17 +420,11 @@
 
     /// Stages models with what the joins of this tick left of the loads.
     fn stage(&mut self, now: Millis, commands: &mut Vec<Command>) {
-        let joins_wait = self.groups.values().any(|group| {
-            let unjoined = |id: &WorkerId| {
-                self.hosts.get(id).is_some_and(|host| host.joined != Some(group.epoch))
-            };
-            group.phase == Phase::Joining && group.members.iter().any(unjoined)
-        });
         let most = self.engine.loads_at_once as usize;
-        if joins_wait || (self.traffic && self.loading() >= most) {
+        if self.waits_for_joins() || (self.traffic && self.loading() >= most) {
             return;
         }
-        for staging in allot::stage(self) {
+        for staging in stage::stage(self) {
             if self.load_tokens < 1.0 {
                 return;
             }
@@ -421,18 +436,21 @@
         }
     }
 
+    /// Whether members of new groups are still to be told to join.
+    fn waits_for_joins(&self) -> bool {
+        self.groups.values().any(|group| {
+            let unjoined = |id: &WorkerId| {
+                self.hosts.get(id).is_some_and(|host| host.joined != Some(group.epoch))
+            };
+            group.phase == Phase::Joining && group.members.iter().any(unjoined)
+        })
+    }
+
     /// Hosts that load something.
     fn loading(&self) -> usize {
         self.hosts.values().filter(|host| host.stays() && host.is_loading()).count()
     }
 
-    /// Hosts of a domain, in groups of other models or free, that have the model staged.
-    fn flexible(&self, domain: &str, model: &Model) -> usize {
-        let here = self.hosts.values().filter(|host| host.worker.domain == domain);
-        let able = here.filter(|host| host.stays() && !host.held_last(&model.name));
-        able.filter(|host| host.has(&model.name)).count()
-    }
-
     fn forget_hosts(&mut self) {
         self.hosts.retain(|_, host| host.group.is_some() || !host.unlisted);
     }
--- /dev/null
+++ b/crates/oliveworks-gateway-core/src/planner/domain.rs
@@ -0,0 +1,140 @@
+//! A fabric domain as the planner sees it when it deals out hosts.
+
+use std::collections::BTreeMap;
+
+use super::Planner;
+use super::group::Phase;
+use super::host::Host;
+use crate::Millis;
+use crate::configuration::Model;
+use crate::quota::Room;
+
+/// How soon a host can serve a model.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Warmth {
+    /// It held the model last.
+    Hot,
+    /// Its host keeps the model.
+    Staged,
+    /// It must load the model.
+    Cold,
+}
+
+/// How soon a host can serve a model.
+pub(super) fn warmth(host: &Host, model: &Model) -> Warmth {
+    if host.held_last(&model.name) {
+        return Warmth::Hot;
+    }
+    match host.has(&model.name) {
+        true => Warmth::Staged,
+        false => Warmth::Cold,
+    }
+}
+
+/// A domain's hosts.
+#[derive(Default)]
+pub(super) struct Domain<'a> {
+    pub(super) name: &'a str,
+    /// Hosts that live.
+    pub(super) living: usize,
+    /// Hosts that may join something, among them spares.
+    pub(super) free: Vec<&'a Host>,
+    /// Groups by model, those that serve and those that are being formed.
+    pub(super) groups: BTreeMap<&'a str, usize>,
+    /// Hosts in those groups and in groups that are being taken apart.
+    pub(super) used: usize,
+    /// Whether it has had the same hosts for a while.
+    pub(super) steady: bool,
+    /// Whether a group of it is being formed or taken apart.
+    pub(super) moving: bool,
+    /// The model for which groups here are being ended.
+    pub(super) kept_for: Option<&'a str>,
+    /// Models that spares load, one for each of them.
+    pub(super) loading: Vec<&'a str>,
+}
+
+impl Domain<'_> {
+    /// Groups of a model.
+    pub(super) fn count(&self, model: &Model) -> usize {
+        self.groups.get(model.name.as_str()).copied().unwrap_or(0)
+    }
+
+    /// Groups of a model that the domain lacks.
+    pub(super) fn lacks(&self, planner: &Planner, model: &Model) -> usize {
+        quota(planner, self.name, model).saturating_sub(self.count(model))
+    }
+
+    /// Free hosts that can serve a model without a load.
+    pub(super) fn warm(&self, model: &Model) -> usize {
+        self.free.iter().filter(|host| warmth(host, model) != Warmth::Cold).count()
+    }
+
+    /// Spares that load a model.
+    pub(super) fn loads(&self, model: &Model) -> usize {
+        self.loading.iter().filter(|name| **name == model.name).count()
+    }
+}
+
+/// The groups of a model that a domain should hold.
+pub(super) fn quota(planner: &Planner, domain: &str, model: &Model) -> usize {
+    planner.quotas.get(domain).and_then(|groups| groups.get(&model.name)).copied().unwrap_or(0)
+}
+
+/// How many hosts of a domain are kept as spares: a part of the most that it had, less those that
+/// it has lost since, for whose groups spares are.
+pub(super) fn reserve(planner: &Planner, domain: &Domain<'_>) -> usize {
+    let models = planner.engine.models.iter().filter(|model| model.size > 1).count();
+    let most = planner.most_hosts.get(domain.name).copied().unwrap_or(domain.living);
+    let spares = models.min((most * planner.config.spare_percent).div_ceil(100));
+    spares.saturating_sub(most.saturating_sub(domain.living))
+}
+
+/// All domains.
+pub(super) fn domains(now: Millis, planner: &Planner) -> BTreeMap<&str, Domain<'_>> {
+    let mut domains: BTreeMap<&str, Domain<'_>> = BTreeMap::new();
+    for host in planner.hosts.values().filter(|host| host.stays()) {
+        let domain = domains.entry(&host.worker.domain).or_default();
+        domain.name = &host.worker.domain;
+        domain.living += 1;
+        let group = host.group.and_then(|epoch| planner.groups.get(&epoch));
+        match group {
+            Some(group) if group.phase == Phase::Spare => domain.free.push(host),
+            Some(_) => domain.used += 1,
+            None if host.is_free(&planner.ended) => domain.free.push(host),
+            None => {}
+        }
+    }
+    for (name, domain) in &mut domains {
+        domain.steady = planner.is_settled(now, name);
+    }
+    for group in planner.groups.values() {
+        let head = planner.hosts.get(&group.members[0]);
+        let domain = head.and_then(|head| domains.get_mut(head.worker.domain.as_str()));
+        let Some(domain) = domain else { continue };
+        let size = planner.model(&group.model).map_or(0, |model| model.size);
+        let whole = group.members.len() == size;
+        domain.moving |= whole && !matches!(group.phase, Phase::Open { .. } | Phase::Spare);
+        if let Some(model) = &group.yields_to {
+            domain.kept_for = Some(model);
+        }
+        if !group.counts() {
+            continue;
+        }
+        match whole {
+            true => *domain.groups.entry(&group.model).or_default() += 1,
+            false => domain.loading.push(&group.model),
+        }
+    }
+    domains
+}
+
+/// What each domain can hold, and holds.
+pub(super) fn rooms(planner: &Planner) -> BTreeMap<String, Room> {
+    let domains = domains(0, planner);
+    let rooms = domains.values().map(|domain| {
+        let groups = domain.groups.iter().map(|(model, count)| ((*model).to_owned(), *count));
+        let hosts = domain.living.saturating_sub(reserve(planner, domain));
+        (domain.name.to_owned(), Room { hosts, groups: groups.collect() })
+    });
+    rooms.collect()
+}
--- a/crates/oliveworks-gateway-core/src/planner/order.rs
+++ b/crates/oliveworks-gateway-core/src/planner/order.rs
@@ -109,6 +109,6 @@
 
 impl Default for PlannerConfig {
     fn default() -> PlannerConfig {
-        PlannerConfig { spare_percent: 20, notice_ms: 60, finish_ms: 9_000, settle_ms: 1_300 }
+        PlannerConfig { spare_percent: 20, notice_ms: 60, finish_ms: 9_000, settle_ms: 1_500 }
     }
 }
--- /dev/null
+++ b/crates/oliveworks-gateway-core/src/quota.rs
@@ -0,0 +1,93 @@
+//! How many replica groups of each model every failure domain should hold.
+//!
+//! Counts come first, places second. The model with the fewest hosts for its weight gets the next
+//! group, as long as all groups still fit into the domains, the largest placed first. Rejected:
+//! forming whatever fits next, group by group, since small groups spread over all domains leave no
+//! domain with room for a large one.
+
+use std::collections::BTreeMap;
+
+use crate::configuration::Model;
+
+/// What a domain can hold, and holds.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Room {
+    /// Hosts that may serve: those that live, less the spares.
+    pub hosts: usize,
+    /// Groups that serve or are being formed, by model.
+    pub groups: BTreeMap<String, usize>,
+}
+
+/// Groups by domain and model.
+pub type Quotas = BTreeMap<String, BTreeMap<String, usize>>;
+
+/// The least share that a model is taken to have.
+const SHARE_MIN: f64 = 0.001;
+
+/// Hosts of a model, measured by its weight: the least needs hosts the most.
+///
+/// The weight is the model's share. Rejected: the share times the root of the model's size, since of
+/// larger groups there are fewer. Once all groups are packed it leaves the smaller models too few.
+pub fn per_weight(hosts: usize, model: &Model) -> f64 {
+    hosts as f64 / model.share.max(SHARE_MIN)
+}
+
+/// The groups that each domain should hold.
+///
+/// Groups that exist are kept where that is possible; a domain that lost a large group may have to
+/// give up small ones for it.
+pub fn quotas(models: &[Model], rooms: &BTreeMap<String, Room>) -> Quotas {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut best = rooms.keys().map(|domain| (domain.clone(), BTreeMap::new())).collect();
+    let mut open: Vec<&Model> = models.iter().filter(|model| model.size > 0).collect();
+    while let Some(index) = neediest(&open, &counts) {
+        let model = open[index];
+        *counts.entry(&model.name).or_default() += 1;
+        match pack(models, rooms, &counts) {
+            Some(packed) => best = packed,
+            None => {
+                *counts.entry(&model.name).or_default() -= 1;
+                open.remove(index);
+            }
+        }
+    }
+    best
+}
+
+fn neediest(open: &[&Model], counts: &BTreeMap<&str, usize>) -> Option<usize> {
+    let need = |model: &Model| {
+        let groups = counts.get(model.name.as_str()).copied().unwrap_or(0);
+        per_weight(groups * model.size, model)
+    };
+    let indices = 0..open.len();
+    indices.min_by(|a, b| need(open[*a]).total_cmp(&need(open[*b])))
+}
+
+/// Places so many groups of each model, the largest first; nothing if they do not fit.
+fn pack(
+    models: &[Model],
+    rooms: &BTreeMap<String, Room>,
+    counts: &BTreeMap<&str, usize>,
+) -> Option<Quotas> {
+    let mut packed: Quotas = rooms.keys().map(|domain| (domain.clone(), BTreeMap::new())).collect();
+    let mut left: BTreeMap<&str, usize> =
+        rooms.iter().map(|(domain, room)| (domain.as_str(), room.hosts)).collect();
+    let mut largest_first: Vec<&Model> = models.iter().collect();
+    largest_first.sort_by_key(|model| std::cmp::Reverse(model.size));
+    for model in largest_first {
+        let count =
+            |groups: &BTreeMap<String, usize>| groups.get(&model.name).copied().unwrap_or(0);
+        for _ in 0..counts.get(model.name.as_str()).copied().unwrap_or(0) {
+            let fitting = left.iter().filter(|(_, hosts)| **hosts >= model.size);
+            let (domain, _) = fitting.min_by_key(|(domain, hosts)| {
+                let placed = packed.get(**domain).map_or(0, count);
+                let exists = rooms.get(**domain).is_some_and(|room| placed < count(&room.groups));
+                (!exists, placed, std::cmp::Reverse(**hosts))
+            })?;
+            let domain = *domain;
+            *left.get_mut(domain)? -= model.size;
+            *packed.get_mut(domain)?.entry(model.name.clone()).or_default() += 1;
+        }
+    }
+    Some(packed)
+}
--- a/crates/oliveworks-gateway-core/tests/decisions.rs
+++ b/crates/oliveworks-gateway-core/tests/decisions.rs
@@ -212,6 +212,28 @@
     assert_eq!(balance.choose(0, &[], &[], 1.0, 0), Err(NoTarget::None));
 }
 
+const PASS_MS: u64 = 285;
+
+/// A replica group with open requests of this gateway since 1,000; `begun` is whether one writes and
+/// last did so at 1,400, `elsewhere` when another gateway last heard from the group.
+#[test_case(true, None, 1_400 + PASS_MS + 50; "a stream of ours has begun")]
+#[test_case(true, Some(1_600), 1_400 + PASS_MS + 50; "what others hear is no help to our own stream")]
+#[test_case(false, None, 1_000 + 2 * PASS_MS + 100; "all of ours wait for a first event")]
+#[test_case(false, Some(1_600), 1_600 + 2 * PASS_MS + 100; "others hear from it meanwhile")]
+fn a_group_stands_still(begun: bool, elsewhere: Option<u64>, expected: u64) {
+    let mut balance = Balance::default();
+    let target = Target::of("head");
+    balance.started(1_000, target, 500);
+    if begun {
+        balance.progress(1_400, target);
+        balance.began(target, 500);
+    }
+    if let Some(at) = elsewhere {
+        balance.heard_elsewhere(at, target);
+    }
+    assert_eq!(balance.silent_at(target, 1_000, PASS_MS), expected);
+}
+
 fn election(claimant: u64) -> Election {
     Election::new(ElectionConfig::default(), claimant, 0)
 }
--- /dev/null
+++ b/crates/oliveworks-gateway-core/tests/listing.rs
@@ -0,0 +1,24 @@
+//! How soon the list of backend servers is read again.
+
+use oliveworks_gateway_core::listing::{Listing, ListingConfig};
+use test_case::test_case;
+
+const CONFIG: ListingConfig = ListingConfig { quick_ms: 300, settle_ms: 1_500, every_ms: 1_950 };
+
+/// Reads as times and whether they held a new host, and the pause after the last one.
+#[test_case(&[(0, false)], 300; "the first")]
+#[test_case(&[(0, true), (300, false), (600, false), (900, false)], 300; "the start is not over")]
+#[test_case(&[(0, true), (300, false), (600, false), (1_500, false)], 1_950; "no new one for long")]
+#[test_case(&[(0, true), (1_000, true), (2_000, true), (3_900, true)], 300; "new ones keep coming")]
+#[test_case(&[(0, true), (1_000, true), (8_900, true), (9_100, true)], 1_950; "the start is over")]
+fn pauses(reads: &[(u64, bool)], expected: u64) {
+    let mut listing = Listing::new(CONFIG);
+    let pauses: Vec<u64> = reads.iter().map(|(at, new)| listing.read(10_000 + at, *new)).collect();
+    assert_eq!(pauses.last(), Some(&expected));
+}
+
+#[test]
+fn a_tighter_bound_goes_before_the_quick_pace() {
+    let mut listing = Listing::new(ListingConfig { every_ms: 200, ..CONFIG });
+    assert_eq!(listing.read(0, true), 200);
+}
--- /dev/null
+++ b/crates/oliveworks-gateway-core/tests/quota.rs
@@ -0,0 +1,44 @@
+//! How many groups of each model every domain should hold.
+
+use std::collections::BTreeMap;
+
+use oliveworks_gateway_core::configuration::Model;
+use oliveworks_gateway_core::quota::{Room, quotas};
+use test_case::test_case;
+
+fn model(name: &str, size: usize, share: f64) -> Model {
+    Model { name: name.into(), size, share, pace: 1.0, load_ms: 16_000, warm_ms: 1_600 }
+}
+
+fn room(hosts: usize, large: usize, small: usize) -> Room {
+    let groups = [("large".to_owned(), large), ("small".to_owned(), small)];
+    Room { hosts, groups: groups.into_iter().filter(|(_, count)| *count > 0).collect() }
+}
+
+/// Groups of the large and of the small model in each domain.
+#[test_case(8, &[room(16, 0, 0), room(16, 0, 0), room(16, 0, 0)], &[(1, 4), (1, 4), (1, 4)]; "the small ones leave room")]
+#[test_case(8, &[room(16, 0, 0), room(10, 0, 0), room(10, 0, 0)], &[(1, 4), (1, 1), (0, 5)]; "not more large ones than small ones for their shares")]
+#[test_case(4, &[room(8, 0, 0), room(8, 0, 0), room(8, 0, 0)], &[(1, 2), (1, 2), (1, 2)]; "even where all fits")]
+#[test_case(8, &[room(16, 1, 4), room(16, 1, 4), room(16, 0, 4)], &[(1, 4), (1, 4), (1, 4)]; "what is lost comes back")]
+#[test_case(8, &[room(16, 1, 4), room(15, 0, 4), room(16, 1, 4)], &[(1, 4), (1, 3), (1, 4)]; "a small one ends for a large one")]
+#[test_case(8, &[room(16, 0, 4), room(16, 1, 4), room(7, 0, 3)], &[(1, 4), (1, 4), (0, 3)]; "where a large one no longer fits")]
+#[test_case(8, &[room(16, 0, 8), room(16, 2, 0)], &[(0, 8), (2, 0)]; "what serves stays where it is")]
+#[test_case(8, &[room(6, 0, 0), room(7, 0, 0)], &[(0, 3), (0, 3)]; "no room for a large one")]
+#[test_case(8, &[room(0, 0, 0)], &[(0, 0)]; "no hosts")]
+fn groups(size: usize, rooms: &[Room], expected: &[(usize, usize)]) {
+    let models = [model("large", size, 0.5), model("small", 2, 0.5)];
+    let rooms: BTreeMap<String, Room> =
+        rooms.iter().enumerate().map(|(index, room)| (format!("d{index}"), room.clone())).collect();
+    let quotas = quotas(&models, &rooms);
+    let count = |domain: &str, model: &str| quotas[domain].get(model).copied().unwrap_or(0);
+    let found: Vec<(usize, usize)> =
+        rooms.keys().map(|domain| (count(domain, "large"), count(domain, "small"))).collect();
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn one_model_of_single_hosts_fills_all() {
+    let rooms = BTreeMap::from([("d".to_owned(), Room { hosts: 5, groups: BTreeMap::new() })]);
+    let quotas = quotas(&[model("only", 1, 1.0)], &rooms);
+    assert_eq!(quotas["d"]["only"], 5);
+}
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -180,7 +180,7 @@
 fn refresh(gateway: &Gateway, service: &str, planner: &mut Planner) {
     let Some(lookup) = gateway.lookup() else { return };
     if let Some(engine) = lookup.service(service).and_then(|service| service.engine.as_ref()) {
-        planner.set_engine(engine.clone());
+        planner.set_engine(engine);
     }
 }
 
--- a/crates/oliveworks-gateway/src/peers.rs
+++ b/crates/oliveworks-gateway/src/peers.rs
@@ -137,7 +137,7 @@
     let open: HashMap<Target, Load> = beat.open.into_iter().collect();
     gateway.balance.borrow_mut().peer(now, xxh3_64(beat.node.as_bytes()), open);
     for target in beat.heard {
-        gateway.heard_by_others.borrow_mut().insert(target, now);
+        gateway.balance.borrow_mut().heard_elsewhere(now, target);
     }
     for epoch in beat.suspects {
         gateway.suspected_by_another(epoch);
--- a/crates/oliveworks-gateway/src/relay/attempt.rs
+++ b/crates/oliveworks-gateway/src/relay/attempt.rs
@@ -25,10 +25,6 @@
 const PLAIN_SILENCE_MS: u64 = 400;
 /// The same, in times of its route's goal, if that is longer.
 const PLAIN_SILENCE_GOALS: u64 = 2;
-/// What a replica group may be silent beyond its longest pass, while a stream of ours runs there.
-const WRITING_SLACK_MS: u64 = 50;
-/// The same while all our requests there wait for their first event.
-const FIRST_SLACK_MS: u64 = 200;
 /// The time before the deadline at which the final answer is given.
 const DEADLINE_MARGIN_MS: u64 = 30;
 /// The status of a backend server that is not the one meant.
@@ -210,12 +206,7 @@
             return again.then_some(base + silence_ms);
         }
         let balance = self.gateway.balance.borrow();
-        let last = balance.last_progress(place.candidate.target).unwrap_or(0);
-        let slack_ms = match balance.is_writing(place.candidate.target) {
-            true => WRITING_SLACK_MS,
-            false => FIRST_SLACK_MS,
-        };
-        Some(base.max(last) + self.pass_ms + slack_ms)
+        Some(balance.silent_at(place.candidate.target, base, self.pass_ms))
     }
 
     fn stands_still(&self, place: &Place, now: Millis) {
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -128,8 +128,6 @@
     pub peers: RefCell<BTreeMap<String, Peer>>,
     /// Groups that stand still, to be told to the leader.
     pub suspects: RefCell<HashMap<u64, Millis>>,
-    /// When other gateways last heard from targets.
-    pub heard_by_others: RefCell<HashMap<Target, Millis>>,
     /// Asks for a heartbeat at once.
     pub beat_now: Notify,
     /// Whether this process is stopping.
@@ -177,7 +175,6 @@
             table_heard_at: Cell::new(0),
             peers: RefCell::default(),
             suspects: RefCell::default(),
-            heard_by_others: RefCell::default(),
             beat_now: Notify::new(),
             stopping: watch::channel(false).0,
             stop_began_at: Cell::new(None),
--- a/crates/oliveworks-gateway/src/store.rs
+++ b/crates/oliveworks-gateway/src/store.rs
@@ -8,6 +8,7 @@
 use oliveworks_gateway_core::Millis;
 use oliveworks_gateway_core::configuration::Lookup;
 use oliveworks_gateway_core::election::Claim;
+use oliveworks_gateway_core::listing::{Listing, ListingConfig};
 use oliveworks_gateway_core::workers::WorkerId;
 use tokio::time::sleep;
 
@@ -20,9 +21,10 @@
 const RETRY_MS: (u64, u64) = (40, 320);
 /// How long the store holds a read of the leaders' topic back.
 const LEADERS_WAIT_MS: u64 = 15_000;
-/// Reads of backend servers' records that follow each other soon after the start, and how soon.
-const FIRST_READS: u32 = 12;
-const FIRST_EVERY_MS: u64 = 300;
+/// The time between two reads of backend servers' records while new ones come.
+const WORKERS_QUICK_MS: u64 = 300;
+/// How long after the last new one the list counts as complete.
+const WORKERS_SETTLE_MS: u64 = 1_500;
 /// How long after the last trouble of the store entries that went together may come back.
 const MISSING_TROUBLED_MS: u64 = 2_300;
 /// How many entries that are missing together mean that the store let them go.
@@ -247,7 +249,9 @@
     }
 }
 
-fn take_workers(gateway: &Gateway, step: Step, missing: &mut Missing) {
+/// Takes records in; tells whether one was of a backend server that was not listed before.
+fn take_workers(gateway: &Gateway, step: Step, missing: &mut Missing) -> bool {
+    let mut new = false;
     let now = gateway.now();
     let mut listed = BTreeSet::new();
     for record in step.records {
@@ -262,6 +266,7 @@
                 let id = worker.id.clone();
                 let (service, domain) = (worker.service.clone(), worker.domain.clone());
                 if gateway.directory.borrow().get(&id).is_none() {
+                    new = true;
                     Event::new("host_listed")
                         .with("host", &*id)
                         .with("service", service)
@@ -286,21 +291,23 @@
         gateway.directory_read.set(true);
     }
     missing.sweep(gateway);
+    new
 }
 
 /// Follows the list of backend servers.
 pub async fn follow_workers(gateway: Rc<Gateway>) {
     let mut follower = Follower::new(&gateway, Topic::Workers);
-    let every_ms = gateway.settings.workers_every_ms();
     let mut missing = Missing::default();
-    let mut reads = 0;
+    let mut listing = Listing::new(ListingConfig {
+        quick_ms: WORKERS_QUICK_MS,
+        settle_ms: WORKERS_SETTLE_MS,
+        every_ms: gateway.settings.workers_every_ms(),
+    });
     loop {
         if let Some(step) = follower.step(0).await {
-            take_workers(&gateway, step, &mut missing);
+            let new = take_workers(&gateway, step, &mut missing);
             if follower.from.is_some() {
-                reads += 1;
-                // All processes start at once: the first records come in quick succession.
-                let pause_ms = if reads < FIRST_READS { FIRST_EVERY_MS } else { every_ms };
+                let pause_ms = listing.read(gateway.now(), new);
                 sleep(Duration::from_millis(pause_ms)).await;
             }
         }
