A gateway that has just started goes by the list until a leader is heard

The time at which the leader's table was last heard began at 0, and a fresh clock as well: for two seconds the empty table counted as young. Ruled out: the list was not read yet (it was: plain services were served at once). Change: a table that never came is not used. Test: a_gateway_that_starts_uses_groups_that_serve (503 before, 200 after).

--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -280,10 +280,12 @@
         self.store_failed_at.set(Some(now));
     }
 
-    /// Whether the leader's table is young enough to be used.
+    /// Whether the leader's table is young enough to be used. One that never came is not: a process
+    /// that has just started goes by the list of backend servers until a leader is heard.
     fn table_is_young(&self) -> bool {
-        self.election.borrow().leads().is_some()
-            || self.now() < self.table_heard_at.get() + TABLE_MS
+        let came = self.table.borrow().number > 0;
+        let leads = self.election.borrow().leads().is_some();
+        came && (leads || self.now() < self.table_heard_at.get() + TABLE_MS)
     }
 
     /// Backend servers that stand alone.
