Slow members are found by their groups' pauses and replaced where the domain has others

Ruled out: load (the groups' slots were not full). Change: gateways compare the pauses between events over the groups of a model (speed.rs) and tell the leader, which asks the members for their pace; a slow one gives its place to a spare that has the model, else the group serves on with fewer requests in proportion to its pace. At most 30 in 100 of the hosts are left out. A line host_is_slow; balance and speeds forget hosts that are gone. Tests: slow_groups, a_slow_member_is_replaced (red with the check taken out), a_slow_group_serves_on_without_spares, groups_serve_slowly_where_most_hosts_are_slow.

--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`listing`] | how soon the list of backend servers is read again |
 //! | [`planner`] | which hosts form each replica group, and every order |
 //! | [`quota`] | how many groups of each model every domain should hold |
+//! | [`speed`] | which replica groups run much slower than others |
 //! | [`election`] | which gateway gives orders |
 //! | [`balance`] | where a request goes |
 //! | [`budget`] | whether a request may be sent once more |
@@ -29,6 +30,7 @@
 pub mod listing;
 pub mod planner;
 pub mod quota;
+pub mod speed;
 pub mod workers;
 
 /// A point on the process's steady clock, in milliseconds.
--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -35,6 +35,9 @@
 /// The weight of a new figure in a model's load, and the load above which spares should serve.
 const LOAD_WEIGHT: f64 = 0.08;
 const BUSY: f64 = 0.5;
+/// The part of all hosts, in hundredths, that is left out for being slow, at the most: slow groups
+/// are better than none.
+const SLOW_PERCENT_MAX: usize = 30;
 /// Loads that may begin at once.
 const LOAD_BURST: f64 = 2.0;
 /// The part of the weight store's rate that is used: orders that are carried out late come on top.
@@ -236,8 +239,12 @@
 
     /// A host has told its state.
     pub fn reported(&mut self, now: Millis, id: &str, holding: &Holding) {
+        let may_be_slow = self.may_be_slow();
         if let Some(host) = self.hosts.get_mut(id) {
             host.answers();
+            if let Some(pace) = holding.pace {
+                host.paced(pace, may_be_slow);
+            }
             host.heard(now, holding);
         }
     }
@@ -283,6 +290,7 @@
                 epoch: group.epoch,
                 model: group.model.clone(),
                 members: group.members.clone(),
+                pace: self.pace(group),
             })
             .collect()
     }
@@ -292,6 +300,45 @@
         group.members.iter().any(|id| self.hosts.get(id).is_none_or(|host| !host.stays()))
     }
 
+    /// Whether a group has slow members and its domain has others for them: without, it serves on,
+    /// slowly.
+    fn can_shed_slow(&self, group: &Group) -> bool {
+        let members = group.members.iter().filter_map(|id| self.hosts.get(id));
+        let slow: Vec<&Host> = members.filter(|host| host.is_slow()).collect();
+        let Some(first) = slow.first() else { return false };
+        let here = self.hosts.values().filter(|host| host.worker.domain == first.worker.domain);
+        let able = here.filter(|host| host.is_fit() && host.has(&group.model));
+        let spare =
+            able.filter(|host| match host.group.and_then(|epoch| self.groups.get(&epoch)) {
+                Some(group) => group.phase == Phase::Spare,
+                None => host.is_free(&self.ended),
+            });
+        spare.count() >= slow.len()
+    }
+
+    /// The pace of a group's slowest member.
+    fn pace(&self, group: &Group) -> f64 {
+        let members = group.members.iter().filter_map(|id| self.hosts.get(id));
+        members.map(Host::pace).fold(1.0, f64::max)
+    }
+
+    /// Gateways see a group running much slower than others.
+    pub fn runs_slowly(&mut self, now: Millis, epoch: u64) {
+        let Some(group) = self.groups.get(&epoch) else { return };
+        for member in &group.members {
+            if let Some(host) = self.hosts.get_mut(member) {
+                host.slows(now);
+            }
+        }
+    }
+
+    /// Whether one more host can be done without for being slow.
+    fn may_be_slow(&self) -> bool {
+        let staying = self.hosts.values().filter(|host| host.stays());
+        let slow = staying.clone().filter(|host| host.is_slow()).count();
+        (slow + 1) * 100 <= staying.count() * SLOW_PERCENT_MAX
+    }
+
     /// Decides what to do now.
     pub fn tick(&mut self, now: Millis) -> Vec<Command> {
         self.refill_loads(now);
@@ -484,6 +531,7 @@
             let what = match host.group.and_then(|epoch| self.groups.get(&epoch)) {
                 _ if host.is_lost() => "lost".to_owned(),
                 _ if host.worker.draining || host.unlisted => "leaving".to_owned(),
+                _ if host.is_slow() => "slow".to_owned(),
                 Some(group) => format!("{}:{}", group.model, group.phase.name()),
                 None => format!("free:{}", host.last_model()),
             };
--- a/crates/oliveworks-gateway-core/src/planner/advance.rs
+++ b/crates/oliveworks-gateway-core/src/planner/advance.rs
@@ -105,14 +105,15 @@
 
     fn advance_open(&mut self, now: Millis, group: &Group) {
         let hosts = group.members.iter().filter_map(|id| self.hosts.get(id));
-        let (mut lost, mut leaving, mut astray) =
-            (hosts.clone().count() < group.members.len(), false, false);
+        let mut broken = hosts.clone().count() < group.members.len();
+        let mut leaving = false;
+        // A slow member slows the whole group: its streams go on elsewhere sooner than they finish.
+        broken |= self.can_shed_slow(group);
         for host in hosts {
-            lost |= host.is_lost();
+            broken |= host.is_lost() || host.is_astray(group.epoch);
             leaving |= !host.is_lost() && !host.stays();
-            astray |= host.is_astray(group.epoch);
         }
-        if lost || astray {
+        if broken {
             self.set_phase(now, group.epoch, Phase::Breaking);
         } else if leaving {
             self.set_phase(now, group.epoch, Phase::Finishing);
--- a/crates/oliveworks-gateway-core/src/planner/domain.rs
+++ b/crates/oliveworks-gateway-core/src/planner/domain.rs
@@ -92,7 +92,7 @@
 /// All domains.
 pub(super) fn domains(now: Millis, planner: &Planner) -> BTreeMap<&str, Domain<'_>> {
     let mut domains: BTreeMap<&str, Domain<'_>> = BTreeMap::new();
-    for host in planner.hosts.values().filter(|host| host.stays()) {
+    for host in planner.hosts.values().filter(|host| host.is_fit()) {
         let domain = domains.entry(&host.worker.domain).or_default();
         domain.name = &host.worker.domain;
         domain.living += 1;
--- a/crates/oliveworks-gateway-core/src/planner/host.rs
+++ b/crates/oliveworks-gateway-core/src/planner/host.rs
@@ -21,6 +21,11 @@
 const FRESH_MS: u64 = 60;
 /// How much older than its reading a record of the store may be.
 const RECORD_LAG_MS: u64 = 1_500;
+/// The pace above which a host is slow, and the one at which it is no longer.
+const SLOW_PACE: f64 = 1.6;
+const USUAL_PACE: f64 = 1.25;
+/// The time between two questions to a host that is slow, or whose group is.
+const SLOW_PROBE_EVERY_MS: u64 = 1_000;
 /// The time that a member which has the model needs to join.
 const JOIN_MS: u64 = 200;
 
@@ -51,6 +56,10 @@
     silences: u32,
     /// Gateways see its group standing still, so that one silence tells.
     pub(super) suspected: bool,
+    /// It said that it is slow.
+    slow: bool,
+    /// The pace that it told last.
+    pace: f64,
     pending: bool,
     /// Its last order went unanswered: it is asked before the next one, since an order that came late
     /// may have changed it.
@@ -87,6 +96,8 @@
             unanswered_at: 0,
             silences: 0,
             suspected: false,
+            slow: false,
+            pace: 1.0,
             pending: false,
             ask_first: false,
             ordered_at: 0,
@@ -145,6 +156,35 @@
         !self.is_lost() && !self.unlisted && !self.worker.draining
     }
 
+    /// Whether it may belong to a group.
+    pub(super) fn is_fit(&self) -> bool {
+        self.stays() && !self.slow
+    }
+
+    /// Whether it said that it is slow.
+    pub(super) fn is_slow(&self) -> bool {
+        self.slow
+    }
+
+    /// How much slower than usual it is, if so much that it matters.
+    pub(super) fn pace(&self) -> f64 {
+        if self.pace > USUAL_PACE { self.pace } else { 1.0 }
+    }
+
+    /// Takes in the pace that it told; `may_be_slow` is whether it can be done without.
+    pub(super) fn paced(&mut self, pace: f64, may_be_slow: bool) {
+        self.pace = pace;
+        self.slow = match self.slow {
+            true => pace > USUAL_PACE,
+            false => pace > SLOW_PACE && may_be_slow,
+        };
+    }
+
+    /// Gateways see its group running slowly: it is asked, but not again and again.
+    pub(super) fn slows(&mut self, now: Millis) {
+        self.wants_probe |= now >= self.probed_at + SLOW_PROBE_EVERY_MS;
+    }
+
     /// Whether it has begun to join and is not done.
     pub(super) fn is_loading(&self) -> bool {
         let member = self.holding.group.as_ref();
@@ -194,7 +234,7 @@
     }
 
     pub(super) fn is_free(&self, ended: &BTreeSet<u64>) -> bool {
-        self.group.is_none() && self.stays() && !self.pending && self.stray(ended).is_none()
+        self.group.is_none() && self.is_fit() && !self.pending && self.stray(ended).is_none()
     }
 
     /// The group that it says it belongs to, if that may not have ended and nobody leads it here.
@@ -299,6 +339,9 @@
     }
 
     pub(super) fn probe(&mut self, now: Millis) -> Option<Command> {
+        if self.pace > USUAL_PACE && self.stays() {
+            self.slows(now);
+        }
         let lost_due =
             self.is_lost() && !self.unlisted && now >= self.probed_at + LOST_PROBE_EVERY_MS;
         let again_at = self.ordered_at + ORDER_AGAIN_MS;
--- a/crates/oliveworks-gateway-core/src/planner/order.rs
+++ b/crates/oliveworks-gateway-core/src/planner/order.rs
@@ -84,7 +84,7 @@
 }
 
 /// A group as gateways need to know it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Serving {
     /// The group's epoch.
     pub epoch: u64,
@@ -92,6 +92,8 @@
     pub model: String,
     /// Its members, the head first.
     pub members: Vec<WorkerId>,
+    /// How much slower than usual it runs; 1 is usual.
+    pub pace: f64,
 }
 
 /// Bounds of a planner.
--- a/crates/oliveworks-gateway-core/src/planner/stage.rs
+++ b/crates/oliveworks-gateway-core/src/planner/stage.rs
@@ -46,7 +46,7 @@
     }
     let mut staged: BTreeMap<(&str, &str), usize> = BTreeMap::new();
     let mut candidates = Vec::new();
-    for host in planner.hosts.values().filter(|host| host.stays()) {
+    for host in planner.hosts.values().filter(|host| host.is_fit()) {
         let Some(holds) = grouped().find(|model| host.held_last(&model.name)) else { continue };
         let model = if holds.name == largest.name { smallest } else { largest };
         let group = host.group.and_then(|epoch| planner.groups.get(&epoch));
--- a/crates/oliveworks-gateway-core/src/workers.rs
+++ b/crates/oliveworks-gateway-core/src/workers.rs
@@ -65,8 +65,8 @@
     pub staging: Vec<String>,
     /// Its place in a group.
     pub group: Option<Membership>,
-    /// How much slower than usual it is; 1 is usual.
-    pub pace: f64,
+    /// How much slower than usual it is, if it says so; 1 is usual.
+    pub pace: Option<f64>,
 }
 
 /// All backend servers that the platform lists.
--- a/crates/oliveworks-gateway-core/tests/planner_world.rs
+++ b/crates/oliveworks-gateway-core/tests/planner_world.rs
@@ -54,6 +54,7 @@
 struct SimHost {
     worker: Worker,
     alive: bool,
+    pace: f64,
     silent_until: u64,
     fence: u64,
     epoch: u64,
@@ -106,11 +107,12 @@
             domain: domain.into(),
             slots: 34,
             draining: false,
-            holding: Holding { pace: 1.0, ..Holding::default() },
+            holding: Holding::default(),
         };
         let host = SimHost {
             worker,
             alive: true,
+            pace: 1.0,
             silent_until: 0,
             fence: 0,
             epoch: 0,
@@ -263,7 +265,7 @@
             models: host.last_model.iter().cloned().collect(),
             staging: host.staging.clone(),
             group: host.group.as_ref().map(|(member, _, _)| member.clone()),
-            pace: 1.0,
+            pace: Some(host.pace),
         })
     }
 
@@ -274,7 +276,7 @@
                 models: host.last_model.iter().cloned().collect(),
                 staging: host.staging.clone(),
                 group: host.group.as_ref().map(|(member, _, _)| member.clone()),
-                pace: 1.0,
+                pace: None,
             },
             ..host.worker.clone()
         });
@@ -590,3 +592,64 @@
     let held = |model| serving(&world, &leader, model, domain);
     assert_eq!((held("large"), held("small")), (1, 1));
 }
+
+/// A group with a slow member gives it up for a spare; the host comes back when it is as fast as
+/// usual. Where most hosts are slow, groups serve slowly and not at all.
+#[test]
+fn a_slow_member_is_replaced() {
+    let (mut world, mut leader) = formed();
+    let domain = DOMAINS[0];
+    let group = |leader: &Leader, now| {
+        let serving = leader.planner.serving(now);
+        serving.into_iter().find(|group| group.model == "large").expect("a large group")
+    };
+    let before = group(&leader, world.now);
+    let slow = before.members[1].clone();
+    world.hosts.get_mut(&slow).expect("a host").pace = 5.0;
+    leader.planner.runs_slowly(world.now, before.epoch);
+    run_for(&mut world, &mut leader, HOT_REPAIR_MS, true);
+    let slow_domain = world.hosts[&slow].worker.domain.clone();
+    assert_eq!(serving(&world, &leader, "large", &slow_domain), 1, "{domain}");
+    assert!(!leader.planner.serving(world.now).iter().any(|g| g.members.contains(&slow)));
+    let lines = leader.planner.describe_domains();
+    assert!(lines.iter().any(|line| line.contains("slow")), "{lines:?}");
+    world.hosts.get_mut(&slow).expect("a host").pace = 1.0;
+    run_for(&mut world, &mut leader, 3_000, true);
+    let lines = leader.planner.describe_domains();
+    assert!(!lines.iter().any(|line| line.contains("slow")), "{lines:?}");
+}
+
+#[test]
+fn groups_serve_slowly_where_most_hosts_are_slow() {
+    let (mut world, mut leader) = formed();
+    world.hosts.values_mut().for_each(|host| host.pace = 5.0);
+    for _ in 0..10 {
+        let epochs: Vec<u64> =
+            leader.planner.serving(world.now).iter().map(|group| group.epoch).collect();
+        epochs.iter().for_each(|epoch| leader.planner.runs_slowly(world.now, *epoch));
+        run_for(&mut world, &mut leader, 2_000, true);
+    }
+    assert!(leader.planner.serving(world.now).len() >= 5, "{:?}", leader.planner.describe());
+}
+
+/// Without another host for it, a group with a slow member serves on, and says how slowly.
+#[test]
+fn a_slow_group_serves_on_without_spares() {
+    let (mut world, mut leader) = formed();
+    let domain = DOMAINS[0];
+    let hosts: Vec<WorkerId> = world.hosts.keys().cloned().collect();
+    let serving_hosts: Vec<WorkerId> =
+        leader.planner.serving(world.now).into_iter().flat_map(|group| group.members).collect();
+    for id in hosts.iter().filter(|id| !serving_hosts.contains(id)) {
+        world.hosts.get_mut(id).expect("a spare").alive = false;
+    }
+    run_for(&mut world, &mut leader, 3_000, true);
+    let large = |group: &oliveworks_gateway_core::planner::Serving| group.model == "large";
+    let group = leader.planner.serving(world.now).into_iter().find(large).expect("a large group");
+    world.hosts.get_mut(&group.members[1]).expect("a host").pace = 5.0;
+    leader.planner.runs_slowly(world.now, group.epoch);
+    run_for(&mut world, &mut leader, 500, true);
+    let after = leader.planner.serving(world.now);
+    let same = after.iter().find(|other| other.epoch == group.epoch).expect("it serves on");
+    assert!((same.pace - 5.0).abs() < f64::EPSILON, "{domain}: {}", same.pace);
+}
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -24,6 +24,8 @@
 const LISTEN_MS: u64 = 250;
 /// The time between two lines on each domain.
 const DESCRIBE_MS: u64 = 1_000;
+/// The pace above which a host gets a line.
+const PACE_TOLD: f64 = 1.25;
 /// The longest that an order may take to be answered.
 const ORDER_MS: u64 = 250;
 /// The longest that a backend server may take to tell its state.
@@ -157,6 +159,7 @@
 
 fn plan(gateway: &Rc<Gateway>, fence: u64) {
     let now = gateway.now();
+    let slow = gateway.slow_groups();
     let mut planners = gateway.planners.borrow_mut();
     let mut groups = Vec::new();
     let mut ended = Vec::new();
@@ -165,6 +168,7 @@
         refresh(gateway, service, planner);
         planner.set_traffic(gateway.traffic.get());
         tell_load(gateway, service, planner);
+        slow.iter().for_each(|epoch| planner.runs_slowly(now, *epoch));
         commands.extend(planner.tick(now).into_iter().map(|command| (service.clone(), command)));
         groups.extend(table_groups(gateway, service, planner));
         ended.extend(planner.ended());
@@ -215,6 +219,7 @@
             address: head.address,
             slots,
             zone: head.zone.clone(),
+            pace_percent: (group.pace * 100.0) as u32,
         });
     }
     groups
@@ -251,7 +256,10 @@
                 return;
             };
             match answer {
-                Asked::Holding(holding) => planner.reported(now, &worker, &holding),
+                Asked::Holding(holding) => {
+                    tell_pace(&worker, holding.pace);
+                    planner.reported(now, &worker, &holding);
+                }
                 Asked::Silent { refused } => planner.silent(now, &worker, refused),
                 Asked::Replaced => planner.replaced(now, &worker),
             }
@@ -269,6 +277,13 @@
     }
 }
 
+/// A line for a host that says it is slower than usual.
+fn tell_pace(worker: &str, pace: Option<f64>) {
+    if let Some(pace) = pace.filter(|pace| *pace > PACE_TOLD) {
+        Event::new("host_is_slow").with("host", worker).with("pace", pace).write();
+    }
+}
+
 async fn give(
     gateway: &Gateway,
     fence: u64,
--- a/crates/oliveworks-gateway/src/peers.rs
+++ b/crates/oliveworks-gateway/src/peers.rs
@@ -46,6 +46,8 @@
     open: Vec<(Target, Load)>,
     /// Groups that the sender sees standing still.
     suspects: Vec<u64>,
+    /// Groups that the sender sees running slowly.
+    slow: Vec<u64>,
     /// Targets from which the sender has just heard.
     heard: Vec<Target>,
     /// Whether any gateway has had a request.
@@ -68,6 +70,7 @@
         leads,
         open: gateway.balance.borrow().own_open().collect(),
         suspects: gateway.suspects.borrow().keys().copied().collect(),
+        slow: gateway.slow_groups(),
         heard: gateway.balance.borrow().heard_since(now.saturating_sub(HEARD_MS)).collect(),
         traffic: gateway.traffic.get(),
         peers: young.map(|(name, peer)| (name.clone(), peer.address)).take(FAN_OUT).collect(),
@@ -142,6 +145,9 @@
     for epoch in beat.suspects {
         gateway.suspected_by_another(epoch);
     }
+    for epoch in beat.slow {
+        gateway.runs_slowly(epoch);
+    }
     if let Some(fence) = beat.leads {
         gateway.election.borrow_mut().heartbeat(now, fence);
         if let Some(table) = beat.table {
--- a/crates/oliveworks-gateway/src/relay/attempt.rs
+++ b/crates/oliveworks-gateway/src/relay/attempt.rs
@@ -286,6 +286,10 @@
             let before = since;
             since = self.heard(place);
             self.longest_gap_ms = self.longest_gap_ms.max(since - before);
+            if began.get() {
+                let target = place.candidate.target;
+                self.gateway.speeds.borrow_mut().paused(since, target, since - before);
+            }
             let Some(part) = part else { break };
             let Ok(events) = splitter.push(&part) else {
                 return Tried::Failed { failure: Failure::Lost, gone: false };
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -1,7 +1,7 @@
 //! What the parts of a gateway share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -12,6 +12,7 @@
 use oliveworks_gateway_core::election::{Election, ElectionConfig};
 use oliveworks_gateway_core::freshness::Freshness;
 use oliveworks_gateway_core::planner::Planner;
+use oliveworks_gateway_core::speed::Speeds;
 use oliveworks_gateway_core::workers::{Directory, MemberState, Worker, WorkerId};
 use oliveworks_runtime::clock::Clock;
 use serde::{Deserialize, Serialize};
@@ -39,6 +40,15 @@
     pub slots: u32,
     /// The zone of its head.
     pub zone: String,
+    /// How much slower than usual it runs, in hundredths; 100 is usual.
+    pub pace_percent: u32,
+}
+
+impl TableGroup {
+    /// How much slower than usual it runs.
+    fn pace(&self) -> f64 {
+        f64::from(self.pace_percent.max(100)) / 100.0
+    }
 }
 
 /// All groups that serve, as the leader published them.
@@ -114,6 +124,8 @@
     pub store_heard_at: Cell<Millis>,
     /// How busy backend servers are.
     pub balance: RefCell<Balance>,
+    /// How fast replica groups run.
+    pub speeds: RefCell<Speeds>,
     /// Repeats.
     pub budget: RefCell<Budget>,
     /// Who leads.
@@ -168,6 +180,7 @@
             store_failed_at: Cell::new(None),
             store_heard_at: Cell::new(now),
             balance: RefCell::default(),
+            speeds: RefCell::default(),
             budget: RefCell::new(budget),
             election: RefCell::new(Election::new(ElectionConfig::default(), life, now)),
             planners: RefCell::default(),
@@ -346,10 +359,11 @@
                 let head = &group.members[0];
                 let candidate = Candidate {
                     target: Target::of(head),
-                    slots: group.slots,
+                    // A slow group writes as fast as usual only with fewer requests.
+                    slots: (f64::from(group.slots) / group.pace()).ceil() as u32,
                     near: group.zone == self.settings.zone,
-                    open_ms: GROUP_OPEN_MS,
-                    token_ms,
+                    open_ms: GROUP_OPEN_MS * group.pace(),
+                    token_ms: token_ms * group.pace(),
                 };
                 Place {
                     worker: head.as_str().into(),
@@ -361,6 +375,45 @@
             .collect()
     }
 
+    /// Groups that run much slower than others of their model, as this gateway sees them.
+    pub fn slow_groups(&self) -> Vec<u64> {
+        let Some(lookup) = self.lookup() else { return Vec::new() };
+        let now = self.now();
+        let table = self.table.borrow();
+        let speeds = self.speeds.borrow();
+        let mut slow = Vec::new();
+        for service in &lookup.configuration.services {
+            let Some(engine) = &service.engine else { continue };
+            for model in &engine.models {
+                let of_model = |g: &&TableGroup| g.service == service.name && g.model == model.name;
+                let groups: Vec<&TableGroup> = table.groups.iter().filter(of_model).collect();
+                let targets: Vec<Target> =
+                    groups.iter().map(|group| Target::of(&group.members[0])).collect();
+                let longest_ms = engine.longest_pass_ms(model).ceil() as u64;
+                let found = speeds.slow(now, &targets, longest_ms);
+                let is_slow = |group: &&&TableGroup| found.contains(&Target::of(&group.members[0]));
+                slow.extend(groups.iter().filter(is_slow).map(|group| group.epoch));
+            }
+        }
+        slow
+    }
+
+    /// A gateway sees a group running slowly.
+    pub fn runs_slowly(&self, epoch: u64) {
+        let now = self.now();
+        for planner in self.planners.borrow_mut().values_mut() {
+            planner.runs_slowly(now, epoch);
+        }
+    }
+
+    /// Forgets backend servers that are no longer listed.
+    pub fn forget_gone(&self) {
+        let directory = self.directory.borrow();
+        let listed: HashSet<Target> = directory.iter().map(|w| Target::of(&w.id)).collect();
+        self.balance.borrow_mut().retain(|target| listed.contains(&target));
+        self.speeds.borrow_mut().retain(|target| listed.contains(&target));
+    }
+
     /// A group stands still: others and the leader are told.
     pub fn suspect(&self, epoch: u64) {
         let now = self.now();
--- a/crates/oliveworks-gateway/src/store.rs
+++ b/crates/oliveworks-gateway/src/store.rs
@@ -291,6 +291,7 @@
         gateway.directory_read.set(true);
     }
     missing.sweep(gateway);
+    gateway.forget_gone();
     new
 }
 
