Hosts of a domain that is listed wait for the groups that they should form while another is still being listed

Found by the domain lines: 'spare: 8 ... wanted voba 4'. Ruled out: the quota. Change: no spares while any domain is still being listed before traffic. Test: hosts_wait_for_a_domain_that_is_listed_late (1 small group without, 6 and more with).

--- a/crates/oliveworks-gateway-core/src/planner/allot.rs
+++ b/crates/oliveworks-gateway-core/src/planner/allot.rs
@@ -34,17 +34,24 @@
 /// The groups to form now.
 pub(super) fn allot(now: Millis, planner: &Planner) -> Vec<NewGroup> {
     let mut domains = domains(now, planner);
-    let mut plans = form(planner, &mut domains);
-    load_spares(planner, &domains, &mut plans);
+    // Hosts are still being listed, in one domain longer than in another.
+    let listing = !planner.traffic && domains.values().any(|domain| !domain.steady);
+    let mut plans = form(planner, &mut domains, listing);
+    if !listing {
+        load_spares(planner, &domains, &mut plans);
+    }
     plans
 }
 
-/// Forms groups up to the quotas, the neediest model first, where there are fewest of it.
-fn form<'a>(planner: &'a Planner, domains: &mut BTreeMap<&str, Domain<'a>>) -> Vec<NewGroup> {
+/// Forms groups up to the quotas, the neediest model first, where there are fewest of it. While hosts
+/// are still being listed, what they make room for is not known yet, but for the largest model, whose
+/// groups take longest to form.
+fn form<'a>(
+    planner: &'a Planner,
+    domains: &mut BTreeMap<&str, Domain<'a>>,
+    listing: bool,
+) -> Vec<NewGroup> {
     let mut plans = Vec::new();
-    // Hosts are still being listed: what they make room for is not known yet, but for the largest
-    // model, whose groups take longest to form.
-    let listing = !planner.traffic && domains.values().any(|domain| !domain.steady);
     let largest = planner.engine.models.iter().map(|model| model.size).max();
     let mut open: Vec<&Model> = planner.engine.models.iter().collect();
     open.retain(|model| !listing || Some(model.size) == largest);
--- a/crates/oliveworks-gateway-core/tests/planner_world.rs
+++ b/crates/oliveworks-gateway-core/tests/planner_world.rs
@@ -692,3 +692,22 @@
     let line = lines.iter().find(|line| line.starts_with(domain)).expect("a line");
     assert!(line.ends_with(r#"wanted {"large": 1, "small": 2}"#), "{line}, before: {before}");
 }
+
+/// While the hosts of one domain are still being listed, those of another wait for the groups that
+/// they should form, and do not become spares.
+#[test]
+fn hosts_wait_for_a_domain_that_is_listed_late() {
+    let mut world = World::new(1, Broken::default());
+    for _ in 0..2 * MANY {
+        DOMAINS[..2].iter().for_each(|domain| world.add_host(domain));
+    }
+    let mut leader = Leader::take_over(&world, 1, vec![]);
+    for _ in 0..MANY {
+        world.add_host(DOMAINS[2]);
+        leader.read_list(&world);
+        run_for(&mut world, &mut leader, 1_000, false);
+    }
+    run_for(&mut world, &mut leader, 90_000, false);
+    let small = serving(&world, &leader, "small", DOMAINS[0]);
+    assert!(small >= 6, "{small} small groups, {:?}", leader.planner.describe_domains());
+}
