Groups end for others only once what domains can hold has been the same for 400 ms

Change: no group yields within 400 ms of a change. Test: groups_elsewhere_serve_on_while_a_domain_goes_dark (red without).

--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -38,6 +38,8 @@
 /// The part of all hosts, in hundredths, that is left out for being slow, at the most: slow groups
 /// are better than none.
 const SLOW_PERCENT_MAX: usize = 30;
+/// How long what domains can hold must have been the same before groups end for others.
+const CALM_MS: u64 = 400;
 /// Loads that may begin at once.
 const LOAD_BURST: f64 = 2.0;
 /// The part of the weight store's rate that is used: orders that are carried out late come on top.
@@ -67,6 +69,8 @@
     /// What the domains can hold, and the groups that they should hold for it.
     rooms: BTreeMap<String, Room>,
     quotas: Quotas,
+    /// When that last changed.
+    quotas_at: Millis,
     /// Whether callers have been served, from which time on loads are slow and counted.
     traffic: bool,
 }
@@ -89,6 +93,7 @@
             busy: BTreeMap::new(),
             rooms: BTreeMap::new(),
             quotas: Quotas::new(),
+            quotas_at: now,
             traffic: true,
         }
     }
@@ -133,10 +138,11 @@
     }
 
     /// Works out how many groups each domain should hold, if anything has changed.
-    fn update_quotas(&mut self) {
+    fn update_quotas(&mut self, now: Millis) {
         let rooms = domain::rooms(self);
         if rooms != self.rooms {
             self.quotas = quota::quotas(&self.engine.models, &rooms);
+            self.quotas_at = now;
             self.rooms = rooms;
         }
     }
@@ -364,11 +370,14 @@
         self.free_strays(now, &mut commands);
         self.forget_hosts();
         self.count_hosts();
-        self.update_quotas();
+        self.update_quotas(now);
         for group in allot::allot(now, self) {
             self.found(now, group);
         }
-        if let Some(plan) = allot::yielding(now, self) {
+        // A domain that goes dark loses one host after the other: groups elsewhere do not end for what
+        // is wanted halfway.
+        let calm = now >= self.quotas_at + CALM_MS;
+        if let Some(plan) = allot::yielding(now, self).filter(|_| calm) {
             for epoch in plan.epochs {
                 self.set_phase(now, epoch, Phase::Finishing);
                 if let Some(group) = self.groups.get_mut(&epoch) {
--- a/crates/oliveworks-gateway-core/tests/planner_world.rs
+++ b/crates/oliveworks-gateway-core/tests/planner_world.rs
@@ -711,3 +711,29 @@
     let small = serving(&world, &leader, "small", DOMAINS[0]);
     assert!(small >= 6, "{small} small groups, {:?}", leader.planner.describe_domains());
 }
+
+/// A domain goes dark, one host after the other: no group elsewhere ends for what is wanted halfway.
+#[test]
+fn groups_elsewhere_serve_on_while_a_domain_goes_dark() {
+    let (mut world, mut leader) = formed(MANY);
+    let dark: Vec<WorkerId> = world
+        .hosts
+        .values()
+        .filter(|host| host.worker.domain == DOMAINS[0])
+        .map(|host| host.worker.id.clone())
+        .collect();
+    let elsewhere = |world: &World, leader: &Leader| -> BTreeSet<u64> {
+        let serving = leader.planner.serving(world.now).into_iter();
+        let others =
+            serving.filter(|group| world.hosts[&group.members[0]].worker.domain != DOMAINS[0]);
+        others.map(|group| group.epoch).collect()
+    };
+    let before = elsewhere(&world, &leader);
+    for id in dark {
+        world.hosts.get_mut(&id).expect("a host").alive = false;
+        suspect(&world, std::slice::from_mut(&mut leader), &id);
+        run_for(&mut world, &mut leader, 60, true);
+        let after = elsewhere(&world, &leader);
+        assert!(before.is_subset(&after), "{:?}", leader.planner.describe_domains());
+    }
+}
