A policy section of the settings; spares give way to a model that has no group

Change: quota::serving_all keeps a spare less for as long as a model without a group would fit; where only one of two models fits, the one with the larger part of the work is served. Lines on domains name what hosts have staged, request lines what was open where they went. Test that failed first: every_model_is_served_in_small_domains (4 hosts a domain), with quotas in place of serving_all; no_model_is_without_a_group_that_fits.

--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -35,6 +35,12 @@
 /// The weight of a new figure in a model's load, and the load above which spares should serve.
 const LOAD_WEIGHT: f64 = 0.08;
 const BUSY: f64 = 0.5;
+/// The load, in open requests for each slot, above which a model gets hosts that are kept or waiting
+/// for another: soon its groups would refuse callers.
+const CROWDED: f64 = 0.65;
+/// How much busier, in open requests for each slot, a model must be than another whose group ends for
+/// it: the change itself takes some seconds of both.
+const YIELD_MARGIN: f64 = 0.1;
 /// The part of all hosts, in hundredths, that is left out for being slow, at the most: slow groups
 /// are better than none.
 const SLOW_PERCENT_MAX: usize = 30;
@@ -114,6 +120,29 @@
         self.load(model) > BUSY
     }
 
+    /// Groups of a model that serve or will.
+    fn groups_of(&self, model: &Model) -> usize {
+        let of_model = self.groups.values().filter(|group| group.model == model.name);
+        of_model.filter(|group| group.counts() && group.members.len() == model.size).count()
+    }
+
+    /// Whether ending so many groups of `giver` for one of `needy` serves more callers, beyond what
+    /// the quotas say: always for a model without any group, else for one that stays busier. The last
+    /// group of a model never ends for another's.
+    fn is_worth(&self, needy: &Model, giver: &Model, ended: usize) -> bool {
+        let groups = self.groups_of(giver);
+        if !self.config.yields_by_load || !self.traffic || groups <= ended {
+            return false;
+        }
+        let load_after = self.load(giver) * groups as f64 / (groups - ended) as f64;
+        self.groups_of(needy) == 0 || self.load(needy) > load_after + YIELD_MARGIN
+    }
+
+    /// Whether a model's groups are about to refuse callers.
+    fn is_crowded(&self, model: &Model) -> bool {
+        self.load(model) > CROWDED
+    }
+
     /// Whether callers have been served at all.
     pub fn set_traffic(&mut self, traffic: bool) {
         self.traffic = traffic;
@@ -141,7 +170,7 @@
     fn update_quotas(&mut self, now: Millis) {
         let rooms = domain::rooms(self);
         if rooms != self.rooms {
-            self.quotas = quota::quotas(&self.engine.models, &rooms);
+            self.quotas = quota::serving_all(&self.engine.models, &rooms);
             self.quotas_at = now;
             self.rooms = rooms;
         }
@@ -489,7 +518,7 @@
 
     /// Stages models with what the joins of this tick left of the loads.
     fn stage(&mut self, now: Millis, commands: &mut Vec<Command>) {
-        let most = self.engine.loads_at_once as usize;
+        let most = self.engine.loads_at_once as usize * self.config.staging_percent / 100;
         if self.waits_for_joins() || (self.traffic && self.loading() >= most) {
             return;
         }
@@ -554,8 +583,8 @@
                 _ if host.is_lost() => "lost".to_owned(),
                 _ if host.worker.draining || host.unlisted => "leaving".to_owned(),
                 _ if host.is_slow() => "slow".to_owned(),
-                Some(group) => format!("{}:{}", group.model, group.phase.name()),
-                None => format!("free:{}", host.last_model()),
+                Some(group) => format!("{}:{}{}", group.model, group.phase.name(), host.beside()),
+                None => format!("free:{}{}", host.last_model(), host.beside()),
             };
             *domains.entry(&host.worker.domain).or_default().entry(what).or_default() += 1;
         }
--- a/crates/oliveworks-gateway-core/src/planner/allot.rs
+++ b/crates/oliveworks-gateway-core/src/planner/allot.rs
@@ -88,9 +88,6 @@
 /// How many times the hosts for its share a larger model may have before its spares serve a smaller
 /// one. A small group that lost a member is a small part of its model; the next large one waits long.
 const SPARE_RATIO: f64 = 1.3;
-/// The load of a smaller model's groups, in open requests for each slot, above which they get those
-/// spares all the same: soon they would refuse callers.
-const CROWDED: f64 = 0.65;
 
 /// Whether spares that hold a larger model are kept for it.
 fn keeps_larger_spares(
@@ -98,7 +95,7 @@
     model: &Model,
     domains: &BTreeMap<&str, Domain<'_>>,
 ) -> bool {
-    if planner.load(model) > CROWDED {
+    if planner.is_crowded(model) {
         return false;
     }
     let larger = planner.engine.models.iter().filter(|other| other.size > model.size);
@@ -129,7 +126,12 @@
     let warmest = order.iter().map(|host| warmth(host, model)).min()?;
     let may = match coldest {
         Warmth::Hot => domain.lacks(planner, model) > 0 || planner.is_busy(model),
-        Warmth::Staged => domain.lacks(planner, model) > 0,
+        // Hosts that would wait for others serve a crowded model meanwhile; they yield when the group
+        // that they wait for can be formed.
+        Warmth::Staged => {
+            domain.lacks(planner, model) > 0
+                || (planner.config.waiting_serve && planner.is_crowded(model))
+        }
         // Hosts that hold the model do not wait for one that loads it: that one loads as a spare.
         Warmth::Cold => {
             let unused =
@@ -192,13 +194,29 @@
                 domain.lacks(planner, model) > 0 && comes < model.size
             });
             let staged = grouped.iter().copied().find(|model| host.has(&model.name));
-            let model = staged.or(short).unwrap_or(held);
+            let model =
+                staged.or(short).unwrap_or_else(|| first_spare(planner, domain, &loading, held));
             *loading.entry(&model.name).or_default() += 1;
             plans.push(new_group(model, &[host]));
         }
     }
 }
 
+/// The model that a further spare of a domain loads: the first one holds the largest model, whose
+/// groups are missed most and load longest.
+fn first_spare<'a>(
+    planner: &'a Planner,
+    domain: &Domain<'_>,
+    loading: &BTreeMap<&str, usize>,
+    others: &'a Model,
+) -> &'a Model {
+    let grouped = planner.engine.models.iter().filter(|model| model.size > 1);
+    let Some(largest) = grouped.max_by_key(|model| model.size) else { return others };
+    let held = domain.free.iter().any(|host| host.held_last(&largest.name));
+    let comes = loading.get(largest.name.as_str()).is_some_and(|count| *count > 0);
+    if held || comes || !planner.config.first_spare_largest { others } else { largest }
+}
+
 /// Groups that end so that a needier model gets their hosts.
 pub(super) struct Yield {
     pub(super) epochs: Vec<u64>,
@@ -253,6 +271,7 @@
         epochs.push(group.epoch);
     }
     let keeps = domain.count(model) + left_over / model.size.max(1);
-    let enough = keeps >= quota(planner, domain.name, model) + epochs.len();
+    let enough = keeps >= quota(planner, domain.name, model) + epochs.len()
+        || planner.is_worth(needy, model, epochs.len());
     (lacking == 0 && enough).then_some(epochs)
 }
--- a/crates/oliveworks-gateway-core/src/planner/domain.rs
+++ b/crates/oliveworks-gateway-core/src/planner/domain.rs
@@ -133,13 +133,14 @@
     let domains = domains(0, planner);
     let rooms = domains.values().map(|domain| {
         let groups = domain.groups.iter().map(|(model, count)| ((*model).to_owned(), *count));
-        let hosts = domain.living.saturating_sub(reserve(planner, domain));
+        let spares = reserve(planner, domain).min(domain.living);
+        let hosts = domain.living - spares;
         let mut hot = BTreeMap::new();
         for model in &planner.engine.models {
             let free = domain.free.iter().filter(|host| host.held_last(&model.name)).count();
             hot.insert(model.name.clone(), free);
         }
-        (domain.name.to_owned(), Room { hosts, groups: groups.collect(), hot })
+        (domain.name.to_owned(), Room { hosts, spares, groups: groups.collect(), hot })
     });
     rooms.collect()
 }
--- a/crates/oliveworks-gateway-core/src/planner/host.rs
+++ b/crates/oliveworks-gateway-core/src/planner/host.rs
@@ -228,6 +228,12 @@
         self.last_model.as_deref().unwrap_or("none")
     }
 
+    /// The models that it can take up beside the one that it held last, for people.
+    pub(super) fn beside(&self) -> String {
+        let staged = self.holding.staging.iter().filter(|model| !self.held_last(model));
+        staged.map(|model| format!("+{model}")).collect()
+    }
+
     /// Whether it was the last that it held.
     pub(super) fn held_last(&self, model: &str) -> bool {
         self.last_model.as_deref() == Some(model)
--- a/crates/oliveworks-gateway-core/src/planner/order.rs
+++ b/crates/oliveworks-gateway-core/src/planner/order.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::workers::WorkerId;
 
 /// An order to a backend server.
@@ -96,21 +98,45 @@
     pub pace: f64,
 }
 
-/// Bounds of a planner.
-#[derive(Clone, Copy, Debug, PartialEq)]
+/// The weights of a planner's decisions.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
 pub struct PlannerConfig {
     /// The part of a domain that is kept as spares, in hundredths, at the most.
     pub spare_percent: usize,
-    /// How long a group that is to end still takes requests that are on their way.
+    /// How long a group that is to end still takes requests that are on their way, in ms.
     pub notice_ms: u64,
-    /// The longest that a group may take to finish its work.
+    /// The longest that a group may take to finish its work, in ms.
     pub finish_ms: u64,
-    /// How long a domain's hosts must have been the same before cold ones become spares.
+    /// How long a domain's hosts must have been the same before cold ones become spares, in ms: the
+    /// next read of the list may bring one that completes a group.
     pub settle_ms: u64,
+    /// Hosts of a domain that keep a second model staged, beyond which none is staged in traffic.
+    pub staged_max: usize,
+    /// The part of the loads that run at full speed beyond which nothing is staged in traffic, in
+    /// hundredths: what a group lacks should not wait for what it may need later.
+    pub staging_percent: usize,
+    /// Whether the first spare of each domain holds the largest model.
+    pub first_spare_largest: bool,
+    /// Whether hosts that wait for others to form a large group serve a crowded model meanwhile.
+    pub waiting_serve: bool,
+    /// Whether a small group ends for a large one that is busier, also where fewer small ones remain
+    /// than wanted.
+    pub yields_by_load: bool,
 }
 
 impl Default for PlannerConfig {
     fn default() -> PlannerConfig {
-        PlannerConfig { spare_percent: 20, notice_ms: 60, finish_ms: 9_000, settle_ms: 1_500 }
+        PlannerConfig {
+            spare_percent: 20,
+            notice_ms: 60,
+            finish_ms: 9_000,
+            settle_ms: 1_500,
+            staged_max: 4,
+            staging_percent: 100,
+            first_spare_largest: false,
+            waiting_serve: false,
+            yields_by_load: false,
+        }
     }
 }
--- a/crates/oliveworks-gateway-core/src/planner/stage.rs
+++ b/crates/oliveworks-gateway-core/src/planner/stage.rs
@@ -12,9 +12,6 @@
 use crate::configuration::Model;
 use crate::workers::WorkerId;
 
-/// Hosts of a domain that keep a model staged, beyond which none is staged once loads cost.
-const MOST_IN_TRAFFIC: usize = 4;
-
 /// A host that should load a model to its memory.
 pub(super) struct Staging {
     pub(super) host: WorkerId,
@@ -58,7 +55,7 @@
         }
     }
     take_turns(&mut candidates, staged);
-    let most = if planner.traffic { MOST_IN_TRAFFIC } else { usize::MAX };
+    let most = if planner.traffic { planner.config.staged_max } else { usize::MAX };
     candidates.retain(|candidate| candidate.turn < most);
     candidates.sort_by_key(|candidate| (std::cmp::Reverse(candidate.model.size), candidate.turn));
     let staging = candidates.into_iter().map(|candidate| Staging {
--- a/crates/oliveworks-gateway-core/src/quota.rs
+++ b/crates/oliveworks-gateway-core/src/quota.rs
@@ -14,6 +14,8 @@
 pub struct Room {
     /// Hosts that may serve: those that live, less the spares.
     pub hosts: usize,
+    /// Hosts that are kept as spares beside them.
+    pub spares: usize,
     /// Groups that serve or are being formed, by model.
     pub groups: BTreeMap<String, usize>,
     /// Free hosts that hold a model, by model: what is left of a group is completed where it is.
@@ -34,6 +36,32 @@
     hosts as f64 / model.share.max(SHARE_MIN)
 }
 
+/// The groups that each domain should hold, where spares give way to a model that would have none.
+///
+/// A domain may be no larger than one group: spares that no group is left for serve nobody.
+pub fn serving_all(models: &[Model], rooms: &BTreeMap<String, Room>) -> Quotas {
+    let mut rooms = rooms.clone();
+    loop {
+        let found = quotas(models, &rooms);
+        let Some(domain) = gives_way(models, &rooms, &found) else { return found };
+        let Some(room) = rooms.get_mut(&domain) else { return found };
+        room.hosts += 1;
+        room.spares -= 1;
+    }
+}
+
+/// The domain that should keep a spare less, since a model has no group and its hosts would do.
+fn gives_way(models: &[Model], rooms: &BTreeMap<String, Room>, found: &Quotas) -> Option<String> {
+    let has_group = |model: &Model| found.values().any(|groups| groups.contains_key(&model.name));
+    let unserved = models.iter().filter(|model| model.size > 0 && !has_group(model));
+    let fits = unserved.flat_map(|model| {
+        let all = rooms.iter().filter(|(_, room)| room.spares > 0);
+        all.filter(|(_, room)| room.hosts + room.spares >= model.size)
+    });
+    let largest = fits.max_by_key(|(_, room)| room.hosts + room.spares)?;
+    Some(largest.0.clone())
+}
+
 /// The groups that each domain should hold.
 ///
 /// Groups that exist are kept where that is possible; a domain that lost a large group may have to
@@ -61,8 +89,13 @@
         let groups = counts.get(model.name.as_str()).copied().unwrap_or(0);
         per_weight(groups * model.size, model)
     };
+    // Where only one of two models fits, the one with the larger part of the work is served.
+    let first = |model: &Model| if need(model) > 0.0 { 0.0 } else { -model.share };
     let indices = 0..open.len();
-    indices.min_by(|a, b| need(open[*a]).total_cmp(&need(open[*b])))
+    indices.min_by(|a, b| {
+        let (a, b) = (open[*a], open[*b]);
+        need(a).total_cmp(&need(b)).then(first(a).total_cmp(&first(b)))
+    })
 }
 
 /// Places so many groups of each model, the largest first; nothing if they do not fit.
--- a/crates/oliveworks-gateway-core/tests/planner_world.rs
+++ b/crates/oliveworks-gateway-core/tests/planner_world.rs
@@ -524,6 +524,20 @@
     (world, leader)
 }
 
+/// Where a domain is hardly larger than one group, every model has a group all the same: spares do
+/// not take the last hosts.
+#[test_case(4; "domains of one large group")]
+#[test_case(5; "one host beside it")]
+#[test_case(6; "two hosts beside it")]
+fn every_model_is_served_in_small_domains(hosts: usize) {
+    let (world, leader) = formed(hosts);
+    for model in ["large", "small"] {
+        let held: usize =
+            DOMAINS.iter().map(|domain| serving(&world, &leader, model, domain)).sum();
+        assert!(held >= 1, "no {model} group: {:?}", leader.planner.describe_domains());
+    }
+}
+
 fn run_for(world: &mut World, leader: &mut Leader, time_ms: u64, traffic: bool) {
     let until = world.now + time_ms;
     while world.now < until {
--- a/crates/oliveworks-gateway-core/tests/quota.rs
+++ b/crates/oliveworks-gateway-core/tests/quota.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use oliveworks_gateway_core::configuration::Model;
-use oliveworks_gateway_core::quota::{Room, quotas};
+use oliveworks_gateway_core::quota::{Room, quotas, serving_all};
 use test_case::test_case;
 
 fn model(name: &str, size: usize, share: f64) -> Model {
@@ -13,7 +13,7 @@
 fn room(hosts: usize, large: usize, small: usize) -> Room {
     let groups = [("large".to_owned(), large), ("small".to_owned(), small)];
     let groups = groups.into_iter().filter(|(_, count)| *count > 0).collect();
-    Room { hosts, groups, hot: BTreeMap::new() }
+    Room { hosts, groups, ..Room::default() }
 }
 
 /// The same, where so many free hosts hold the large model.
@@ -49,3 +49,35 @@
     let quotas = quotas(&[model("only", 1, 1.0)], &rooms);
     assert_eq!(quotas["d"]["only"], 5);
 }
+
+/// Spares give way where a model would have no group at all, and only there.
+#[test_case(&[(3, 1), (3, 1), (3, 1)], &[("large", 4), ("small", 2)], &["large", "small"]; "domains of just one group")]
+#[test_case(&[(3, 1)], &[("large", 4), ("small", 2)], &["large"]; "only one of two fits")]
+#[test_case(&[(0, 1)], &[("single", 1)], &["single"]; "a single host")]
+#[test_case(&[(4, 2)], &[("large", 4), ("small", 2)], &["large", "small"]; "room for both without spares")]
+#[test_case(&[(5, 1), (2, 0)], &[("large", 6), ("middle", 3), ("small", 2)], &["large", "small"]; "as many as fit")]
+#[test_case(&[(3, 0), (3, 0)], &[("large", 4)], &[]; "no domain is large enough")]
+fn no_model_is_without_a_group_that_fits(
+    rooms: &[(usize, usize)],
+    models: &[(&str, usize)],
+    expected: &[&str],
+) {
+    let models: Vec<Model> = models.iter().map(|(name, size)| model(name, *size, 0.5)).collect();
+    let rooms = rooms.iter().enumerate().map(|(index, (hosts, spares))| {
+        let room = Room { hosts: *hosts, spares: *spares, ..Room::default() };
+        (format!("d{index}"), room)
+    });
+    let found = serving_all(&models, &rooms.collect());
+    let served = |model: &&Model| found.values().any(|groups| groups.contains_key(&model.name));
+    let served: Vec<&str> = models.iter().filter(served).map(|model| model.name.as_str()).collect();
+    assert_eq!(served, expected);
+}
+
+/// Where every model has its group, spares stay.
+#[test]
+fn spares_stay_where_all_models_are_served() {
+    let room = Room { hosts: 8, spares: 2, ..Room::default() };
+    let rooms = BTreeMap::from([("d".to_owned(), room)]);
+    let models = [model("large", 4, 0.5), model("small", 2, 0.5)];
+    assert_eq!(serving_all(&models, &rooms), quotas(&models, &rooms));
+}
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -7,7 +7,7 @@
 
 use oliveworks_gateway_core::balance::Target;
 use oliveworks_gateway_core::configuration::Engine;
-use oliveworks_gateway_core::planner::{Command, Order, Outcome, Planner, PlannerConfig};
+use oliveworks_gateway_core::planner::{Command, Order, Outcome, Planner};
 use oliveworks_gateway_core::workers::{Worker, WorkerId};
 use serde_json::{Map, Value};
 use tokio::time::sleep;
@@ -97,7 +97,7 @@
 
 /// A planner that knows the state of each of a service's hosts as it is now.
 async fn take_over(gateway: &Rc<Gateway>, service: &str, engine: &Engine, fence: u64) -> Planner {
-    let config = PlannerConfig::default();
+    let config = gateway.settings.policy.planner.clone();
     let mut planner = Planner::new(config, engine.clone(), fence, gateway.now());
     let workers: Vec<Worker> = gateway.directory.borrow().of_service(service).cloned().collect();
     let mut asked = Vec::new();
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -249,6 +249,14 @@
             let tokens = self.asked.prompt_tokens;
             self.tried.push(target);
             let now = self.gateway.now();
+            let load = self.gateway.balance.borrow().load(now, target);
+            self.log.push(format!(
+                "to {} at {} ms: {} open, {} tokens unread",
+                place.worker,
+                now - self.received,
+                load.requests,
+                load.tokens,
+            ));
             self.gateway.balance.borrow_mut().started(now, target, tokens);
             let mut open = Open {
                 gateway: self.gateway,
--- a/crates/oliveworks-gateway/src/settings.rs
+++ b/crates/oliveworks-gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use oliveworks_gateway_core::planner::PlannerConfig;
 use oliveworks_runtime::logs::LogConfig;
 use oliveworks_runtime::settings::Check;
 use serde::{Deserialize, Serialize};
@@ -27,11 +28,22 @@
     /// How it treats requests.
     #[serde(default)]
     pub requests: Requests,
+    /// The weights of its decisions.
+    #[serde(default)]
+    pub policy: Policy,
     /// Logs.
     #[serde(default)]
     pub log: LogConfig,
 }
 
+/// The weights of a gateway's decisions.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Policy {
+    /// Which hosts form groups, and what the others load.
+    pub planner: PlannerConfig,
+}
+
 /// Where a gateway listens.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -146,6 +158,16 @@
         if !(self.bounds.repeat_ratio >= 0.0 && self.bounds.repeat_extra >= 0.0) {
             return Err("bounds.repeat_ratio, bounds.repeat_extra: must not be negative".into());
         }
+        let planner = &self.policy.planner;
+        let percents = [
+            ("policy.planner.spare_percent", planner.spare_percent),
+            ("policy.planner.staging_percent", planner.staging_percent),
+        ];
+        for (key, percent) in percents {
+            if percent > 100 {
+                return Err(format!("{key}: must be at most 100"));
+            }
+        }
         if self.requests.full_at.is_nan() || self.requests.full_at <= 0.0 {
             return Err("requests.full_at: must be more than 0".into());
         }
--- /dev/null
+++ b/crates/oliveworks-gateway/tests/settings.rs
@@ -0,0 +1,40 @@
+//! A gateway's settings: the policy section, its defaults, and errors that name the key.
+
+use oliveworks_gateway::settings::Settings;
+use oliveworks_runtime::settings::parse;
+use test_case::test_case;
+
+const GOOD: &str = "
+node: gateway-1
+zone: ruwi
+listen: {callers: 127.0.0.1:1, ready: 127.0.0.1:2, peers: 127.0.0.1:3}
+store: {address: 127.0.0.1:4}
+bounds: {drain_ms: 2000, apply_ms: 2000, grace_ms: 8000, repeat_ratio: 0.2, repeat_extra: 160, \
+repeat_window_ms: 10000}
+policy: {planner: {spare_percent: 10}}
+";
+
+fn read(text: &str) -> Result<Settings, String> {
+    parse(text, std::iter::empty()).map_err(|error| format!("{error:#}"))
+}
+
+#[test]
+fn a_weight_is_set_and_the_others_keep_their_defaults() {
+    let planner = read(GOOD).expect("good settings").policy.planner;
+    let bare = read(&GOOD.replace("policy: {planner: {spare_percent: 10}}\n", ""));
+    let defaults = bare.expect("good settings").policy.planner;
+    assert_eq!(planner.spare_percent, 10);
+    assert_eq!(planner.settle_ms, defaults.settle_ms);
+}
+
+#[test_case("spare_percent: 10", "spare_percent: 101", "policy.planner.spare_percent"; "too many spares")]
+#[test_case("spare_percent: 10", "staging_percent: 200", "policy.planner.staging_percent"; "more than all loads")]
+#[test_case("spare_percent: 10", "spares: 10", "spares"; "an unknown weight")]
+#[test_case("spare_percent: 10", "spare_percent: many", "many"; "not a number")]
+#[test_case("planner:", "planer:", "planer"; "an unknown section")]
+fn a_wrong_policy_is_refused(part: &str, fault: &str, says: &str) {
+    let text = GOOD.replace(part, fault);
+    assert_ne!(text, GOOD);
+    let error = read(&text).expect_err("a fault");
+    assert!(error.contains(says), "{error}");
+}
