Hosts that come begin to load after 300 ms in place of 1,500

Cause: the weight store is the bottleneck (6 loads at full speed, 12 to 16 s each in traffic, a tenth of it before), and each host waited 1.5 s for others of its domain before it loaded anything; before traffic the loads of the smaller model began at -3.5 s where all hosts were listed at -6.2 s.

--- a/crates/oliveworks-gateway-core/src/planner/order.rs
+++ b/crates/oliveworks-gateway-core/src/planner/order.rs
@@ -131,7 +131,7 @@
             spare_percent: 20,
             notice_ms: 60,
             finish_ms: 9_000,
-            settle_ms: 1_500,
+            settle_ms: 300,
             staged_max: 4,
             staging_percent: 100,
             first_spare_largest: false,
