A small group ends for a model without any group, or one that stays busier

Change: a small group ends also where fewer of them remain than wanted, if the larger model has none anywhere or its groups are busier by 0.1 of their slots than the small ones would be; never the last group of a model. Test that failed first: a_small_group_ends_for_a_model_without_any.

--- a/crates/oliveworks-gateway-core/src/planner/order.rs
+++ b/crates/oliveworks-gateway-core/src/planner/order.rs
@@ -136,7 +136,7 @@
             staging_percent: 100,
             first_spare_largest: false,
             waiting_serve: false,
-            yields_by_load: false,
+            yields_by_load: true,
         }
     }
 }
--- a/crates/oliveworks-gateway-core/tests/planner_world.rs
+++ b/crates/oliveworks-gateway-core/tests/planner_world.rs
@@ -602,6 +602,38 @@
     }
 }
 
+/// Kills the hosts of a domain that belong to no group, so that it has no spares.
+fn kill_spares(world: &mut World, leader: &Leader, domain: &str) {
+    let serving: Vec<WorkerId> =
+        leader.planner.serving(world.now).into_iter().flat_map(|group| group.members).collect();
+    let hosts = world.hosts.iter_mut();
+    let spares = hosts.filter(|(id, host)| host.worker.domain == domain && !serving.contains(id));
+    spares.for_each(|(_, host)| host.alive = false);
+}
+
+/// No large group serves anywhere, and the one domain that could form one lacks a host: a small group
+/// gives it, though the domain then has fewer of them than wanted. A new host loads for 16 s.
+#[test]
+fn a_small_group_ends_for_a_model_without_any() {
+    let (mut world, mut leader) = formed(FEW);
+    for host in world.hosts.values_mut().filter(|host| host.worker.domain != DOMAINS[0]) {
+        host.alive = host.last_model.as_deref() == Some("small");
+        host.staging = vec!["small".into()];
+        host.staged_at = None;
+    }
+    kill_spares(&mut world, &leader, DOMAINS[0]);
+    run_for(&mut world, &mut leader, 3_000, true);
+    kill_member(&mut world, &mut leader, "small", DOMAINS[0]);
+    run_for(&mut world, &mut leader, STAGED_REPAIR_MS, true);
+    kill_spares(&mut world, &leader, DOMAINS[0]);
+    world.add_host(DOMAINS[0]);
+    run_for(&mut world, &mut leader, 1_000, true);
+    kill_member(&mut world, &mut leader, "large", DOMAINS[0]);
+    run_for(&mut world, &mut leader, 6_000, true);
+    let large = serving(&world, &leader, "large", DOMAINS[0]);
+    assert_eq!(large, 1, "{:?}", leader.planner.describe_domains());
+}
+
 /// Without a spare, a small group whose hosts have the large model staged gives one of them; what
 /// is left over forms a small group with a host that had lost its own.
 #[test]
