Hosts that wait for others serve a crowded model meanwhile

Cause: hosts of a broken large group that lack a fourth stood idle for up to 16 s, some with the smaller model staged, while that model refused callers. Test that failed first: hosts_that_wait_serve_a_crowded_model.

--- a/crates/oliveworks-gateway-core/src/planner/order.rs
+++ b/crates/oliveworks-gateway-core/src/planner/order.rs
@@ -135,7 +135,7 @@
             staged_max: 4,
             staging_percent: 100,
             first_spare_largest: false,
-            waiting_serve: false,
+            waiting_serve: true,
             yields_by_load: true,
         }
     }
--- a/crates/oliveworks-gateway-core/tests/planner_world.rs
+++ b/crates/oliveworks-gateway-core/tests/planner_world.rs
@@ -634,6 +634,32 @@
     assert_eq!(large, 1, "{:?}", leader.planner.describe_domains());
 }
 
+/// Three hosts wait for a fourth to form a large group. While small groups are crowded, two of them
+/// serve the small model, and come back once the fourth host is there.
+#[test_case(0.9, 3; "crowded")]
+#[test_case(0.4, 2; "not crowded")]
+fn hosts_that_wait_serve_a_crowded_model(load: f64, expected: usize) {
+    let (mut world, mut leader) = formed(FEW);
+    let domain = DOMAINS[0];
+    kill_spares(&mut world, &leader, domain);
+    for host in world.hosts.values_mut().filter(|host| host.worker.domain == domain) {
+        host.staging = vec!["small".into()];
+        host.staged_at = None;
+    }
+    run_for(&mut world, &mut leader, 3_000, true);
+    for _ in 0..60 {
+        leader.planner.set_load("small", load);
+    }
+    kill_member(&mut world, &mut leader, "large", domain);
+    run_for(&mut world, &mut leader, STAGED_REPAIR_MS, true);
+    let lines = leader.planner.describe_domains();
+    assert_eq!(serving(&world, &leader, "small", domain), expected, "{lines:?}");
+    world.add_host(domain);
+    run_for(&mut world, &mut leader, 25_000, true);
+    let lines = leader.planner.describe_domains();
+    assert_eq!(serving(&world, &leader, "large", domain), 1, "{lines:?}");
+}
+
 /// Without a spare, a small group whose hosts have the large model staged gives one of them; what
 /// is left over forms a small group with a host that had lost its own.
 #[test]
