The first spare of each domain holds the largest model

Cause: where small groups are few, spares held the smaller model with the larger staged: each repair of a large group took 1.6 s longer than that of a small one, though a small group is missed less. Change: one spare of each domain holds the largest model, the others the smallest as before.

--- a/crates/oliveworks-gateway-core/src/planner/order.rs
+++ b/crates/oliveworks-gateway-core/src/planner/order.rs
@@ -134,7 +134,7 @@
             settle_ms: 300,
             staged_max: 4,
             staging_percent: 100,
-            first_spare_largest: false,
+            first_spare_largest: true,
             waiting_serve: true,
             yields_by_load: true,
         }
