Loads at which spares and waiting hosts serve are weights of the settings

Cause: three thresholds of the planner stood as constants beside the weights that can be set. Change: busy_load, crowded_load and yield_margin join policy.planner, checked; each weight says where it comes from. No behaviour changed.

--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -32,15 +32,8 @@
 /// Ended groups that are remembered, and that are told to others.
 const ENDED_MAX: usize = 4_096;
 const ENDED_TOLD: usize = 64;
-/// The weight of a new figure in a model's load, and the load above which spares should serve.
+/// The weight of a new figure in a model's load.
 const LOAD_WEIGHT: f64 = 0.08;
-const BUSY: f64 = 0.5;
-/// The load, in open requests for each slot, above which a model gets hosts that are kept or waiting
-/// for another: soon its groups would refuse callers.
-const CROWDED: f64 = 0.65;
-/// How much busier, in open requests for each slot, a model must be than another whose group ends for
-/// it: the change itself takes some seconds of both.
-const YIELD_MARGIN: f64 = 0.1;
 /// The part of all hosts, in hundredths, that is left out for being slow, at the most: slow groups
 /// are better than none.
 const SLOW_PERCENT_MAX: usize = 30;
@@ -117,7 +110,7 @@
 
     /// Whether a model's groups are so busy that spares should serve.
     fn is_busy(&self, model: &Model) -> bool {
-        self.load(model) > BUSY
+        self.load(model) > self.config.busy_load
     }
 
     /// Groups of a model that serve or will.
@@ -135,12 +128,12 @@
             return false;
         }
         let load_after = self.load(giver) * groups as f64 / (groups - ended) as f64;
-        self.groups_of(needy) == 0 || self.load(needy) > load_after + YIELD_MARGIN
+        self.groups_of(needy) == 0 || self.load(needy) > load_after + self.config.yield_margin
     }
 
     /// Whether a model's groups are about to refuse callers.
     fn is_crowded(&self, model: &Model) -> bool {
-        self.load(model) > CROWDED
+        self.load(model) > self.config.crowded_load
     }
 
     /// Whether callers have been served at all.
--- a/crates/oliveworks-gateway-core/src/planner/allot.rs
+++ b/crates/oliveworks-gateway-core/src/planner/allot.rs
@@ -3,9 +3,10 @@
 //! How many groups of each model every domain should hold is in [`quota`](crate::quota). A part of
 //! each domain is kept as spares. Where there are many small groups, spares hold the largest model:
 //! a small group is not missed, and a large one comes back in the time of an order. Where there are
-//! few, spares hold the smallest model, serve in pairs while it is busy, and keep the largest staged.
-//! Rejected: one rule for all (spares of the largest cost the pools of 30 hosts 0.14 and 0.2 of their
-//! score, spares of the smallest the pools of 54 and 72 hosts 0.03 of worth).
+//! few, the first spare of a domain holds the largest model, the others the smallest; they serve in
+//! pairs while it is busy, and keep the largest staged. Rejected: one rule for all (spares of the
+//! largest cost the pools of 30 hosts 0.14 and 0.2 of their score, spares of the smallest the pools of
+//! 54 and 72 hosts 0.03 of worth).
 
 use std::collections::BTreeMap;
 
--- a/crates/oliveworks-gateway-core/src/planner/order.rs
+++ b/crates/oliveworks-gateway-core/src/planner/order.rs
@@ -98,23 +98,26 @@
     pub pace: f64,
 }
 
-/// The weights of a planner's decisions.
+/// The weights of a planner's decisions. What each is worth, and how much it may be off, is measured
+/// in docs/POLICY.md.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct PlannerConfig {
-    /// The part of a domain that is kept as spares, in hundredths, at the most.
+    /// The part of a domain that is kept as spares, in hundredths, at the most. A tenth serves as well.
     pub spare_percent: usize,
-    /// How long a group that is to end still takes requests that are on their way, in ms.
+    /// How long a group that is to end still takes requests that are on their way, in ms: the time in
+    /// which all gateways hear of it.
     pub notice_ms: u64,
-    /// The longest that a group may take to finish its work, in ms.
+    /// The longest that a group may take to finish its work, in ms: longer than most answers.
     pub finish_ms: u64,
     /// How long a domain's hosts must have been the same before cold ones become spares, in ms: the
     /// next read of the list may bring one that completes a group.
     pub settle_ms: u64,
-    /// Hosts of a domain that keep a second model staged, beyond which none is staged in traffic.
+    /// Hosts of a domain that keep a second model staged, beyond which none is staged in traffic: as
+    /// many as repair a group of four.
     pub staged_max: usize,
     /// The part of the loads that run at full speed beyond which nothing is staged in traffic, in
-    /// hundredths: what a group lacks should not wait for what it may need later.
+    /// hundredths; 0 stages nothing then.
     pub staging_percent: usize,
     /// Whether the first spare of each domain holds the largest model.
     pub first_spare_largest: bool,
@@ -123,6 +126,14 @@
     /// Whether a small group ends for a large one that is busier, also where fewer small ones remain
     /// than wanted.
     pub yields_by_load: bool,
+    /// The load, in open requests for each slot, above which spares that hold a model serve it.
+    pub busy_load: f64,
+    /// The same above which a model gets hosts that are kept or wait for another: soon its groups
+    /// would refuse callers.
+    pub crowded_load: f64,
+    /// How much busier, in open requests for each slot, a model must be than another whose group ends
+    /// for it: the change takes some seconds of both.
+    pub yield_margin: f64,
 }
 
 impl Default for PlannerConfig {
@@ -137,6 +148,9 @@
             first_spare_largest: true,
             waiting_serve: true,
             yields_by_load: true,
+            busy_load: 0.5,
+            crowded_load: 0.65,
+            yield_margin: 0.1,
         }
     }
 }
--- a/crates/oliveworks-gateway/src/settings.rs
+++ b/crates/oliveworks-gateway/src/settings.rs
@@ -168,6 +168,16 @@
                 return Err(format!("{key}: must be at most 100"));
             }
         }
+        let loads = [
+            ("policy.planner.busy_load", planner.busy_load),
+            ("policy.planner.crowded_load", planner.crowded_load),
+            ("policy.planner.yield_margin", planner.yield_margin),
+        ];
+        for (key, load) in loads {
+            if load.is_nan() || load < 0.0 {
+                return Err(format!("{key}: must not be negative"));
+            }
+        }
         if self.requests.full_at.is_nan() || self.requests.full_at <= 0.0 {
             return Err("requests.full_at: must be more than 0".into());
         }
--- a/crates/oliveworks-gateway/tests/settings.rs
+++ b/crates/oliveworks-gateway/tests/settings.rs
@@ -29,6 +29,7 @@
 
 #[test_case("spare_percent: 10", "spare_percent: 101", "policy.planner.spare_percent"; "too many spares")]
 #[test_case("spare_percent: 10", "staging_percent: 200", "policy.planner.staging_percent"; "more than all loads")]
+#[test_case("spare_percent: 10", "yield_margin: -0.1", "policy.planner.yield_margin"; "a negative load")]
 #[test_case("spare_percent: 10", "spares: 10", "spares"; "an unknown weight")]
 #[test_case("spare_percent: 10", "spare_percent: many", "many"; "not a number")]
 #[test_case("planner:", "planer:", "planer"; "an unknown section")]
