The leader's log tells what is refused by model, and what hosts hold

Change: gateways count requests that look for a place and find none, by model, and tell each other; the leader writes a line a second for each model, and one when a host holds something else. No decision reads it yet. Seen besides: a join of the model that a host held last drops the other one from its memory. Conclusion: the leader cannot tell a full model from one that refuses nearly all.

--- /dev/null
+++ b/crates/oliveworks-gateway-core/src/demand.rs
@@ -0,0 +1,96 @@
+//! How many requests for each model find a place, as all gateways see it.
+//!
+//! The share of slots that is taken says how busy a model is up to the point at which it is full, and
+//! nothing beyond: a model that refuses one request of ten and one that refuses nine look alike. What
+//! is refused tells them apart. Rejected: working demand out from arrivals and the length of answers,
+//! which callers only guess.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::Millis;
+
+/// A model of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ModelKey(u64);
+
+impl ModelKey {
+    /// The key of a service's model.
+    pub fn of(service: &str, model: &str) -> ModelKey {
+        ModelKey(xxh3_64(format!("{service}\n{model}").as_bytes()))
+    }
+}
+
+/// Requests that looked for a place lately; older ones weigh less.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Looked {
+    /// All of them.
+    pub all: f64,
+    /// Those that found none and were refused.
+    pub refused: f64,
+}
+
+/// The time in which the weight of a request halves, in ms: long enough to hold some tens of requests
+/// at a hundred a second, and short beside the 1.6 s in which a replica group is formed.
+const HALF_MS: f64 = 1_000.0;
+/// The longest that another gateway's figures are believed, in ms.
+const PEER_MS: u64 = 1_500;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Fading {
+    looked: Looked,
+    at: Millis,
+}
+
+impl Fading {
+    fn now(&self, now: Millis) -> Looked {
+        let left = 0.5f64.powf(now.saturating_sub(self.at) as f64 / HALF_MS);
+        Looked { all: self.looked.all * left, refused: self.looked.refused * left }
+    }
+}
+
+/// What gateways know of the demand for models.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    own: HashMap<ModelKey, Fading>,
+    peers: HashMap<u64, (Millis, HashMap<ModelKey, Looked>)>,
+}
+
+impl Demand {
+    /// A request of this gateway's looked for a place, and `refused` is whether it found none.
+    pub fn looked(&mut self, now: Millis, model: ModelKey, refused: bool) {
+        let fading = self.own.entry(model).or_default();
+        let mut looked = fading.now(now);
+        looked.all += 1.0;
+        looked.refused += f64::from(u8::from(refused));
+        *fading = Fading { looked, at: now };
+    }
+
+    /// What this gateway saw.
+    pub fn own(&self, now: Millis) -> impl Iterator<Item = (ModelKey, Looked)> {
+        self.own.iter().map(move |(model, fading)| (*model, fading.now(now)))
+    }
+
+    /// What another gateway saw.
+    pub fn peer(&mut self, now: Millis, peer: u64, looked: HashMap<ModelKey, Looked>) {
+        self.peers.insert(peer, (now, looked));
+    }
+
+    /// The part of a model's requests that found no place lately, 0 to 1; 0 if none came.
+    pub fn refused_part(&self, now: Millis, model: ModelKey) -> f64 {
+        let mut sum = self.own.get(&model).map(|fading| fading.now(now)).unwrap_or_default();
+        for (_, looked) in self.peers.values().filter(|(at, _)| now < at + PEER_MS) {
+            let peer = looked.get(&model).copied().unwrap_or_default();
+            sum.all += peer.all;
+            sum.refused += peer.refused;
+        }
+        if sum.all > 0.0 { sum.refused / sum.all } else { 0.0 }
+    }
+
+    /// Forgets other gateways that are no longer heard.
+    pub fn retain(&mut self, now: Millis) {
+        self.peers.retain(|_, (at, _)| now < *at + PEER_MS);
+    }
+}
--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`workers`] | what the platform's records say of backend servers |
 //! | [`listing`] | how soon the list of backend servers is read again |
 //! | [`planner`] | which hosts form each replica group, and every order |
+//! | [`demand`] | how many requests for a model find a place |
 //! | [`quota`] | how many groups of each model every domain should hold |
 //! | [`speed`] | which replica groups run much slower than others |
 //! | [`election`] | which gateway gives orders |
@@ -24,6 +25,7 @@
 pub mod balance;
 pub mod budget;
 pub mod configuration;
+pub mod demand;
 pub mod election;
 pub mod events;
 pub mod freshness;
--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -103,9 +103,23 @@
         *busy += (load - *busy) * LOAD_WEIGHT;
     }
 
-    /// The load of a model's groups: open requests for each slot.
+    /// The load of a model's groups as it is believed: open requests for each slot.
+    pub fn load_of(&self, model: &str) -> f64 {
+        self.busy.get(model).copied().unwrap_or(0.0)
+    }
+
     fn load(&self, model: &Model) -> f64 {
-        self.busy.get(&model.name).copied().unwrap_or(0.0)
+        self.load_of(&model.name)
+    }
+
+    /// The models of its service.
+    pub fn models(&self) -> &[Model] {
+        &self.engine.models
+    }
+
+    /// What a host was last known to hold.
+    pub fn holding(&self, id: &str) -> Option<&Holding> {
+        self.hosts.get(id).map(|host| &host.holding)
     }
 
     /// Whether a model's groups are so busy that spares should serve.
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -7,8 +7,9 @@
 
 use oliveworks_gateway_core::balance::Target;
 use oliveworks_gateway_core::configuration::Engine;
+use oliveworks_gateway_core::demand::ModelKey;
 use oliveworks_gateway_core::planner::{Command, Order, Outcome, Planner};
-use oliveworks_gateway_core::workers::{Worker, WorkerId};
+use oliveworks_gateway_core::workers::{Holding, Worker, WorkerId};
 use serde_json::{Map, Value};
 use tokio::time::sleep;
 
@@ -58,13 +59,26 @@
 }
 
 fn describe(gateway: &Gateway) {
-    for planner in gateway.planners.borrow().values() {
+    for (service, planner) in gateway.planners.borrow().iter() {
         for line in planner.describe_domains() {
             Event::new("domain").with("hosts", line).write();
         }
+        for model in planner.models() {
+            let key = ModelKey::of(service, &model.name);
+            let refused = gateway.demand.borrow().refused_part(gateway.now(), key);
+            Event::new("model")
+                .with("model", model.name.as_str())
+                .with("load_percent", percent(planner.load_of(&model.name)))
+                .with("refused_percent", percent(refused))
+                .write();
+        }
     }
 }
 
+fn percent(part: f64) -> u64 {
+    (part * 100.0).round() as u64
+}
+
 fn stand(gateway: &Rc<Gateway>) {
     let ready = gateway.directory_read.get() && gateway.lookup.borrow().is_some();
     if !ready || gateway.is_stopping() {
@@ -128,7 +142,7 @@
 
 /// How a question for a backend server's state ended.
 enum Asked {
-    Holding(oliveworks_gateway_core::workers::Holding),
+    Holding(Holding),
     Silent {
         refused: bool,
     },
@@ -264,6 +278,7 @@
             match answer {
                 Asked::Holding(holding) => {
                     tell_pace(&worker, holding.pace);
+                    tell_holding(planner, &worker, &holding);
                     planner.reported(now, &worker, &holding);
                 }
                 Asked::Silent { refused } => planner.silent(now, &worker, refused),
@@ -290,6 +305,21 @@
     }
 }
 
+/// A line for a host that holds other models than it was last known to.
+fn tell_holding(planner: &Planner, worker: &str, holding: &Holding) {
+    let Some(before) = planner.holding(worker) else { return };
+    if (&before.models, &before.staging) == (&holding.models, &holding.staging) {
+        return;
+    }
+    Event::new("host_holds")
+        .with("host", worker)
+        .with("model", holding.models.first().cloned())
+        .with("in_memory", holding.staging.clone())
+        .with("model_before", before.models.first().cloned())
+        .with("in_memory_before", before.staging.clone())
+        .write();
+}
+
 async fn give(
     gateway: &Gateway,
     fence: u64,
--- a/crates/oliveworks-gateway/src/peers.rs
+++ b/crates/oliveworks-gateway/src/peers.rs
@@ -10,6 +10,7 @@
 
 use log::warn;
 use oliveworks_gateway_core::balance::{Load, Target};
+use oliveworks_gateway_core::demand::{Looked, ModelKey};
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -44,6 +45,8 @@
     leads: Option<u64>,
     /// Requests that the sender has open, by target.
     open: Vec<(Target, Load)>,
+    /// Requests that looked for a place at the sender lately, by model.
+    looked: Vec<(ModelKey, Looked)>,
     /// Groups that the sender sees standing still.
     suspects: Vec<u64>,
     /// Groups that the sender sees running slowly.
@@ -69,6 +72,7 @@
         node: gateway.settings.node.clone(),
         leads,
         open: gateway.balance.borrow().own_open().collect(),
+        looked: gateway.demand.borrow().own(now).collect(),
         suspects: gateway.suspects.borrow().keys().copied().collect(),
         slow: gateway.slow_groups(),
         heard: gateway.balance.borrow().heard_since(now.saturating_sub(HEARD_MS)).collect(),
@@ -109,6 +113,7 @@
         }
         let now = gateway.now();
         gateway.peers.borrow_mut().retain(|_, peer| now < peer.heard_at + FORGET_MS);
+        gateway.demand.borrow_mut().retain(now);
         let pause = Duration::from_millis(BEAT_MS);
         let _ = timeout(pause, gateway.beat_now.notified()).await;
     }
@@ -138,7 +143,9 @@
         gateway.traffic.set(true);
     }
     let open: HashMap<Target, Load> = beat.open.into_iter().collect();
-    gateway.balance.borrow_mut().peer(now, xxh3_64(beat.node.as_bytes()), open);
+    let sender = xxh3_64(beat.node.as_bytes());
+    gateway.balance.borrow_mut().peer(now, sender, open);
+    gateway.demand.borrow_mut().peer(now, sender, beat.looked.into_iter().collect());
     for target in beat.heard {
         gateway.balance.borrow_mut().heard_elsewhere(now, target);
     }
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -11,6 +11,7 @@
 use oliveworks_gateway_core::attempts::{Attempts, Failure, Next, Terms, Verdict};
 use oliveworks_gateway_core::balance::{NoTarget, Target};
 use oliveworks_gateway_core::configuration::{Lookup, Repeat, Route, Unmatched};
+use oliveworks_gateway_core::demand::ModelKey;
 use oliveworks_gateway_core::events::Progress;
 use tokio::time::sleep;
 
@@ -230,7 +231,9 @@
                     )
                     .await;
             }
-            let place = match self.place().await {
+            let found = self.place().await;
+            self.note_demand(found.is_err());
+            let place = match found {
                 Ok(place) => place,
                 Err(none) => {
                     self.log.push(format!("no place: {none:?}"));
@@ -283,6 +286,13 @@
         }
     }
 
+    /// Counts a request that looks for its first place, by its model.
+    fn note_demand(&self, refused: bool) {
+        let Some(model) = self.model.as_ref().filter(|_| self.attempts.sent() == 0) else { return };
+        let key = ModelKey::of(&self.service, model);
+        self.gateway.demand.borrow_mut().looked(self.gateway.now(), key, refused);
+    }
+
     fn take_repeat(&self) -> bool {
         let gateways = self.gateway.gateways();
         let now = self.gateway.now();
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -9,6 +9,7 @@
 use oliveworks_gateway_core::balance::{Balance, Candidate, Target};
 use oliveworks_gateway_core::budget::{Budget, BudgetConfig};
 use oliveworks_gateway_core::configuration::Lookup;
+use oliveworks_gateway_core::demand::Demand;
 use oliveworks_gateway_core::election::{Election, ElectionConfig};
 use oliveworks_gateway_core::freshness::Freshness;
 use oliveworks_gateway_core::planner::Planner;
@@ -126,6 +127,8 @@
     pub store_heard_at: Cell<Millis>,
     /// How busy backend servers are.
     pub balance: RefCell<Balance>,
+    /// How many requests for models find a place.
+    pub demand: RefCell<Demand>,
     /// How fast replica groups run.
     pub speeds: RefCell<Speeds>,
     /// Repeats.
@@ -182,6 +185,7 @@
             store_failed_at: Cell::new(None),
             store_heard_at: Cell::new(now),
             balance: RefCell::default(),
+            demand: RefCell::default(),
             speeds: RefCell::default(),
             budget: RefCell::new(budget),
             election: RefCell::new(Election::new(ElectionConfig::default(), life, now)),
