Tests that fail: one model starves while another has room

The planner is told what is refused (ModelLoad) and does not read it yet. Ruled out: that a fourth host was missing (in the first scene a group whose hosts hold the larger model in memory stands beside the three).

--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -25,7 +25,7 @@
 use crate::workers::{Holding, MemberState, Worker, WorkerId};
 use group::{Group, Phase};
 use host::Host;
-pub use order::{Command, Order, Outcome, PlannerConfig, Serving};
+pub use order::{Command, ModelLoad, Order, Outcome, PlannerConfig, Serving};
 
 /// Epochs that one fence has room for.
 const EPOCHS_OF_FENCE: u64 = 1_000_000;
@@ -97,10 +97,10 @@
         }
     }
 
-    /// The load of the serving groups of a model now, in open requests for each slot.
-    pub fn set_load(&mut self, model: &str, load: f64) {
+    /// How busy a model's groups are now.
+    pub fn set_load(&mut self, model: &str, load: ModelLoad) {
         let busy = self.busy.entry(model.to_owned()).or_default();
-        *busy += (load - *busy) * LOAD_WEIGHT;
+        *busy += (load.open_per_slot - *busy) * LOAD_WEIGHT;
     }
 
     /// The load of a model's groups as it is believed: open requests for each slot.
--- a/crates/oliveworks-gateway-core/src/planner/order.rs
+++ b/crates/oliveworks-gateway-core/src/planner/order.rs
@@ -98,6 +98,15 @@
     pub pace: f64,
 }
 
+/// How busy a model's groups are, as all gateways see it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ModelLoad {
+    /// Open requests for each slot of the groups that serve.
+    pub open_per_slot: f64,
+    /// The part of the requests of the last seconds that found no place, 0 to 1.
+    pub refused_part: f64,
+}
+
 /// The weights of a planner's decisions. What each is worth, and how much it may be off, is measured
 /// in docs/POLICY.md.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/oliveworks-gateway-core/tests/planner/main.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/main.rs
@@ -2,4 +2,5 @@
 
 mod policy;
 mod safety;
+mod starved;
 mod world;
--- a/crates/oliveworks-gateway-core/tests/planner/policy.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/policy.rs
@@ -79,7 +79,7 @@
     for within_ms in [HOT_REPAIR_MS, STAGED_REPAIR_MS] {
         kill_member(&mut world, &mut leader, model, domain);
         run_for(&mut world, &mut leader, within_ms, true);
-        (0..60).for_each(|_| leader.planner.set_load("small", 0.9));
+        (0..60).for_each(|_| leader.planner.set_load("small", load(0.9, 0.0)));
         let lines = leader.planner.describe_domains();
         assert_eq!(serving(&world, &leader, model, domain), before, "{lines:?}");
     }
@@ -112,7 +112,7 @@
 /// serve the small model, and come back once the fourth host is there.
 #[test_case(0.9, 3; "crowded")]
 #[test_case(0.4, 2; "not crowded")]
-fn hosts_that_wait_serve_a_crowded_model(load: f64, expected: usize) {
+fn hosts_that_wait_serve_a_crowded_model(open: f64, expected: usize) {
     let (mut world, mut leader) = formed(FEW);
     let domain = DOMAINS[0];
     kill_spares(&mut world, &leader, domain);
@@ -122,7 +122,7 @@
     }
     run_for(&mut world, &mut leader, 3_000, true);
     for _ in 0..60 {
-        leader.planner.set_load("small", load);
+        leader.planner.set_load("small", load(open, 0.0));
     }
     kill_member(&mut world, &mut leader, "large", domain);
     run_for(&mut world, &mut leader, STAGED_REPAIR_MS, true);
--- a/crates/oliveworks-gateway-core/tests/planner/world.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/world.rs
@@ -8,7 +8,9 @@
 use std::rc::Rc;
 
 use oliveworks_gateway_core::configuration::{Engine, Model};
-use oliveworks_gateway_core::planner::{Command, Order, Outcome, Planner, PlannerConfig};
+use oliveworks_gateway_core::planner::{
+    Command, ModelLoad, Order, Outcome, Planner, PlannerConfig,
+};
 use oliveworks_gateway_core::workers::{Holding, MemberState, Membership, Worker, WorkerId};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -172,9 +174,10 @@
                 };
                 if !hot && !warm {
                     self.loads.push(now);
-                    host.staging = vec![model.clone()];
                     host.staged_at = None;
                 }
+                // A host keeps one model in memory, and that is the one it joined with last.
+                host.staging = vec![model.clone()];
                 let rank = members.iter().position(|member| member == id).expect("a member");
                 host.epoch = *epoch;
                 host.last_model = Some(model.clone());
@@ -312,7 +315,16 @@
 
 impl Leader {
     pub fn take_over(world: &World, fence: u64, ended: Vec<u64>) -> Leader {
-        let mut planner = Planner::new(PlannerConfig::default(), engine(), fence, world.now);
+        Leader::with_config(world, fence, ended, PlannerConfig::default())
+    }
+
+    pub fn with_config(
+        world: &World,
+        fence: u64,
+        ended: Vec<u64>,
+        config: PlannerConfig,
+    ) -> Leader {
+        let mut planner = Planner::new(config, engine(), fence, world.now);
         let mut known = BTreeSet::new();
         for worker in world.listed() {
             planner.listed(world.now, &worker);
@@ -383,11 +395,16 @@
 
 /// A pool that has formed its groups and spares before traffic, with its leader.
 pub fn formed(hosts: usize) -> (World, Leader) {
+    formed_with(hosts, PlannerConfig::default())
+}
+
+/// The same, planned by other weights.
+pub fn formed_with(hosts: usize, config: PlannerConfig) -> (World, Leader) {
     let mut world = World::new(1, Broken::default());
     for _ in 0..hosts {
         DOMAINS.iter().for_each(|domain| world.add_host(domain));
     }
-    let mut leader = Leader::take_over(&world, 1, vec![]);
+    let mut leader = Leader::with_config(&world, 1, vec![], config);
     run_for(&mut world, &mut leader, 90_000, false);
     (world, leader)
 }
@@ -444,3 +461,22 @@
 /// staged.
 pub const HOT_REPAIR_MS: u64 = 1_000;
 pub const STAGED_REPAIR_MS: u64 = 3_000;
+
+/// A model's load: open requests for each slot, and the part of the requests that is refused.
+pub fn load(open_per_slot: f64, refused_part: f64) -> ModelLoad {
+    ModelLoad { open_per_slot, refused_part }
+}
+
+/// Runs on while the models' loads stay the same.
+pub fn run_under(
+    world: &mut World,
+    leader: &mut Leader,
+    time_ms: u64,
+    loads: &[(&str, ModelLoad)],
+) {
+    let until = world.now + time_ms;
+    while world.now < until {
+        loads.iter().for_each(|(model, load)| leader.planner.set_load(model, *load));
+        run_for(world, leader, TICK_MS, true);
+    }
+}
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -8,7 +8,7 @@
 use oliveworks_gateway_core::balance::Target;
 use oliveworks_gateway_core::configuration::Engine;
 use oliveworks_gateway_core::demand::ModelKey;
-use oliveworks_gateway_core::planner::{Command, Order, Outcome, Planner};
+use oliveworks_gateway_core::planner::{Command, ModelLoad, Order, Outcome, Planner};
 use oliveworks_gateway_core::workers::{Holding, Worker, WorkerId};
 use serde_json::{Map, Value};
 use tokio::time::sleep;
@@ -219,7 +219,12 @@
         load.1 += group.slots;
     }
     for (model, (open, slots)) in loads {
-        planner.set_load(&model, f64::from(open) / f64::from(slots.max(1)));
+        let key = ModelKey::of(service, &model);
+        let load = ModelLoad {
+            open_per_slot: f64::from(open) / f64::from(slots.max(1)),
+            refused_part: gateway.demand.borrow().refused_part(now, key),
+        };
+        planner.set_load(&model, load);
     }
 }
 
