A model's demand counts what is refused, and hosts are kept for the model that lacks more

Cause: the load of a model was the part of its slots that is taken; at full load it says the same of a model that refuses one caller of ten and of one that refuses nine, and it does not count groups that are being formed. Spares that keep the larger model in memory served a smaller one that was merely busy, which drops the larger one. Change: the planner works with the demand for each group (open requests, those refused with them, over the groups that serve or are being formed); a host that has a larger model goes to a smaller one only where the smaller is crowded and lacks more, also where it waits.

--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -15,6 +15,7 @@
 mod group;
 mod host;
 mod order;
+mod shortage;
 mod stage;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -32,8 +33,10 @@
 /// Ended groups that are remembered, and that are told to others.
 const ENDED_MAX: usize = 4_096;
 const ENDED_TOLD: usize = 64;
-/// The weight of a new figure in a model's load.
+/// The weight of a new figure in a model's demand: half of a change is taken in within 0.35 s.
 const LOAD_WEIGHT: f64 = 0.08;
+/// The largest part of refused requests that is believed: what comes back is counted again.
+const REFUSED_MAX: f64 = 0.8;
 /// The part of all hosts, in hundredths, that is left out for being slow, at the most: slow groups
 /// are better than none.
 const SLOW_PERCENT_MAX: usize = 30;
@@ -63,8 +66,8 @@
     most_hosts: BTreeMap<String, usize>,
     /// When each domain last got a host.
     grown_at: BTreeMap<String, Millis>,
-    /// How busy the groups of each model are: open requests for each slot.
-    busy: BTreeMap<String, f64>,
+    /// How many full groups each model's callers would fill.
+    demand: BTreeMap<String, f64>,
     /// What the domains can hold, and the groups that they should hold for it.
     rooms: BTreeMap<String, Room>,
     quotas: Quotas,
@@ -89,7 +92,7 @@
             load_tokens_at: now,
             most_hosts: BTreeMap::new(),
             grown_at: BTreeMap::new(),
-            busy: BTreeMap::new(),
+            demand: BTreeMap::new(),
             rooms: BTreeMap::new(),
             quotas: Quotas::new(),
             quotas_at: now,
@@ -97,19 +100,33 @@
         }
     }
 
-    /// How busy a model's groups are now.
-    pub fn set_load(&mut self, model: &str, load: ModelLoad) {
-        let busy = self.busy.entry(model.to_owned()).or_default();
-        *busy += (load.open_per_slot - *busy) * LOAD_WEIGHT;
+    /// How busy a model's groups are now, of which so many serve. Nothing is learned while none does.
+    pub fn set_load(&mut self, model: &str, load: ModelLoad, serving: usize) {
+        let found = 1.0 - load.refused_part.clamp(0.0, REFUSED_MAX);
+        let full_groups = load.open_per_slot / found * serving as f64;
+        let demand = self.demand.entry(model.to_owned()).or_insert(full_groups);
+        *demand += (full_groups - *demand) * LOAD_WEIGHT;
     }
 
-    /// The load of a model's groups as it is believed: open requests for each slot.
-    pub fn load_of(&self, model: &str) -> f64 {
-        self.busy.get(model).copied().unwrap_or(0.0)
+    /// How many full groups a model's callers would fill, those among them that are refused.
+    pub fn demand(&self, model: &str) -> f64 {
+        self.demand.get(model).copied().unwrap_or(0.0)
     }
 
-    fn load(&self, model: &Model) -> f64 {
-        self.load_of(&model.name)
+    /// The demand for each of so many groups of a model. Above 1, callers are refused.
+    ///
+    /// The share of slots that is taken would not do: it is 1 for a model that refuses one caller of
+    /// ten and for one that refuses nine, and it does not count groups that are being formed.
+    fn pressure(&self, model: &Model, groups: usize) -> f64 {
+        match groups {
+            0 => f64::INFINITY,
+            groups => self.demand(&model.name) / groups as f64,
+        }
+    }
+
+    /// The same once the groups that are being formed serve.
+    fn pressure_now(&self, model: &Model) -> f64 {
+        self.pressure(model, self.groups_of(model))
     }
 
     /// The models of its service.
@@ -124,7 +141,16 @@
 
     /// Whether a model's groups are so busy that spares should serve.
     fn is_busy(&self, model: &Model) -> bool {
-        self.load(model) > self.config.busy_load
+        self.pressure_now(model) > self.config.busy_load
+    }
+
+    /// Hosts of a domain that live on in groups of a model which are being taken apart.
+    fn freed_soon(&self, domain: &str, model: &Model) -> usize {
+        let groups = self.groups.values().filter(|group| group.model == model.name);
+        let ending =
+            groups.filter(|group| matches!(group.phase, Phase::Breaking | Phase::Finishing));
+        let hosts = ending.flat_map(|group| &group.members).filter_map(|id| self.hosts.get(id));
+        hosts.filter(|host| host.is_fit() && host.worker.domain == domain).count()
     }
 
     /// Groups of a model that serve or will.
@@ -141,13 +167,8 @@
         if !self.config.yields_by_load || !self.traffic || groups <= ended {
             return false;
         }
-        let load_after = self.load(giver) * groups as f64 / (groups - ended) as f64;
-        self.groups_of(needy) == 0 || self.load(needy) > load_after + self.config.yield_margin
-    }
-
-    /// Whether a model's groups are about to refuse callers.
-    fn is_crowded(&self, model: &Model) -> bool {
-        self.load(model) > self.config.crowded_load
+        let after = self.pressure(giver, groups - ended);
+        self.pressure_now(needy) > after + self.config.yield_margin
     }
 
     /// Whether callers have been served at all.
--- a/crates/oliveworks-gateway-core/src/planner/allot.rs
+++ b/crates/oliveworks-gateway-core/src/planner/allot.rs
@@ -14,6 +14,7 @@
 use super::domain::{Domain, Warmth, domains, quota, warmth};
 use super::group::Phase;
 use super::host::Host;
+use super::shortage::Shortage;
 use crate::Millis;
 use crate::configuration::Model;
 use crate::quota::per_weight;
@@ -60,10 +61,10 @@
         let mut names: Vec<&str> = domains.keys().copied().collect();
         names.retain(|name| !listing || domains[name].count(model) == 0);
         names.sort_by_key(|name| domains[name].count(model));
-        let keeps = keeps_larger_spares(planner, model, domains);
+        let short = Shortage::of(planner, domains);
         let formed = names.into_iter().find_map(|name| {
             let domain = domains.get_mut(name)?;
-            let hosts = take(planner, domain, model, keeps)?;
+            let hosts = take(&short, domain, model)?;
             domain.used += model.size;
             *domain.groups.entry(&model.name).or_default() += 1;
             Some(hosts)
@@ -77,7 +78,7 @@
 }
 
 /// The hosts that a model has for its share.
-fn need(model: &Model, domains: &BTreeMap<&str, Domain<'_>>) -> f64 {
+pub(super) fn need(model: &Model, domains: &BTreeMap<&str, Domain<'_>>) -> f64 {
     let groups: usize = domains.values().map(|domain| domain.count(model)).sum();
     per_weight(groups * model.size, model)
 }
@@ -86,38 +87,14 @@
     open.iter().copied().min_by(|a, b| need(a, domains).total_cmp(&need(b, domains)))
 }
 
-/// How many times the hosts for its share a larger model may have before its spares serve a smaller
-/// one. A small group that lost a member is a small part of its model; the next large one waits long.
-const SPARE_RATIO: f64 = 1.3;
-
-/// Whether spares that hold a larger model are kept for it.
-fn keeps_larger_spares(
-    planner: &Planner,
-    model: &Model,
-    domains: &BTreeMap<&str, Domain<'_>>,
-) -> bool {
-    if planner.is_crowded(model) {
-        return false;
-    }
-    let larger = planner.engine.models.iter().filter(|other| other.size > model.size);
-    let mut needs = larger.map(|other| need(other, domains));
-    needs.any(|other| other < need(model, domains) * SPARE_RATIO)
-}
-
 /// Takes the free hosts of a domain that serve the model soonest, if it should have another group.
-/// `keeps` is whether hosts that hold a larger model are left alone.
-fn take<'a>(
-    planner: &Planner,
-    domain: &mut Domain<'a>,
-    model: &Model,
-    keeps: bool,
-) -> Option<Vec<&'a Host>> {
+fn take<'a>(short: &Shortage<'a>, domain: &mut Domain<'a>, model: &Model) -> Option<Vec<&'a Host>> {
+    let planner = short.planner;
     if domain.kept_for.is_some_and(|kept| kept != model.name) {
         return None;
     }
-    let larger = || planner.engine.models.iter().filter(|other| other.size > model.size);
-    let kept = |host: &Host| keeps && larger().any(|other| host.held_last(&other.name));
-    let mut order: Vec<&Host> = domain.free.iter().copied().filter(|host| !kept(host)).collect();
+    let mut order: Vec<&Host> = domain.free.clone();
+    order.retain(|host| !short.is_kept(domain, host, model));
     order.sort_by_key(|host| warmth(host, model));
     order.truncate(model.size);
     if order.len() < model.size {
@@ -125,19 +102,19 @@
     }
     let coldest = order.iter().map(|host| warmth(host, model)).max()?;
     let warmest = order.iter().map(|host| warmth(host, model)).min()?;
+    let lacks = domain.lacks(planner, model) > 0;
     let may = match coldest {
-        Warmth::Hot => domain.lacks(planner, model) > 0 || planner.is_busy(model),
+        Warmth::Hot => lacks || planner.is_busy(model),
         // Hosts that would wait for others serve a crowded model meanwhile; they yield when the group
         // that they wait for can be formed.
         Warmth::Staged => {
-            domain.lacks(planner, model) > 0
-                || (planner.config.waiting_serve && planner.is_crowded(model))
+            lacks || (planner.config.waiting_serve && short.comes_first(domain, model))
         }
         // Hosts that hold the model do not wait for one that loads it: that one loads as a spare.
         Warmth::Cold => {
             let unused =
                 |host: &&Host| is_unused(planner, host) || warmth(host, model) < Warmth::Cold;
-            domain.lacks(planner, model) > 0
+            lacks
                 && warmest == Warmth::Cold
                 && domain.steady_or_listing(planner)
                 && order.iter().all(unused)
--- a/crates/oliveworks-gateway-core/tests/planner/policy.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/policy.rs
@@ -79,7 +79,7 @@
     for within_ms in [HOT_REPAIR_MS, STAGED_REPAIR_MS] {
         kill_member(&mut world, &mut leader, model, domain);
         run_for(&mut world, &mut leader, within_ms, true);
-        (0..60).for_each(|_| leader.planner.set_load("small", load(0.9, 0.0)));
+        (0..60).for_each(|_| leader.set_load(&world, "small", load(0.9, 0.0)));
         let lines = leader.planner.describe_domains();
         assert_eq!(serving(&world, &leader, model, domain), before, "{lines:?}");
     }
@@ -122,7 +122,7 @@
     }
     run_for(&mut world, &mut leader, 3_000, true);
     for _ in 0..60 {
-        leader.planner.set_load("small", load(open, 0.0));
+        leader.set_load(&world, "small", load(open, 0.0));
     }
     kill_member(&mut world, &mut leader, "large", domain);
     run_for(&mut world, &mut leader, STAGED_REPAIR_MS, true);
--- a/crates/oliveworks-gateway-core/tests/planner/world.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/world.rs
@@ -369,6 +369,15 @@
         assert!(self.planner.shared_hosts().is_empty(), "a host in two groups of one planner");
     }
 
+    /// Tells the planner how busy the groups of a model are that serve now.
+    pub fn set_load(&mut self, world: &World, model: &str, load: ModelLoad) {
+        let serving = self.planner.serving(world.now);
+        let groups = serving.iter().filter(|group| group.model == model).count();
+        if groups > 0 {
+            self.planner.set_load(model, load, groups);
+        }
+    }
+
     pub fn give(&mut self, world: &mut World, worker: WorkerId, order: Order) {
         let silent = world.hosts.get(&worker).is_none_or(|host| world.now < host.silent_until);
         let late = world.rng.random_bool(world.late_share);
@@ -476,7 +485,7 @@
 ) {
     let until = world.now + time_ms;
     while world.now < until {
-        loads.iter().for_each(|(model, load)| leader.planner.set_load(model, *load));
+        loads.iter().for_each(|(model, load)| leader.set_load(world, model, *load));
         run_for(world, leader, TICK_MS, true);
     }
 }
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -68,7 +68,7 @@
             let refused = gateway.demand.borrow().refused_part(gateway.now(), key);
             Event::new("model")
                 .with("model", model.name.as_str())
-                .with("load_percent", percent(planner.load_of(&model.name)))
+                .with("demand_percent", percent(planner.demand(&model.name)))
                 .with("refused_percent", percent(refused))
                 .write();
         }
@@ -211,20 +211,21 @@
 /// Tells the planner how busy the groups of each model are.
 fn tell_load(gateway: &Gateway, service: &str, planner: &mut Planner) {
     let now = gateway.now();
-    let mut loads: BTreeMap<String, (u32, u32)> = BTreeMap::new();
+    let mut loads: BTreeMap<String, (u32, u32, usize)> = BTreeMap::new();
     let table = gateway.table.borrow();
     for group in table.groups.iter().filter(|group| group.service == service) {
         let load = loads.entry(group.model.clone()).or_default();
         load.0 += gateway.balance.borrow().load(now, Target::of(&group.members[0])).requests;
         load.1 += group.slots;
+        load.2 += 1;
     }
-    for (model, (open, slots)) in loads {
+    for (model, (open, slots, groups)) in loads {
         let key = ModelKey::of(service, &model);
         let load = ModelLoad {
             open_per_slot: f64::from(open) / f64::from(slots.max(1)),
             refused_part: gateway.demand.borrow().refused_part(now, key),
         };
-        planner.set_load(&model, load);
+        planner.set_load(&model, load, groups);
     }
 }
 
