A repair takes all steps that it can at once, and answers wake the leader

Cause: a group that lost a member passes six steps (seen, told to leave, joined, ready, opened, serving); each waited for the next look at the plans, 40 ms and more apart. Change: a group goes as far as it can in one look, a new one begins in the look that forms it, an answer of a host asks for a look (10 ms apart at least); the demand of a model is smoothed by time and not by looks. Test first: 8 looks beside the times to join and to form before, at most 5 after.

--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -33,8 +33,9 @@
 /// Ended groups that are remembered, and that are told to others.
 const ENDED_MAX: usize = 4_096;
 const ENDED_TOLD: usize = 64;
-/// The weight of a new figure in a model's demand: half of a change is taken in within 0.35 s.
-const LOAD_WEIGHT: f64 = 0.08;
+/// The time in which half of a change in a model's demand is taken in, in ms: longer than a group's
+/// passes, and short beside the second in which a group is repaired.
+const DEMAND_HALF_MS: f64 = 350.0;
 /// The largest part of refused requests that is believed: what comes back is counted again.
 const REFUSED_MAX: f64 = 0.8;
 /// The part of all hosts, in hundredths, that is left out for being slow, at the most: slow groups
@@ -49,6 +50,13 @@
 /// Loads before traffic beyond those that run at full speed, so that none has to wait to be told.
 const LOADS_BEYOND: u32 = 5;
 
+/// How many full groups a model's callers would fill.
+#[derive(Clone, Copy, Debug)]
+struct Demand {
+    groups: f64,
+    at: Millis,
+}
+
 /// The decisions on one service's groups, by the gateway that leads.
 #[derive(Clone, Debug)]
 pub struct Planner {
@@ -67,7 +75,7 @@
     /// When each domain last got a host.
     grown_at: BTreeMap<String, Millis>,
     /// How many full groups each model's callers would fill.
-    demand: BTreeMap<String, f64>,
+    demand: BTreeMap<String, Demand>,
     /// What the domains can hold, and the groups that they should hold for it.
     rooms: BTreeMap<String, Room>,
     quotas: Quotas,
@@ -101,16 +109,17 @@
     }
 
     /// How busy a model's groups are now, of which so many serve. Nothing is learned while none does.
-    pub fn set_load(&mut self, model: &str, load: ModelLoad, serving: usize) {
+    pub fn set_load(&mut self, now: Millis, model: &str, load: ModelLoad, serving: usize) {
         let found = 1.0 - load.refused_part.clamp(0.0, REFUSED_MAX);
-        let full_groups = load.open_per_slot / found * serving as f64;
-        let demand = self.demand.entry(model.to_owned()).or_insert(full_groups);
-        *demand += (full_groups - *demand) * LOAD_WEIGHT;
+        let groups = load.open_per_slot / found * serving as f64;
+        let demand = self.demand.entry(model.to_owned()).or_insert(Demand { groups, at: now });
+        let old = 0.5f64.powf(now.saturating_sub(demand.at) as f64 / DEMAND_HALF_MS);
+        *demand = Demand { groups: demand.groups * old + groups * (1.0 - old), at: now };
     }
 
     /// How many full groups a model's callers would fill, those among them that are refused.
     pub fn demand(&self, model: &str) -> f64 {
-        self.demand.get(model).copied().unwrap_or(0.0)
+        self.demand.get(model).map_or(0.0, |demand| demand.groups)
     }
 
     /// The demand for each of so many groups of a model. Above 1, callers are refused.
@@ -429,7 +438,8 @@
         self.count_hosts();
         self.update_quotas(now);
         for group in allot::allot(now, self) {
-            self.found(now, group);
+            let epoch = self.found(now, group);
+            self.advance(now, epoch, &mut commands);
         }
         // A domain that goes dark loses one host after the other: groups elsewhere do not end for what
         // is wanted halfway.
@@ -460,7 +470,8 @@
         self.load_tokens = (self.load_tokens + passed * rate).min(LOAD_BURST);
     }
 
-    fn found(&mut self, now: Millis, plan: allot::NewGroup) {
+    /// Begins a new group; returns its epoch.
+    fn found(&mut self, now: Millis, plan: allot::NewGroup) -> u64 {
         self.epochs += 1;
         let epoch = self.fence * EPOCHS_OF_FENCE + self.epochs;
         for member in &plan.members {
@@ -486,6 +497,7 @@
             yields_to: None,
         };
         self.groups.insert(epoch, group);
+        epoch
     }
 
     /// The group serves no more for certain.
--- a/crates/oliveworks-gateway-core/src/planner/advance.rs
+++ b/crates/oliveworks-gateway-core/src/planner/advance.rs
@@ -7,10 +7,22 @@
 
 /// How much later than told a head may be open.
 const FORM_MARGIN_MS: u64 = 100;
+/// Phases that a group may pass at once, so that a repair does not wait for the next look at each.
+const STEPS_MAX: usize = 4;
 
 impl Planner {
-    /// Takes a group a step further.
+    /// Takes a group as far as it can go now.
     pub(super) fn advance(&mut self, now: Millis, epoch: u64, commands: &mut Vec<Command>) {
+        for _ in 0..STEPS_MAX {
+            let before = self.groups.get(&epoch).map(|group| group.phase);
+            self.step(now, epoch, commands);
+            if self.groups.get(&epoch).map(|group| group.phase) == before {
+                return;
+            }
+        }
+    }
+
+    fn step(&mut self, now: Millis, epoch: u64, commands: &mut Vec<Command>) {
         let Some(group) = self.groups.get(&epoch).cloned() else { return };
         match group.phase {
             Phase::Joining => self.advance_joining(now, &group, commands),
--- a/crates/oliveworks-gateway-core/tests/planner/policy.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/policy.rs
@@ -283,3 +283,20 @@
         assert!(before.is_subset(&after), "{:?}", leader.planner.describe_domains());
     }
 }
+
+/// The steps of a repair follow each other without a pause: beside the time to join and the time to
+/// form, the loss is seen, told and answered within five looks at the plans.
+#[test]
+fn a_repair_takes_all_steps_that_it_can_at_once() {
+    let (mut world, mut leader) = formed(FEW);
+    let domain = DOMAINS[0];
+    kill_member(&mut world, &mut leader, "large", domain);
+    let lost_at = world.now;
+    run_for(&mut world, &mut leader, TICK_MS, true);
+    while serving(&world, &leader, "large", domain) == 0 {
+        run_for(&mut world, &mut leader, TICK_MS, true);
+        assert!(world.now < lost_at + STAGED_REPAIR_MS, "{:?}", leader.planner.describe());
+    }
+    let looks = (world.now - lost_at - HOT_JOIN_MS - FORM_MS) / TICK_MS;
+    assert!(looks <= 5, "{looks} looks");
+}
--- a/crates/oliveworks-gateway-core/tests/planner/world.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/world.rs
@@ -17,6 +17,8 @@
 
 pub const TICK_MS: u64 = 20;
 pub const FORM_MS: u64 = 300;
+/// The time in which a host joins with the model that it held last.
+pub const HOT_JOIN_MS: u64 = 200;
 pub const LOADS_PER_S: f64 = 3.0;
 
 pub fn engine() -> Engine {
@@ -168,7 +170,7 @@
                 let hot = host.last_model.as_deref() == Some(model);
                 let warm = host.staging.contains(model);
                 let time_ms = match (hot, warm) {
-                    (true, _) => 200,
+                    (true, _) => HOT_JOIN_MS,
                     (false, true) => figures.warm_ms,
                     (false, false) => figures.load_ms,
                 };
@@ -374,7 +376,7 @@
         let serving = self.planner.serving(world.now);
         let groups = serving.iter().filter(|group| group.model == model).count();
         if groups > 0 {
-            self.planner.set_load(model, load, groups);
+            self.planner.set_load(world.now, model, load, groups);
         }
     }
 
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -11,7 +11,7 @@
 use oliveworks_gateway_core::planner::{Command, ModelLoad, Order, Outcome, Planner};
 use oliveworks_gateway_core::workers::{Holding, Worker, WorkerId};
 use serde_json::{Map, Value};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::dialect::Call;
 use crate::events::Event;
@@ -21,6 +21,8 @@
 
 /// The time between two looks at the plans.
 const TICK_MS: u64 = 40;
+/// The time between two looks when an answer asks for one at once, in ms.
+const LOOK_MIN_MS: u64 = 10;
 /// How long a leader that was paused gives no orders.
 const LISTEN_MS: u64 = 250;
 /// The time between two lines on each domain.
@@ -54,7 +56,9 @@
                 describe(&gateway);
             }
         }
-        sleep(Duration::from_millis(TICK_MS)).await;
+        sleep(Duration::from_millis(LOOK_MIN_MS)).await;
+        let pause = Duration::from_millis(TICK_MS - LOOK_MIN_MS);
+        let _ = timeout(pause, gateway.plan_now.notified()).await;
     }
 }
 
@@ -225,7 +229,7 @@
             open_per_slot: f64::from(open) / f64::from(slots.max(1)),
             refused_part: gateway.demand.borrow().refused_part(now, key),
         };
-        planner.set_load(&model, load, groups);
+        planner.set_load(now, &model, load, groups);
     }
 }
 
@@ -302,6 +306,7 @@
             ordered(&gateway, fence, &service, &worker, &order, outcome);
         }
     }
+    gateway.plan_now.notify_one();
 }
 
 /// A line for a host that says it is slower than usual.
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -147,6 +147,8 @@
     pub suspects: RefCell<HashMap<u64, Millis>>,
     /// Asks for a heartbeat at once.
     pub beat_now: Notify,
+    /// Asks the leader for a look at its plans.
+    pub plan_now: Notify,
     /// Whether this process is stopping.
     pub stopping: watch::Sender<bool>,
     /// When it was told to.
@@ -195,6 +197,7 @@
             peers: RefCell::default(),
             suspects: RefCell::default(),
             beat_now: Notify::new(),
+            plan_now: Notify::new(),
             stopping: watch::channel(false).0,
             stop_began_at: Cell::new(None),
             open_requests: Cell::new(0),
