--- a/crates/oliveworks-gateway-core/src/workers.rs
+++ b/crates/oliveworks-gateway-core/src/backend_servers.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 /// The id of one life of a backend server.
-pub type WorkerId = Rc<str>;
+pub type BackendServerId = Rc<str>;
 
 /// Where a member of a replica group stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,15 +37,15 @@
 
 /// A backend server as it describes itself.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Worker {
+pub struct BackendServer {
     /// Its id.
-    pub id: WorkerId,
+    pub id: BackendServerId,
     /// Its service.
     pub service: String,
     /// Where it listens.
     pub address: SocketAddr,
-    /// Its zone.
-    pub zone: String,
+    /// Its failure domain.
+    pub failure_domain: String,
     /// Its fabric domain.
     pub domain: String,
     /// Requests that it works on at once.
@@ -72,51 +72,51 @@
 /// All backend servers that the platform lists.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
-    workers: BTreeMap<WorkerId, Worker>,
+    servers: BTreeMap<BackendServerId, BackendServer>,
 }
 
 impl Directory {
     /// Takes a record in; tells whether it changed anything.
-    pub fn put(&mut self, worker: Worker) -> bool {
-        if self.workers.get(&worker.id) == Some(&worker) {
+    pub fn put(&mut self, server: BackendServer) -> bool {
+        if self.servers.get(&server.id) == Some(&server) {
             return false;
         }
-        self.workers.insert(worker.id.clone(), worker);
+        self.servers.insert(server.id.clone(), server);
         true
     }
 
     /// Takes out a backend server that is no longer listed.
-    pub fn remove(&mut self, id: &str) -> Option<Worker> {
-        self.workers.remove(id)
+    pub fn remove(&mut self, id: &str) -> Option<BackendServer> {
+        self.servers.remove(id)
     }
 
     /// Keeps only backend servers that `keep` holds on to.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
-        self.workers.retain(|id, _| keep(id));
+        self.servers.retain(|id, _| keep(id));
     }
 
     /// A backend server.
-    pub fn get(&self, id: &str) -> Option<&Worker> {
-        self.workers.get(id)
+    pub fn get(&self, id: &str) -> Option<&BackendServer> {
+        self.servers.get(id)
     }
 
     /// How many there are.
     pub fn len(&self) -> usize {
-        self.workers.len()
+        self.servers.len()
     }
 
     /// Whether there is none.
     pub fn is_empty(&self) -> bool {
-        self.workers.is_empty()
+        self.servers.is_empty()
     }
 
     /// All of them, by id.
-    pub fn iter(&self) -> impl Iterator<Item = &Worker> {
-        self.workers.values()
+    pub fn iter(&self) -> impl Iterator<Item = &BackendServer> {
+        self.servers.values()
     }
 
     /// Those of a service.
-    pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Worker> {
-        self.iter().filter(move |worker| worker.service == service)
+    pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a BackendServer> {
+        self.iter().filter(move |server| server.service == service)
     }
 }
--- a/crates/oliveworks-gateway-core/src/balance.rs
+++ b/crates/oliveworks-gateway-core/src/balance.rs
@@ -29,7 +29,7 @@
     pub target: Target,
     /// Requests that it works on at once.
     pub slots: u32,
-    /// Whether it is in this gateway's zone.
+    /// Whether it is in this gateway's failure domain.
     pub near: bool,
     /// What each request that is open there costs the next one, in ms.
     pub open_ms: f64,
@@ -54,7 +54,7 @@
 const COMPARED: usize = 2;
 /// So few targets are all compared: few requests go to each of them in such a moment.
 const FEW: usize = 4;
-/// What being in another zone costs, in ms: the way there and back.
+/// What being in another failure domain costs, in ms: the way there and back.
 const FAR_MS: f64 = 3.0;
 /// What a recent failure costs, in ms; fades with time.
 const FAILURE_MS: f64 = 120.0;
--- a/crates/oliveworks-gateway-core/src/configuration.rs
+++ b/crates/oliveworks-gateway-core/src/configuration.rs
@@ -1,4 +1,4 @@
-//! The operators' configuration: routes, services, tenants, limits.
+//! The operators' configuration: routes, services, workspaces, limits.
 
 use std::collections::HashMap;
 
@@ -114,7 +114,7 @@
 
 /// A workspace and its keys.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Tenant {
+pub struct Workspace {
     /// Its name.
     pub name: String,
     /// Its keys.
@@ -135,7 +135,7 @@
     /// What callers may send.
     pub limits: Limits,
     /// Workspaces, where requests need keys.
-    pub tenants: Option<Vec<Tenant>>,
+    pub workspaces: Option<Vec<Workspace>>,
 }
 
 /// Why a request has no place in the configuration.
@@ -153,7 +153,7 @@
     /// Its route.
     pub route: &'a Route,
     /// The workspace whose key it carries.
-    pub tenant: Option<&'a Tenant>,
+    pub workspace: Option<&'a Workspace>,
 }
 
 /// A configuration with what is needed to look requests up.
@@ -162,7 +162,7 @@
     /// The configuration itself.
     pub configuration: Configuration,
     routes_of_host: HashMap<String, Vec<usize>>,
-    tenant_of_key: HashMap<String, usize>,
+    workspace_of_key: HashMap<String, usize>,
     service_of_name: HashMap<String, usize>,
 }
 
@@ -177,15 +177,15 @@
             // The longest prefix first, so that the first that fits is the one.
             routes.sort_by_key(|&i| std::cmp::Reverse(configuration.routes[i].path_prefix.len()));
         }
-        let mut tenant_of_key = HashMap::new();
-        for (index, tenant) in configuration.tenants.iter().flatten().enumerate() {
-            for key in &tenant.keys {
-                tenant_of_key.insert(key.clone(), index);
+        let mut workspace_of_key = HashMap::new();
+        for (index, workspace) in configuration.workspaces.iter().flatten().enumerate() {
+            for key in &workspace.keys {
+                workspace_of_key.insert(key.clone(), index);
             }
         }
         let names = configuration.services.iter().enumerate();
         let service_of_name = names.map(|(index, s)| (s.name.clone(), index)).collect();
-        Lookup { configuration, routes_of_host, tenant_of_key, service_of_name }
+        Lookup { configuration, routes_of_host, workspace_of_key, service_of_name }
     }
 
     /// Finds a request's route and the workspace of its key.
@@ -198,12 +198,12 @@
         let mut routes = routes.iter().map(|&index| &self.configuration.routes[index]);
         let route =
             routes.find(|route| path.starts_with(&route.path_prefix)).ok_or(Unmatched::NoRoute)?;
-        if route.public || self.configuration.tenants.is_none() {
-            return Ok(Match { route, tenant: None });
+        if route.public || self.configuration.workspaces.is_none() {
+            return Ok(Match { route, workspace: None });
         }
-        let tenants = self.configuration.tenants.as_deref().unwrap_or_default();
-        let index = key.and_then(|key| self.tenant_of_key.get(key)).ok_or(Unmatched::NoKey)?;
-        Ok(Match { route, tenant: Some(&tenants[*index]) })
+        let workspaces = self.configuration.workspaces.as_deref().unwrap_or_default();
+        let index = key.and_then(|key| self.workspace_of_key.get(key)).ok_or(Unmatched::NoKey)?;
+        Ok(Match { route, workspace: Some(&workspaces[*index]) })
     }
 
     /// A service by its name.
--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -9,7 +9,7 @@
 //! |---|---|
 //! | [`configuration`] | which service a request belongs to, and whose key it carries |
 //! | [`freshness`] | whether the configuration is young enough to honour keys |
-//! | [`workers`] | what the platform's records say of backend servers |
+//! | [`backend_servers`] | what the platform's records say of backend servers |
 //! | [`listing`] | how soon the list of backend servers is read again |
 //! | [`planner`] | which hosts form each replica group, and every order |
 //! | [`demand`] | how many requests for a model find a place |
@@ -22,6 +22,7 @@
 //! | [`events`] | which bytes of a stream may be passed on |
 
 pub mod attempts;
+pub mod backend_servers;
 pub mod balance;
 pub mod budget;
 pub mod configuration;
@@ -33,7 +34,6 @@
 pub mod planner;
 pub mod quota;
 pub mod speed;
-pub mod workers;
 
 /// A point on the process's steady clock, in milliseconds.
 pub type Millis = u64;
--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -21,9 +21,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::Millis;
+use crate::backend_servers::{BackendServer, BackendServerId, Holding, MemberState};
 use crate::configuration::{Engine, Model};
 use crate::quota::{self, Quotas, Room};
-use crate::workers::{Holding, MemberState, Worker, WorkerId};
 use group::{Group, Phase};
 use host::Host;
 pub use order::{Command, ModelLoad, Order, Outcome, PlannerConfig, Serving};
@@ -64,7 +64,7 @@
     engine: Engine,
     fence: u64,
     epochs: u64,
-    hosts: BTreeMap<WorkerId, Host>,
+    hosts: BTreeMap<BackendServerId, Host>,
     groups: BTreeMap<u64, Group>,
     /// Epochs of groups that serve no more for certain: their members are free.
     ended: BTreeSet<u64>,
@@ -159,7 +159,7 @@
         let ending =
             groups.filter(|group| matches!(group.phase, Phase::Breaking | Phase::Finishing));
         let hosts = ending.flat_map(|group| &group.members).filter_map(|id| self.hosts.get(id));
-        hosts.filter(|host| host.is_fit() && host.worker.domain == domain).count()
+        hosts.filter(|host| host.is_fit() && host.server.domain == domain).count()
     }
 
     /// Groups of a model that serve or will.
@@ -248,11 +248,11 @@
         for host in self.hosts.values_mut() {
             host.knows_fence = false;
         }
-        let mut found: BTreeMap<u64, BTreeMap<usize, (WorkerId, MemberState, String)>> =
+        let mut found: BTreeMap<u64, BTreeMap<usize, (BackendServerId, MemberState, String)>> =
             BTreeMap::new();
         for host in self.hosts.values() {
             let Some(member) = &host.holding.group else { continue };
-            let row = (host.worker.id.clone(), member.state, member.name.clone());
+            let row = (host.server.id.clone(), member.state, member.name.clone());
             found.entry(member.epoch).or_default().insert(member.rank, row);
         }
         // What the earlier leader gave up must not come back: it may have dealt with the hosts.
@@ -266,7 +266,7 @@
         &mut self,
         now: Millis,
         epoch: u64,
-        ranks: &BTreeMap<usize, (WorkerId, MemberState, String)>,
+        ranks: &BTreeMap<usize, (BackendServerId, MemberState, String)>,
     ) {
         let Some((head, state, name)) = ranks.get(&0) else { return };
         let models = self.hosts.get(head).map(|host| host.holding.models.clone());
@@ -276,7 +276,7 @@
         if !whole {
             return;
         }
-        let members: Vec<WorkerId> = ranks.values().map(|(id, _, _)| id.clone()).collect();
+        let members: Vec<BackendServerId> = ranks.values().map(|(id, _, _)| id.clone()).collect();
         let phase = match state {
             MemberState::Open => Phase::Open { from: now },
             MemberState::Closing | MemberState::Broken => Phase::Breaking,
@@ -303,14 +303,14 @@
     }
 
     /// A host is listed, or its record changed.
-    pub fn listed(&mut self, now: Millis, worker: &Worker) {
-        match self.hosts.get_mut(&worker.id) {
+    pub fn listed(&mut self, now: Millis, server: &BackendServer) {
+        match self.hosts.get_mut(&server.id) {
             Some(host) => {
-                host.listed(now, worker);
+                host.listed(now, server);
             }
             None => {
-                self.hosts.insert(worker.id.clone(), Host::new(now, worker));
-                self.grown_at.insert(worker.domain.clone(), now);
+                self.hosts.insert(server.id.clone(), Host::new(now, server));
+                self.grown_at.insert(server.domain.clone(), now);
             }
         }
     }
@@ -391,7 +391,7 @@
         let members = group.members.iter().filter_map(|id| self.hosts.get(id));
         let slow: Vec<&Host> = members.filter(|host| host.is_slow()).collect();
         let Some(first) = slow.first() else { return false };
-        let here = self.hosts.values().filter(|host| host.worker.domain == first.worker.domain);
+        let here = self.hosts.values().filter(|host| host.server.domain == first.server.domain);
         let able = here.filter(|host| host.is_fit() && host.has(&group.model));
         let spare =
             able.filter(|host| match host.group.and_then(|epoch| self.groups.get(&epoch)) {
@@ -577,7 +577,7 @@
     /// Whether members of new groups are still to be told to join.
     fn waits_for_joins(&self) -> bool {
         self.groups.values().any(|group| {
-            let unjoined = |id: &WorkerId| {
+            let unjoined = |id: &BackendServerId| {
                 self.hosts.get(id).is_some_and(|host| host.joined != Some(group.epoch))
             };
             group.phase == Phase::Joining && group.members.iter().any(unjoined)
@@ -596,7 +596,7 @@
     fn count_hosts(&mut self) {
         let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
         for host in self.hosts.values().filter(|host| host.stays()) {
-            *counts.entry(&host.worker.domain).or_default() += 1;
+            *counts.entry(&host.server.domain).or_default() += 1;
         }
         for (domain, count) in counts {
             let most = self.most_hosts.entry(domain.to_owned()).or_default();
@@ -621,12 +621,12 @@
         for host in self.hosts.values() {
             let what = match host.group.and_then(|epoch| self.groups.get(&epoch)) {
                 _ if host.is_lost() => "lost".to_owned(),
-                _ if host.worker.draining || host.unlisted => "leaving".to_owned(),
+                _ if host.server.draining || host.unlisted => "leaving".to_owned(),
                 _ if host.is_slow() => "slow".to_owned(),
                 Some(group) => format!("{}:{}{}", group.model, group.phase.name(), host.beside()),
                 None => format!("free:{}{}", host.last_model(), host.beside()),
             };
-            *domains.entry(&host.worker.domain).or_default().entry(what).or_default() += 1;
+            *domains.entry(&host.server.domain).or_default().entry(what).or_default() += 1;
         }
         let none = BTreeMap::new();
         let line = |name: &str, hosts| {
@@ -637,7 +637,7 @@
     }
 
     /// Hosts that belong to more than one group; always empty.
-    pub fn shared_hosts(&self) -> BTreeSet<WorkerId> {
+    pub fn shared_hosts(&self) -> BTreeSet<BackendServerId> {
         let mut seen = BTreeSet::new();
         let members = self.groups.values().flat_map(|group| &group.members);
         members.filter(|id| !seen.insert((*id).clone())).cloned().collect()
--- a/crates/oliveworks-gateway-core/src/planner/allot.rs
+++ b/crates/oliveworks-gateway-core/src/planner/allot.rs
@@ -16,20 +16,20 @@
 use super::host::Host;
 use super::shortage::Shortage;
 use crate::Millis;
+use crate::backend_servers::BackendServerId;
 use crate::configuration::Model;
 use crate::quota::per_weight;
-use crate::workers::WorkerId;
 
 /// A group to be formed.
 pub(super) struct NewGroup {
     pub(super) model: String,
-    pub(super) members: Vec<WorkerId>,
+    pub(super) members: Vec<BackendServerId>,
 }
 
 fn new_group(model: &Model, hosts: &[&Host]) -> NewGroup {
     NewGroup {
         model: model.name.clone(),
-        members: hosts.iter().map(|host| host.worker.id.clone()).collect(),
+        members: hosts.iter().map(|host| host.server.id.clone()).collect(),
     }
 }
 
@@ -123,7 +123,7 @@
     if !may {
         return None;
     }
-    domain.free.retain(|host| !order.iter().any(|taken| taken.worker.id == host.worker.id));
+    domain.free.retain(|host| !order.iter().any(|taken| taken.server.id == host.server.id));
     Some(order)
 }
 
@@ -238,7 +238,7 @@
     for group in planner.groups.values().filter(|group| group.model == model.name) {
         let members: Vec<&Host> =
             group.members.iter().filter_map(|id| planner.hosts.get(id)).collect();
-        let here = members.iter().all(|host| host.worker.domain == domain.name);
+        let here = members.iter().all(|host| host.server.domain == domain.name);
         let able = members.iter().filter(|host| warmth(host, needy) < Warmth::Cold).count();
         if lacking == 0 || !here || able == 0 || !matches!(group.phase, Phase::Open { .. }) {
             continue;
--- a/crates/oliveworks-gateway-core/src/planner/domain.rs
+++ b/crates/oliveworks-gateway-core/src/planner/domain.rs
@@ -93,8 +93,8 @@
 pub(super) fn domains(now: Millis, planner: &Planner) -> BTreeMap<&str, Domain<'_>> {
     let mut domains: BTreeMap<&str, Domain<'_>> = BTreeMap::new();
     for host in planner.hosts.values().filter(|host| host.is_fit()) {
-        let domain = domains.entry(&host.worker.domain).or_default();
-        domain.name = &host.worker.domain;
+        let domain = domains.entry(&host.server.domain).or_default();
+        domain.name = &host.server.domain;
         domain.living += 1;
         let group = host.group.and_then(|epoch| planner.groups.get(&epoch));
         match group {
@@ -109,7 +109,7 @@
     }
     for group in planner.groups.values() {
         let head = planner.hosts.get(&group.members[0]);
-        let domain = head.and_then(|head| domains.get_mut(head.worker.domain.as_str()));
+        let domain = head.and_then(|head| domains.get_mut(head.server.domain.as_str()));
         let Some(domain) = domain else { continue };
         let size = planner.model(&group.model).map_or(0, |model| model.size);
         let whole = group.members.len() == size;
--- a/crates/oliveworks-gateway-core/src/planner/group.rs
+++ b/crates/oliveworks-gateway-core/src/planner/group.rs
@@ -1,7 +1,7 @@
 //! A replica group as the leader knows it.
 
 use crate::Millis;
-use crate::workers::WorkerId;
+use crate::backend_servers::BackendServerId;
 
 /// Where a group stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,7 +42,7 @@
     pub(super) epoch: u64,
     pub(super) name: String,
     pub(super) model: String,
-    pub(super) members: Vec<WorkerId>,
+    pub(super) members: Vec<BackendServerId>,
     pub(super) phase: Phase,
     /// When it came into its phase.
     pub(super) since: Millis,
--- a/crates/oliveworks-gateway-core/src/planner/host.rs
+++ b/crates/oliveworks-gateway-core/src/planner/host.rs
@@ -4,8 +4,8 @@
 
 use super::{Command, Order, Outcome};
 use crate::Millis;
+use crate::backend_servers::{BackendServer, Holding, MemberState, Membership};
 use crate::configuration::Model;
-use crate::workers::{Holding, MemberState, Membership, Worker};
 
 /// The time between two questions to the same host.
 pub(super) const PROBE_EVERY_MS: u64 = 80;
@@ -32,7 +32,7 @@
 /// A host and what is under way there.
 #[derive(Clone, Debug)]
 pub(super) struct Host {
-    pub(super) worker: Worker,
+    pub(super) server: BackendServer,
     pub(super) holding: Holding,
     pub(super) heard_at: Millis,
     /// The group that it is to belong to.
@@ -76,11 +76,11 @@
 }
 
 impl Host {
-    pub(super) fn new(now: Millis, worker: &Worker) -> Host {
+    pub(super) fn new(now: Millis, server: &BackendServer) -> Host {
         Host {
-            holding: worker.holding.clone(),
+            holding: server.holding.clone(),
             heard_at: now,
-            worker: worker.clone(),
+            server: server.clone(),
             group: None,
             joined: None,
             joined_at: 0,
@@ -103,19 +103,19 @@
             ordered_at: 0,
             taken_at: 0,
             staging: None,
-            last_model: worker.holding.models.first().cloned(),
+            last_model: server.holding.models.first().cloned(),
             wants_probe: false,
             probing: false,
             probed_at: 0,
         }
     }
 
-    pub(super) fn listed(&mut self, now: Millis, worker: &Worker) {
+    pub(super) fn listed(&mut self, now: Millis, server: &BackendServer) {
         self.unlisted = false;
-        self.worker = worker.clone();
+        self.server = server.clone();
         // A record may be older than the order that was taken last; a question tells for sure.
         if now >= self.taken_at + RECORD_LAG_MS {
-            self.heard(now, &worker.holding);
+            self.heard(now, &server.holding);
         }
     }
 
@@ -153,7 +153,7 @@
 
     /// Whether it answers and is not leaving.
     pub(super) fn stays(&self) -> bool {
-        !self.is_lost() && !self.unlisted && !self.worker.draining
+        !self.is_lost() && !self.unlisted && !self.server.draining
     }
 
     /// Whether it may belong to a group.
@@ -277,7 +277,7 @@
     pub(super) fn order(&mut self, now: Millis, order: Order) -> Command {
         self.pending = true;
         self.ordered_at = now;
-        Command::Order { worker: self.worker.id.clone(), address: self.worker.address, order }
+        Command::Order { server: self.server.id.clone(), address: self.server.address, order }
     }
 
     pub(super) fn answered(&mut self, now: Millis, order: &Order, outcome: Outcome) {
@@ -358,6 +358,6 @@
         self.wants_probe = false;
         self.probing = true;
         self.probed_at = now;
-        Some(Command::Probe { worker: self.worker.id.clone(), address: self.worker.address })
+        Some(Command::Probe { server: self.server.id.clone(), address: self.server.address })
     }
 }
--- a/crates/oliveworks-gateway-core/src/planner/order.rs
+++ b/crates/oliveworks-gateway-core/src/planner/order.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::workers::WorkerId;
+use crate::backend_servers::BackendServerId;
 
 /// An order to a backend server.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -18,7 +18,7 @@
         /// The model.
         model: String,
         /// All members, the head first.
-        members: Vec<WorkerId>,
+        members: Vec<BackendServerId>,
     },
     /// To a head: serve.
     Open {
@@ -54,7 +54,7 @@
     /// Give an order; its outcome comes back through [`Planner::ordered`](super::Planner::ordered).
     Order {
         /// To whom.
-        worker: WorkerId,
+        server: BackendServerId,
         /// Where it listens.
         address: SocketAddr,
         /// The order.
@@ -64,7 +64,7 @@
     /// [`Planner::silent`](super::Planner::silent).
     Probe {
         /// Whom.
-        worker: WorkerId,
+        server: BackendServerId,
         /// Where it listens.
         address: SocketAddr,
     },
@@ -93,7 +93,7 @@
     /// Its model.
     pub model: String,
     /// Its members, the head first.
-    pub members: Vec<WorkerId>,
+    pub members: Vec<BackendServerId>,
     /// How much slower than usual it runs; 1 is usual.
     pub pace: f64,
 }
--- a/crates/oliveworks-gateway-core/src/planner/stage.rs
+++ b/crates/oliveworks-gateway-core/src/planner/stage.rs
@@ -9,12 +9,12 @@
 use super::Planner;
 use super::group::Phase;
 use super::host::Host;
+use crate::backend_servers::BackendServerId;
 use crate::configuration::Model;
-use crate::workers::WorkerId;
 
 /// A host that should load a model to its memory.
 pub(super) struct Staging {
-    pub(super) host: WorkerId,
+    pub(super) host: BackendServerId,
     pub(super) model: String,
 }
 
@@ -46,7 +46,7 @@
         let model = if holds.name == largest.name { smallest } else { largest };
         let group = host.group.and_then(|epoch| planner.groups.get(&epoch));
         if host.has(&model.name) || host.is_staging(&model.name) {
-            *staged.entry((&host.worker.domain, &model.name)).or_default() += 1;
+            *staged.entry((&host.server.domain, &model.name)).or_default() += 1;
             continue;
         }
         if group.is_none_or(|g| matches!(g.phase, Phase::Spare | Phase::Open { .. })) {
@@ -59,7 +59,7 @@
     candidates.retain(|candidate| candidate.turn < most);
     candidates.sort_by_key(|candidate| (std::cmp::Reverse(candidate.model.size), candidate.turn));
     let staging = candidates.into_iter().map(|candidate| Staging {
-        host: candidate.host.worker.id.clone(),
+        host: candidate.host.server.id.clone(),
         model: candidate.model.name.clone(),
     });
     staging.collect()
@@ -70,9 +70,9 @@
     candidates: &mut [Candidate<'a>],
     mut staged: BTreeMap<(&'a str, &'a str), usize>,
 ) {
-    candidates.sort_by_key(|candidate| (candidate.epoch, candidate.host.worker.id.clone()));
+    candidates.sort_by_key(|candidate| (candidate.epoch, candidate.host.server.id.clone()));
     for candidate in candidates {
-        let key = (candidate.host.worker.domain.as_str(), candidate.model.name.as_str());
+        let key = (candidate.host.server.domain.as_str(), candidate.model.name.as_str());
         let count = staged.entry(key).or_default();
         candidate.turn = *count;
         *count += 1;
--- a/crates/oliveworks-gateway-core/tests/configuration.rs
+++ b/crates/oliveworks-gateway-core/tests/configuration.rs
@@ -1,7 +1,7 @@
 //! Which route takes a request, and whose key it carries.
 
 use oliveworks_gateway_core::configuration::{
-    Configuration, Limits, Lookup, Repeat, Route, Tenant, Unmatched,
+    Configuration, Limits, Lookup, Repeat, Route, Unmatched, Workspace,
 };
 use test_case::test_case;
 
@@ -23,7 +23,7 @@
     }
 }
 
-fn configuration(tenants: Option<Vec<Tenant>>) -> Configuration {
+fn configuration(workspaces: Option<Vec<Workspace>>) -> Configuration {
     Configuration {
         version: 3,
         routes: vec![
@@ -38,12 +38,12 @@
             header_timeout_ms: 3_000,
             idle_timeout_ms: 15_000,
         },
-        tenants,
+        workspaces,
     }
 }
 
-fn workspaces() -> Option<Vec<Tenant>> {
-    Some(vec![Tenant { name: "riders".into(), keys: vec!["k1".into()], priority: Some(0) }])
+fn workspaces() -> Option<Vec<Workspace>> {
+    Some(vec![Workspace { name: "riders".into(), keys: vec!["k1".into()], priority: Some(0) }])
 }
 
 #[test_case("a.example", "/x/y/z", Some("k1"), Ok("deep"); "the longest prefix")]
@@ -69,7 +69,7 @@
 fn the_key_tells_the_workspace() {
     let lookup = Lookup::new(configuration(workspaces()));
     let found = lookup.find("a.example", "/x/", Some("k1")).expect("a route and a key");
-    assert_eq!(found.tenant.map(|tenant| tenant.name.as_str()), Some("riders"));
+    assert_eq!(found.workspace.map(|workspace| workspace.name.as_str()), Some("riders"));
 }
 
 #[test]
--- a/crates/oliveworks-gateway-core/tests/planner/policy.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/policy.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use oliveworks_gateway_core::workers::WorkerId;
+use oliveworks_gateway_core::backend_servers::BackendServerId;
 use test_case::test_case;
 
 use crate::world::*;
@@ -23,12 +23,12 @@
         let held = |model: &str| {
             let serving = leader.planner.serving(world.now);
             let here = serving.iter().filter(|group| {
-                group.model == model && world.hosts[&group.members[0]].worker.domain == domain
+                group.model == model && world.hosts[&group.members[0]].server.domain == domain
             });
             here.count()
         };
         assert_eq!((held("large"), held("small")), (1, 2), "{domain}");
-        let hosts = world.hosts.values().filter(|host| host.worker.domain == domain);
+        let hosts = world.hosts.values().filter(|host| host.server.domain == domain);
         let flexible = hosts.filter(|host| {
             host.last_model.as_deref() == Some("small") && host.staging == ["large"]
         });
@@ -90,7 +90,7 @@
 #[test]
 fn a_small_group_ends_for_a_model_without_any() {
     let (mut world, mut leader) = formed(FEW);
-    for host in world.hosts.values_mut().filter(|host| host.worker.domain != DOMAINS[0]) {
+    for host in world.hosts.values_mut().filter(|host| host.server.domain != DOMAINS[0]) {
         host.alive = host.last_model.as_deref() == Some("small");
         host.staging = vec!["small".into()];
         host.staged_at = None;
@@ -116,7 +116,7 @@
     let (mut world, mut leader) = formed(FEW);
     let domain = DOMAINS[0];
     kill_spares(&mut world, &leader, domain);
-    for host in world.hosts.values_mut().filter(|host| host.worker.domain == domain) {
+    for host in world.hosts.values_mut().filter(|host| host.server.domain == domain) {
         host.staging = vec!["small".into()];
         host.staged_at = None;
     }
@@ -147,7 +147,7 @@
     kill_member(&mut world, &mut leader, "small", domain);
     run_for(&mut world, &mut leader, STAGED_REPAIR_MS, true);
     // What survives keeps no large model, so that it cannot complete a large group by itself.
-    for host in world.hosts.values_mut().filter(|host| host.worker.domain == domain) {
+    for host in world.hosts.values_mut().filter(|host| host.server.domain == domain) {
         if host.last_model.as_deref() == Some("small") && host.group.is_none() {
             host.staging = vec!["small".into()];
         }
@@ -174,7 +174,7 @@
     world.hosts.get_mut(&slow).expect("a host").pace = 5.0;
     leader.planner.runs_slowly(world.now, before.epoch);
     run_for(&mut world, &mut leader, STAGED_REPAIR_MS, true);
-    let slow_domain = world.hosts[&slow].worker.domain.clone();
+    let slow_domain = world.hosts[&slow].server.domain.clone();
     assert_eq!(serving(&world, &leader, "large", &slow_domain), 1, "{domain}");
     assert!(!leader.planner.serving(world.now).iter().any(|g| g.members.contains(&slow)));
     let lines = leader.planner.describe_domains();
@@ -203,8 +203,8 @@
 fn a_slow_group_serves_on_without_spares() {
     let (mut world, mut leader) = formed(FEW);
     let domain = DOMAINS[0];
-    let hosts: Vec<WorkerId> = world.hosts.keys().cloned().collect();
-    let serving_hosts: Vec<WorkerId> =
+    let hosts: Vec<BackendServerId> = world.hosts.keys().cloned().collect();
+    let serving_hosts: Vec<BackendServerId> =
         leader.planner.serving(world.now).into_iter().flat_map(|group| group.members).collect();
     for id in hosts.iter().filter(|id| !serving_hosts.contains(id)) {
         world.hosts.get_mut(id).expect("a spare").alive = false;
@@ -262,16 +262,16 @@
 #[test]
 fn groups_elsewhere_serve_on_while_a_domain_goes_dark() {
     let (mut world, mut leader) = formed(MANY);
-    let dark: Vec<WorkerId> = world
+    let dark: Vec<BackendServerId> = world
         .hosts
         .values()
-        .filter(|host| host.worker.domain == DOMAINS[0])
-        .map(|host| host.worker.id.clone())
+        .filter(|host| host.server.domain == DOMAINS[0])
+        .map(|host| host.server.id.clone())
         .collect();
     let elsewhere = |world: &World, leader: &Leader| -> BTreeSet<u64> {
         let serving = leader.planner.serving(world.now).into_iter();
         let others =
-            serving.filter(|group| world.hosts[&group.members[0]].worker.domain != DOMAINS[0]);
+            serving.filter(|group| world.hosts[&group.members[0]].server.domain != DOMAINS[0]);
         others.map(|group| group.epoch).collect()
     };
     let before = elsewhere(&world, &leader);
--- a/crates/oliveworks-gateway-core/tests/planner/safety.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/safety.rs
@@ -44,7 +44,7 @@
         && let Some(host) = world.hosts.get_mut(&id)
     {
         host.alive = false;
-        let domain = host.worker.domain.clone();
+        let domain = host.server.domain.clone();
         world.add_host(&domain);
         suspect(world, leaders, &id);
     }
@@ -61,7 +61,7 @@
         && let Some(id) = world.random_host()
         && let Some(host) = world.hosts.get_mut(&id)
     {
-        host.worker.draining = true;
+        host.server.draining = true;
     }
     if world.rng.random_bool(0.003) {
         // The leader stands still; another takes its place and knows little or nothing of it.
--- a/crates/oliveworks-gateway-core/tests/planner/starved.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/starved.rs
@@ -14,8 +14,8 @@
 //!   (memory emptied of the larger model by a join), and `order` (spares told to join 0.3 ms after the
 //!   order that took a larger group apart).
 
+use oliveworks_gateway_core::backend_servers::BackendServerId;
 use oliveworks_gateway_core::planner::{ModelLoad, PlannerConfig};
-use oliveworks_gateway_core::workers::WorkerId;
 
 use crate::world::*;
 
@@ -57,7 +57,7 @@
     let domain = DOMAINS[0];
     let starved = loads(load(1.0, 0.65), load(0.9, 0.0));
     kill_spares(&mut world, &leader, domain);
-    for host in world.hosts.values_mut().filter(|host| host.worker.domain == domain) {
+    for host in world.hosts.values_mut().filter(|host| host.server.domain == domain) {
         host.staging = host.last_model.iter().cloned().collect();
         host.staged_at = None;
         if host.last_model.as_deref() == Some("large") {
@@ -80,9 +80,9 @@
     let domain = DOMAINS[0];
     let busy = loads(load(0.4, 0.0), load(0.6, 0.0));
     // The smaller model's groups keep nothing else in memory, so that they cannot repair it.
-    let serving_hosts: Vec<WorkerId> =
+    let serving_hosts: Vec<BackendServerId> =
         leader.planner.serving(world.now).into_iter().flat_map(|group| group.members).collect();
-    for host in world.hosts.values_mut().filter(|host| serving_hosts.contains(&host.worker.id)) {
+    for host in world.hosts.values_mut().filter(|host| serving_hosts.contains(&host.server.id)) {
         host.staging = host.last_model.iter().cloned().collect();
         host.staged_at = None;
     }
--- a/crates/oliveworks-gateway-core/tests/planner/world.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/world.rs
@@ -7,11 +7,13 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use oliveworks_gateway_core::backend_servers::{
+    BackendServer, BackendServerId, Holding, MemberState, Membership,
+};
 use oliveworks_gateway_core::configuration::{Engine, Model};
 use oliveworks_gateway_core::planner::{
     Command, ModelLoad, Order, Outcome, Planner, PlannerConfig,
 };
-use oliveworks_gateway_core::workers::{Holding, MemberState, Membership, Worker, WorkerId};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -55,7 +57,7 @@
 }
 
 pub struct SimHost {
-    pub worker: Worker,
+    pub server: BackendServer,
     pub alive: bool,
     pub pace: f64,
     pub silent_until: u64,
@@ -64,7 +66,7 @@
     pub last_model: Option<String>,
     pub staging: Vec<String>,
     pub staged_at: Option<(u64, String)>,
-    pub group: Option<(Membership, Vec<WorkerId>, String)>,
+    pub group: Option<(Membership, Vec<BackendServerId>, String)>,
     pub ready_at: u64,
     pub open_at: Option<u64>,
 }
@@ -73,11 +75,11 @@
     pub rng: ChaCha8Rng,
     pub now: u64,
     pub broken: Broken,
-    pub hosts: BTreeMap<WorkerId, SimHost>,
+    pub hosts: BTreeMap<BackendServerId, SimHost>,
     /// Orders that are carried out later: time, fence, host, order.
-    pub late: Vec<(u64, u64, WorkerId, Order)>,
+    pub late: Vec<(u64, u64, BackendServerId, Order)>,
     pub late_share: f64,
-    pub ready: BTreeSet<(u64, WorkerId)>,
+    pub ready: BTreeSet<(u64, BackendServerId)>,
     pub loads: Vec<u64>,
     pub breaches: Vec<String>,
     pub next_host: u32,
@@ -101,19 +103,19 @@
 
     pub fn add_host(&mut self, domain: &str) {
         self.next_host += 1;
-        let id: WorkerId = Rc::from(format!("h{}", self.next_host));
-        let worker = Worker {
+        let id: BackendServerId = Rc::from(format!("h{}", self.next_host));
+        let server = BackendServer {
             id: id.clone(),
             service: "lm".into(),
             address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
-            zone: domain.into(),
+            failure_domain: domain.into(),
             domain: domain.into(),
             slots: 34,
             draining: false,
             holding: Holding::default(),
         };
         let host = SimHost {
-            worker,
+            server,
             alive: true,
             pace: 1.0,
             silent_until: 0,
@@ -130,7 +132,7 @@
     }
 
     /// Whether the head of a host's group serves, as far as the head itself knows.
-    pub fn head_serves(&self, epoch: u64, members: &[WorkerId]) -> bool {
+    pub fn head_serves(&self, epoch: u64, members: &[BackendServerId]) -> bool {
         let head = self.hosts.get(&members[0]).filter(|head| head.alive);
         let group = head.and_then(|head| head.group.as_ref());
         group.is_some_and(|(member, _, _)| {
@@ -138,7 +140,7 @@
         })
     }
 
-    pub fn carry_out(&mut self, fence: u64, id: &WorkerId, order: &Order) -> Outcome {
+    pub fn carry_out(&mut self, fence: u64, id: &BackendServerId, order: &Order) -> Outcome {
         let (now, broken) = (self.now, self.broken);
         let Some(host) = self.hosts.get(id).filter(|host| host.alive) else {
             return Outcome::Unanswered;
@@ -263,7 +265,7 @@
         }
     }
 
-    pub fn holding(&self, id: &WorkerId) -> Option<Holding> {
+    pub fn holding(&self, id: &BackendServerId) -> Option<Holding> {
         let host = self.hosts.get(id).filter(|host| host.alive && self.now >= host.silent_until)?;
         Some(Holding {
             models: host.last_model.iter().cloned().collect(),
@@ -273,22 +275,22 @@
         })
     }
 
-    pub fn listed(&self) -> Vec<Worker> {
+    pub fn listed(&self) -> Vec<BackendServer> {
         let alive = self.hosts.values().filter(|host| host.alive);
-        let each = alive.map(|host| Worker {
+        let each = alive.map(|host| BackendServer {
             holding: Holding {
                 models: host.last_model.iter().cloned().collect(),
                 staging: host.staging.clone(),
                 group: host.group.as_ref().map(|(member, _, _)| member.clone()),
                 pace: None,
             },
-            ..host.worker.clone()
+            ..host.server.clone()
         });
         each.collect()
     }
 
-    pub fn random_host(&mut self) -> Option<WorkerId> {
-        let alive: Vec<WorkerId> =
+    pub fn random_host(&mut self) -> Option<BackendServerId> {
+        let alive: Vec<BackendServerId> =
             self.hosts.iter().filter(|(_, h)| h.alive).map(|(id, _)| id.clone()).collect();
         (!alive.is_empty()).then(|| alive[self.rng.random_range(0..alive.len())].clone())
     }
@@ -312,7 +314,7 @@
     pub fence: u64,
     pub paused_until: u64,
     pub over: bool,
-    pub known: BTreeSet<WorkerId>,
+    pub known: BTreeSet<BackendServerId>,
 }
 
 impl Leader {
@@ -328,12 +330,12 @@
     ) -> Leader {
         let mut planner = Planner::new(config, engine(), fence, world.now);
         let mut known = BTreeSet::new();
-        for worker in world.listed() {
-            planner.listed(world.now, &worker);
-            known.insert(worker.id.clone());
-            match world.holding(&worker.id) {
-                Some(holding) => planner.reported(world.now, &worker.id, &holding),
-                None => planner.silent(world.now, &worker.id, false),
+        for server in world.listed() {
+            planner.listed(world.now, &server);
+            known.insert(server.id.clone());
+            match world.holding(&server.id) {
+                Some(holding) => planner.reported(world.now, &server.id, &holding),
+                None => planner.silent(world.now, &server.id, false),
             }
         }
         planner.adopt_ended(ended);
@@ -343,9 +345,9 @@
 
     pub fn read_list(&mut self, world: &World) {
         let listed = world.listed();
-        for worker in &listed {
-            self.planner.listed(world.now, worker);
-            self.known.insert(worker.id.clone());
+        for server in &listed {
+            self.planner.listed(world.now, server);
+            self.known.insert(server.id.clone());
         }
         let gone = self.known.iter().filter(|id| !listed.iter().any(|w| w.id == **id));
         for id in gone.cloned().collect::<Vec<_>>() {
@@ -361,11 +363,11 @@
         self.planner.set_traffic(traffic);
         for command in self.planner.tick(world.now) {
             match command {
-                Command::Probe { worker, .. } => match world.holding(&worker) {
-                    Some(holding) => self.planner.reported(world.now, &worker, &holding),
-                    None => self.planner.silent(world.now, &worker, false),
+                Command::Probe { server, .. } => match world.holding(&server) {
+                    Some(holding) => self.planner.reported(world.now, &server, &holding),
+                    None => self.planner.silent(world.now, &server, false),
                 },
-                Command::Order { worker, order, .. } => self.give(world, worker, order),
+                Command::Order { server, order, .. } => self.give(world, server, order),
             }
         }
         assert!(self.planner.shared_hosts().is_empty(), "a host in two groups of one planner");
@@ -380,20 +382,20 @@
         }
     }
 
-    pub fn give(&mut self, world: &mut World, worker: WorkerId, order: Order) {
-        let silent = world.hosts.get(&worker).is_none_or(|host| world.now < host.silent_until);
+    pub fn give(&mut self, world: &mut World, server: BackendServerId, order: Order) {
+        let silent = world.hosts.get(&server).is_none_or(|host| world.now < host.silent_until);
         let late = world.rng.random_bool(world.late_share);
         let outcome = if late {
             let delay = world.rng.random_range(2_000..12_000);
-            world.late.push((world.now + delay, self.fence, worker.clone(), order.clone()));
+            world.late.push((world.now + delay, self.fence, server.clone(), order.clone()));
             Outcome::Unanswered
         } else if silent {
             Outcome::Unanswered
         } else {
-            world.carry_out(self.fence, &worker, &order)
+            world.carry_out(self.fence, &server, &order)
         };
         self.over |= outcome == Outcome::Fenced;
-        self.planner.ordered(world.now, &worker, &order, outcome);
+        self.planner.ordered(world.now, &server, &order, outcome);
     }
 }
 
@@ -435,7 +437,7 @@
 pub fn kill_member(world: &mut World, leader: &mut Leader, model: &str, domain: &str) {
     let serving = leader.planner.serving(world.now);
     let mut groups = serving.iter().filter(|group| {
-        group.model == model && world.hosts[&group.members[0]].worker.domain == domain
+        group.model == model && world.hosts[&group.members[0]].server.domain == domain
     });
     let lost = groups.next().expect("a group").members.last().expect("a member").clone();
     world.hosts.get_mut(&lost).expect("a host").alive = false;
@@ -445,22 +447,22 @@
 pub fn serving(world: &World, leader: &Leader, model: &str, domain: &str) -> usize {
     let serving = leader.planner.serving(world.now);
     let here = serving.iter().filter(|group| {
-        group.model == model && world.hosts[&group.members[0]].worker.domain == domain
+        group.model == model && world.hosts[&group.members[0]].server.domain == domain
     });
     here.count()
 }
 
 /// Kills the hosts of a domain that belong to no group, so that it has no spares.
 pub fn kill_spares(world: &mut World, leader: &Leader, domain: &str) {
-    let serving: Vec<WorkerId> =
+    let serving: Vec<BackendServerId> =
         leader.planner.serving(world.now).into_iter().flat_map(|group| group.members).collect();
     let hosts = world.hosts.iter_mut();
-    let spares = hosts.filter(|(id, host)| host.worker.domain == domain && !serving.contains(id));
+    let spares = hosts.filter(|(id, host)| host.server.domain == domain && !serving.contains(id));
     spares.for_each(|(_, host)| host.alive = false);
 }
 
 /// Gateways see the group of a host standing still.
-pub fn suspect(world: &World, leaders: &mut [Leader], id: &WorkerId) {
+pub fn suspect(world: &World, leaders: &mut [Leader], id: &BackendServerId) {
     let host = world.hosts.get(id);
     let epoch = host.and_then(|host| host.group.as_ref()).map(|(member, _, _)| member.epoch);
     for leader in leaders {
--- a/crates/oliveworks-gateway/src/dialect.rs
+++ b/crates/oliveworks-gateway/src/dialect.rs
@@ -3,9 +3,9 @@
 use std::fmt;
 
 use bytes::Bytes;
+use oliveworks_gateway_core::backend_servers::{BackendServer, BackendServerId, Holding};
 use oliveworks_gateway_core::configuration::Configuration;
 use oliveworks_gateway_core::planner::{Order, Outcome};
-use oliveworks_gateway_core::workers::{Holding, Worker, WorkerId};
 
 /// Headers in order; names in lower case.
 pub type Headers = Vec<(String, Bytes)>;
@@ -28,7 +28,7 @@
     /// The operators' configuration.
     Configuration,
     /// Backend servers.
-    Workers,
+    BackendServers,
     /// Who gives orders: this system's own.
     Leaders,
 }
@@ -39,9 +39,9 @@
     /// A version of the configuration.
     Configuration(Configuration),
     /// A backend server.
-    Worker(Worker),
+    BackendServer(BackendServer),
     /// A backend server that is no longer listed.
-    WorkerGone(WorkerId),
+    BackendServerGone(BackendServerId),
     /// Who leads from here on.
     Leader {
         /// Its fence.
@@ -122,9 +122,9 @@
     /// How long the backend server may work.
     pub deadline_ms: u64,
     /// Which backend server is meant.
-    pub worker: &'a str,
+    pub server: &'a str,
     /// The workspace that the request belongs to.
-    pub tenant: Option<&'a str>,
+    pub workspace: Option<&'a str>,
     /// The last event that the caller has.
     pub last_event: Option<u64>,
     /// Its rank among others, 0 the highest.
@@ -186,11 +186,11 @@
     fn claimed(&self, status: u16, body: &[u8]) -> Result<Claimed, Malformed>;
 
     /// Gives an order to a backend server.
-    fn order(&self, worker: &str, fence: u64, order: &Order) -> Call;
+    fn order(&self, server: &str, fence: u64, order: &Order) -> Call;
     /// Reads how it was answered.
     fn ordered(&self, status: u16) -> Outcome;
     /// Asks a backend server for its state.
-    fn report(&self, worker: &str) -> Call;
+    fn report(&self, server: &str) -> Call;
     /// Reads it; nothing if another backend server answers at the address.
     ///
     /// # Errors
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -5,11 +5,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use oliveworks_gateway_core::backend_servers::{BackendServer, BackendServerId, Holding};
 use oliveworks_gateway_core::balance::Target;
 use oliveworks_gateway_core::configuration::Engine;
 use oliveworks_gateway_core::demand::ModelKey;
 use oliveworks_gateway_core::planner::{Command, ModelLoad, Order, Outcome, Planner};
-use oliveworks_gateway_core::workers::{Holding, Worker, WorkerId};
 use serde_json::{Map, Value};
 use tokio::time::{sleep, timeout};
 
@@ -117,13 +117,14 @@
 async fn take_over(gateway: &Rc<Gateway>, service: &str, engine: &Engine, fence: u64) -> Planner {
     let config = gateway.settings.policy.planner.clone();
     let mut planner = Planner::new(config, engine.clone(), fence, gateway.now());
-    let workers: Vec<Worker> = gateway.directory.borrow().of_service(service).cloned().collect();
+    let servers: Vec<BackendServer> =
+        gateway.directory.borrow().of_service(service).cloned().collect();
     let mut asked = Vec::new();
-    for worker in &workers {
-        planner.listed(gateway.now(), worker);
-        let (gateway, id, address) = (gateway.clone(), worker.id.clone(), worker.address);
+    for server in &servers {
+        planner.listed(gateway.now(), server);
+        let (gateway, id, address) = (gateway.clone(), server.id.clone(), server.address);
         let answer = ntex::rt::spawn(async move { ask(&gateway, &id, address).await });
-        asked.push((worker.id.clone(), answer));
+        asked.push((server.id.clone(), answer));
     }
     for (id, answer) in asked {
         match answer.await {
@@ -154,9 +155,9 @@
     Replaced,
 }
 
-async fn ask(gateway: &Gateway, worker: &str, address: SocketAddr) -> Asked {
+async fn ask(gateway: &Gateway, server: &str, address: SocketAddr) -> Asked {
     gateway.count("probes");
-    match make(address, &gateway.dialect.report(worker), PROBE_MS).await {
+    match make(address, &gateway.dialect.report(server), PROBE_MS).await {
         Ok((status, body)) => match gateway.dialect.reported(status, &body) {
             Ok(Some(holding)) => Asked::Holding(holding),
             Ok(None) => Asked::Replaced,
@@ -248,7 +249,7 @@
             members: group.members.iter().map(|id| id.to_string()).collect(),
             address: head.address,
             slots,
-            zone: head.zone.clone(),
+            failure_domain: head.failure_domain.clone(),
             pace_percent: (group.pace * 100.0) as u32,
         });
     }
@@ -278,8 +279,8 @@
 
 async fn carry_out(gateway: Rc<Gateway>, fence: u64, service: String, command: Command) {
     match command {
-        Command::Probe { worker, address } => {
-            let answer = ask(&gateway, &worker, address).await;
+        Command::Probe { server, address } => {
+            let answer = ask(&gateway, &server, address).await;
             let now = gateway.now();
             let mut planners = gateway.planners.borrow_mut();
             let Some(planner) = planners.get_mut(&service).filter(|p| p.fence() == fence) else {
@@ -287,43 +288,43 @@
             };
             match answer {
                 Asked::Holding(holding) => {
-                    tell_pace(&worker, holding.pace);
-                    tell_holding(planner, &worker, &holding);
-                    planner.reported(now, &worker, &holding);
+                    tell_pace(&server, holding.pace);
+                    tell_holding(planner, &server, &holding);
+                    planner.reported(now, &server, &holding);
                 }
-                Asked::Silent { refused } => planner.silent(now, &worker, refused),
-                Asked::Replaced => planner.replaced(now, &worker),
+                Asked::Silent { refused } => planner.silent(now, &server, refused),
+                Asked::Replaced => planner.replaced(now, &server),
             }
         }
-        Command::Order { worker, address, order } => {
-            let outcome = give(&gateway, fence, &worker, address, &order).await;
+        Command::Order { server, address, order } => {
+            let outcome = give(&gateway, fence, &server, address, &order).await;
             Event::new("order")
-                .with("host", &*worker)
+                .with("host", &*server)
                 .with("fence", fence)
                 .debug("order", &order)
                 .debug("outcome", outcome)
                 .write();
-            ordered(&gateway, fence, &service, &worker, &order, outcome);
+            ordered(&gateway, fence, &service, &server, &order, outcome);
         }
     }
     gateway.plan_now.notify_one();
 }
 
 /// A line for a host that says it is slower than usual.
-fn tell_pace(worker: &str, pace: Option<f64>) {
+fn tell_pace(server: &str, pace: Option<f64>) {
     if let Some(pace) = pace.filter(|pace| *pace > PACE_TOLD) {
-        Event::new("host_is_slow").with("host", worker).with("pace", pace).write();
+        Event::new("host_is_slow").with("host", server).with("pace", pace).write();
     }
 }
 
 /// A line for a host that holds other models than it was last known to.
-fn tell_holding(planner: &Planner, worker: &str, holding: &Holding) {
-    let Some(before) = planner.holding(worker) else { return };
+fn tell_holding(planner: &Planner, server: &str, holding: &Holding) {
+    let Some(before) = planner.holding(server) else { return };
     if (&before.models, &before.staging) == (&holding.models, &holding.staging) {
         return;
     }
     Event::new("host_holds")
-        .with("host", worker)
+        .with("host", server)
         .with("model", holding.models.first().cloned())
         .with("in_memory", holding.staging.clone())
         .with("model_before", before.models.first().cloned())
@@ -334,12 +335,12 @@
 async fn give(
     gateway: &Gateway,
     fence: u64,
-    worker: &str,
+    server: &str,
     address: SocketAddr,
     order: &Order,
 ) -> Outcome {
     gateway.count("orders");
-    match make(address, &gateway.dialect.order(worker, fence, order), ORDER_MS).await {
+    match make(address, &gateway.dialect.order(server, fence, order), ORDER_MS).await {
         Ok((status, _)) => gateway.dialect.ordered(status),
         Err(_) => Outcome::Unanswered,
     }
@@ -349,7 +350,7 @@
     gateway: &Gateway,
     fence: u64,
     service: &str,
-    worker: &WorkerId,
+    server: &BackendServerId,
     order: &Order,
     outcome: Outcome,
 ) {
@@ -359,6 +360,6 @@
     let now = gateway.now();
     let mut planners = gateway.planners.borrow_mut();
     if let Some(planner) = planners.get_mut(service).filter(|p| p.fence() == fence) {
-        planner.ordered(now, worker, order, outcome);
+        planner.ordered(now, server, order, outcome);
     }
 }
--- a/crates/oliveworks-gateway/src/process.rs
+++ b/crates/oliveworks-gateway/src/process.rs
@@ -51,7 +51,7 @@
         .with("version", env!("CARGO_PKG_VERSION"))
         .write();
     ntex::rt::spawn(store::follow_configuration(gateway.clone()));
-    ntex::rt::spawn(store::follow_workers(gateway.clone()));
+    ntex::rt::spawn(store::follow_servers(gateway.clone()));
     ntex::rt::spawn(store::follow_leaders(gateway.clone()));
     ntex::rt::spawn(peers::receive(gateway.clone(), socket.clone()));
     ntex::rt::spawn(peers::send(gateway.clone(), socket));
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -66,7 +66,7 @@
     model: Option<String>,
     /// The longest pass of a replica group of the model.
     pass_ms: u64,
-    tenant: Option<String>,
+    workspace: Option<String>,
     priority: Option<u8>,
     received: Millis,
     deadline: Millis,
@@ -182,7 +182,7 @@
     let deadline = received + time_ms;
     let repeatable = found.route.repeat == Repeat::Idempotent;
     let max_attempts = found.route.max_attempts.max(1);
-    let tenant_rank = found.tenant.and_then(|tenant| tenant.priority);
+    let workspace_rank = found.workspace.and_then(|workspace| workspace.priority);
     gateway.budget.borrow_mut().request(received, &service);
     let pass_ms = engine.and_then(|engine| {
         let model = engine.model(asked.model.as_deref()?)?;
@@ -191,8 +191,8 @@
     Ok(Job {
         pass_ms: pass_ms.unwrap_or(0),
         model: asked.model.clone().filter(|_| grouped),
-        tenant: found.tenant.map(|tenant| tenant.name.clone()),
-        priority: Some(tenant_rank.unwrap_or(found.route.priority)),
+        workspace: found.workspace.map(|workspace| workspace.name.clone()),
+        priority: Some(workspace_rank.unwrap_or(found.route.priority)),
         progress: Progress::after(asked.last_event),
         attempts: Attempts::new(Terms { repeatable, max_attempts, deadline }),
         route: found.route.clone(),
@@ -255,7 +255,7 @@
             let load = self.gateway.balance.borrow().load(now, target);
             self.log.push(format!(
                 "to {} at {} ms: {} open, {} tokens unread",
-                place.worker,
+                place.server,
                 now - self.received,
                 load.requests,
                 load.tokens,
@@ -278,7 +278,7 @@
                 Tried::Failed { failure, gone } => (failure, gone),
             };
             let now = self.gateway.now();
-            self.log.push(format!("{} {failure:?} at {} ms", place.worker, now - self.received));
+            self.log.push(format!("{} {failure:?} at {} ms", place.server, now - self.received));
             self.gateway.count(&format!("attempt_{failure:?}").to_lowercase());
             if let Next::GiveUp(verdict) = self.attempts.failed(now, failure, gone) {
                 return self.give_up(connection, verdict, COME_BACK_MS).await;
--- a/crates/oliveworks-gateway/src/relay/attempt.rs
+++ b/crates/oliveworks-gateway/src/relay/attempt.rs
@@ -57,8 +57,8 @@
         let now = self.gateway.now();
         let said = Said {
             deadline_ms: self.deadline.saturating_sub(now).max(1),
-            worker: &place.worker,
-            tenant: self.tenant.as_deref(),
+            server: &place.server,
+            workspace: self.workspace.as_deref(),
             last_event: self.progress.last(),
             priority: self.priority.filter(|_| self.model.is_some()),
         };
@@ -126,7 +126,7 @@
         self.gateway.balance.borrow_mut().suspend(now, place.candidate.target);
         if let Some(epoch) = place.epoch {
             Event::new("head_unreachable")
-                .with("host", &*place.worker)
+                .with("host", &*place.server)
                 .with("epoch", epoch)
                 .debug("why", why)
                 .with("request", self.asked.id.as_str())
@@ -215,7 +215,7 @@
             if !balance.suspended(now, place.candidate.target) {
                 let last = balance.last_progress(place.candidate.target).unwrap_or(now);
                 Event::new("group_stands_still")
-                    .with("host", &*place.worker)
+                    .with("host", &*place.server)
                     .with("epoch", epoch)
                     .with("silent_ms", now - last)
                     .with("longest_pass_ms", self.pass_ms)
--- a/crates/oliveworks-gateway/src/settings.rs
+++ b/crates/oliveworks-gateway/src/settings.rs
@@ -13,8 +13,8 @@
 pub struct Settings {
     /// This gateway's name, unique among gateways.
     pub node: String,
-    /// Its zone.
-    pub zone: String,
+    /// Its failure domain.
+    pub failure_domain: String,
     /// Where it listens.
     pub listen: Listen,
     /// Some gateways to ask for the others; they may be stale. Only their hosts matter: gateways
@@ -69,7 +69,7 @@
     /// The time between two reads of backend servers' records; by default 65 in 100 of
     /// `bounds.drain_ms`.
     #[serde(default)]
-    pub workers_every_ms: Option<u64>,
+    pub servers_every_ms: Option<u64>,
     /// The longest that a call may take beyond its waiting.
     #[serde(default = "default_call_ms")]
     pub call_ms: u64,
@@ -130,8 +130,8 @@
 
     /// The time between two reads of backend servers' records: one that leaves is seen by the next,
     /// and what is left of its bound is for the read itself and for requests on their way.
-    pub fn workers_every_ms(&self) -> u64 {
-        self.store.workers_every_ms.unwrap_or(self.bounds.drain_ms * READ_PERCENT / 100)
+    pub fn servers_every_ms(&self) -> u64 {
+        self.store.servers_every_ms.unwrap_or(self.bounds.drain_ms * READ_PERCENT / 100)
     }
 }
 
@@ -139,7 +139,7 @@
     fn check(&self) -> Result<(), String> {
         let positive = [
             ("store.configuration_wait_ms", self.configuration_wait_ms()),
-            ("store.workers_every_ms", self.workers_every_ms()),
+            ("store.servers_every_ms", self.servers_every_ms()),
             ("store.call_ms", self.store.call_ms),
             ("bounds.drain_ms", self.bounds.drain_ms),
             ("bounds.apply_ms", self.bounds.apply_ms),
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -6,6 +6,9 @@
 use std::rc::Rc;
 
 use oliveworks_gateway_core::Millis;
+use oliveworks_gateway_core::backend_servers::{
+    BackendServer, BackendServerId, Directory, MemberState,
+};
 use oliveworks_gateway_core::balance::{Balance, Candidate, Target};
 use oliveworks_gateway_core::budget::{Budget, BudgetConfig};
 use oliveworks_gateway_core::configuration::Lookup;
@@ -14,7 +17,6 @@
 use oliveworks_gateway_core::freshness::Freshness;
 use oliveworks_gateway_core::planner::Planner;
 use oliveworks_gateway_core::speed::Speeds;
-use oliveworks_gateway_core::workers::{Directory, MemberState, Worker, WorkerId};
 use oliveworks_runtime::clock::Clock;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
@@ -39,8 +41,8 @@
     pub address: SocketAddr,
     /// Requests that it works on at once.
     pub slots: u32,
-    /// The zone of its head.
-    pub zone: String,
+    /// The failure domain of its head.
+    pub failure_domain: String,
     /// How much slower than usual it runs, in hundredths; 100 is usual.
     pub pace_percent: u32,
 }
@@ -71,7 +73,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Place {
     /// The backend server's id.
-    pub worker: WorkerId,
+    pub server: BackendServerId,
     /// Where it listens.
     pub address: SocketAddr,
     /// How it is counted.
@@ -118,7 +120,7 @@
     pub directory: RefCell<Directory>,
     /// Backend servers that were taken out of the directory, and when: a leader that cannot reach
     /// the store may not know yet.
-    pub gone: RefCell<HashMap<WorkerId, Millis>>,
+    pub gone: RefCell<HashMap<BackendServerId, Millis>>,
     /// Whether the directory was read at all.
     pub directory_read: Cell<bool>,
     /// When a call to the store last failed.
@@ -257,7 +259,7 @@
 
     /// Whether new requests are refused: the platform had time to send its callers elsewhere, and
     /// what is taken now may not be finished. It may send them here all the same, if there is no
-    /// other gateway in the zone.
+    /// other gateway in the failure domain.
     pub fn refuses_new(&self) -> bool {
         self.stop_began_at.get().is_some_and(|at| self.now() >= at + STOP_NOTICE_MS)
     }
@@ -313,19 +315,19 @@
     /// Backend servers that stand alone.
     pub fn plain_places(&self, service: &str) -> Vec<Place> {
         let directory = self.directory.borrow();
-        let workers = directory.of_service(service).filter(|worker| !worker.draining);
-        workers.map(|worker| self.place(worker, None)).collect()
+        let servers = directory.of_service(service).filter(|server| !server.draining);
+        servers.map(|server| self.place(server, None)).collect()
     }
 
-    fn place(&self, worker: &Worker, epoch: Option<u64>) -> Place {
+    fn place(&self, server: &BackendServer, epoch: Option<u64>) -> Place {
         let candidate = Candidate {
-            target: Target::of(&worker.id),
-            slots: worker.slots,
-            near: worker.zone == self.settings.zone,
+            target: Target::of(&server.id),
+            slots: server.slots,
+            near: server.failure_domain == self.settings.failure_domain,
             open_ms: PLAIN_OPEN_MS,
             token_ms: 0.0,
         };
-        Place { worker: worker.id.clone(), address: worker.address, candidate, epoch }
+        Place { server: server.id.clone(), address: server.address, candidate, epoch }
     }
 
     /// Heads of groups that serve a model.
@@ -335,12 +337,12 @@
         }
         let directory = self.directory.borrow();
         let mut places = Vec::new();
-        for worker in directory.of_service(service) {
-            let Some(member) = &worker.holding.group else { continue };
+        for server in directory.of_service(service) {
+            let Some(member) = &server.holding.group else { continue };
             let serves = member.rank == 0 && member.state == MemberState::Open;
-            let has = worker.holding.models.iter().any(|held| held == model);
-            if serves && has && !worker.draining {
-                places.push(self.place(worker, Some(member.epoch)));
+            let has = server.holding.models.iter().any(|held| held == model);
+            if serves && has && !server.draining {
+                places.push(self.place(server, Some(member.epoch)));
             }
         }
         places
@@ -359,7 +361,7 @@
         let staying = groups.filter(|group| {
             let gone = self.gone.borrow();
             !group.members.iter().any(|id| {
-                let draining = directory.get(id).is_some_and(|worker| worker.draining);
+                let draining = directory.get(id).is_some_and(|server| server.draining);
                 draining || gone.contains_key(id.as_str())
             })
         });
@@ -370,12 +372,12 @@
                     target: Target::of(head),
                     // A slow group writes as fast as usual only with fewer requests.
                     slots: (f64::from(group.slots) / group.pace()).ceil() as u32,
-                    near: group.zone == self.settings.zone,
+                    near: group.failure_domain == self.settings.failure_domain,
                     open_ms: GROUP_OPEN_MS * group.pace(),
                     token_ms: token_ms * group.pace(),
                 };
                 Place {
-                    worker: head.as_str().into(),
+                    server: head.as_str().into(),
                     address: group.address,
                     candidate,
                     epoch: Some(group.epoch),
--- a/crates/oliveworks-gateway/src/store.rs
+++ b/crates/oliveworks-gateway/src/store.rs
@@ -6,10 +6,10 @@
 
 use log::warn;
 use oliveworks_gateway_core::Millis;
+use oliveworks_gateway_core::backend_servers::BackendServerId;
 use oliveworks_gateway_core::configuration::Lookup;
 use oliveworks_gateway_core::election::Claim;
 use oliveworks_gateway_core::listing::{Listing, ListingConfig};
-use oliveworks_gateway_core::workers::WorkerId;
 use tokio::time::sleep;
 
 use crate::dialect::{Call, Claimed, Record, Tail, Topic};
@@ -22,9 +22,9 @@
 /// How long the store holds a read of the leaders' topic back.
 const LEADERS_WAIT_MS: u64 = 15_000;
 /// The time between two reads of backend servers' records while new ones come.
-const WORKERS_QUICK_MS: u64 = 300;
+const SERVERS_QUICK_MS: u64 = 300;
 /// How long after the last new one the list counts as complete.
-const WORKERS_SETTLE_MS: u64 = 1_500;
+const SERVERS_SETTLE_MS: u64 = 1_500;
 /// How long after the last trouble of the store entries that went together may come back.
 const MISSING_TROUBLED_MS: u64 = 2_300;
 /// How many entries that are missing together mean that the store let them go.
@@ -181,7 +181,7 @@
                     .with("version", configuration.version)
                     .with("before", held)
                     .with("routes", configuration.routes.len())
-                    .with("workspaces", configuration.tenants.as_ref().map_or(0, Vec::len))
+                    .with("workspaces", configuration.workspaces.as_ref().map_or(0, Vec::len))
                     .write();
                 *gateway.lookup.borrow_mut() = Some(Rc::new(Lookup::new(configuration)));
             }
@@ -214,7 +214,7 @@
 
 /// Backend servers that are missing from the list, and since when.
 #[derive(Default)]
-struct Missing(BTreeMap<WorkerId, Millis>);
+struct Missing(BTreeMap<BackendServerId, Millis>);
 
 impl Missing {
     /// Until when missing entries may come back.
@@ -250,21 +250,21 @@
 }
 
 /// Takes records in; tells whether one was of a backend server that was not listed before.
-fn take_workers(gateway: &Gateway, step: Step, missing: &mut Missing) -> bool {
+fn take_servers(gateway: &Gateway, step: Step, missing: &mut Missing) -> bool {
     let mut new = false;
     let now = gateway.now();
     let mut listed = BTreeSet::new();
     for record in step.records {
         match record {
-            Record::Worker(worker) => {
-                missing.0.remove(&worker.id);
-                gateway.gone.borrow_mut().remove(&worker.id);
-                listed.insert(worker.id.clone());
-                if let Some(planner) = gateway.planners.borrow_mut().get_mut(&worker.service) {
-                    planner.listed(now, &worker);
+            Record::BackendServer(server) => {
+                missing.0.remove(&server.id);
+                gateway.gone.borrow_mut().remove(&server.id);
+                listed.insert(server.id.clone());
+                if let Some(planner) = gateway.planners.borrow_mut().get_mut(&server.service) {
+                    planner.listed(now, &server);
                 }
-                let id = worker.id.clone();
-                let (service, domain) = (worker.service.clone(), worker.domain.clone());
+                let id = server.id.clone();
+                let (service, domain) = (server.service.clone(), server.domain.clone());
                 if gateway.directory.borrow().get(&id).is_none() {
                     new = true;
                     Event::new("host_listed")
@@ -273,19 +273,19 @@
                         .with("domain", domain)
                         .write();
                 }
-                gateway.directory.borrow_mut().put(worker);
+                gateway.directory.borrow_mut().put(server);
             }
-            Record::WorkerGone(id) => {
+            Record::BackendServerGone(id) => {
                 missing.0.entry(id).or_insert(now);
             }
-            Record::Unknown(why) => warn!("workers: {why}"),
+            Record::Unknown(why) => warn!("servers: {why}"),
             _ => {}
         }
     }
     if step.snapshot {
-        for worker in gateway.directory.borrow().iter() {
-            if !listed.contains(&worker.id) {
-                missing.0.entry(worker.id.clone()).or_insert(now);
+        for server in gateway.directory.borrow().iter() {
+            if !listed.contains(&server.id) {
+                missing.0.entry(server.id.clone()).or_insert(now);
             }
         }
         gateway.directory_read.set(true);
@@ -296,17 +296,17 @@
 }
 
 /// Follows the list of backend servers.
-pub async fn follow_workers(gateway: Rc<Gateway>) {
-    let mut follower = Follower::new(&gateway, Topic::Workers);
+pub async fn follow_servers(gateway: Rc<Gateway>) {
+    let mut follower = Follower::new(&gateway, Topic::BackendServers);
     let mut missing = Missing::default();
     let mut listing = Listing::new(ListingConfig {
-        quick_ms: WORKERS_QUICK_MS,
-        settle_ms: WORKERS_SETTLE_MS,
-        every_ms: gateway.settings.workers_every_ms(),
+        quick_ms: SERVERS_QUICK_MS,
+        settle_ms: SERVERS_SETTLE_MS,
+        every_ms: gateway.settings.servers_every_ms(),
     });
     loop {
         if let Some(step) = follower.step(0).await {
-            let new = take_workers(&gateway, step, &mut missing);
+            let new = take_servers(&gateway, step, &mut missing);
             if follower.from.is_some() {
                 let pause_ms = listing.read(gateway.now(), new);
                 sleep(Duration::from_millis(pause_ms)).await;
--- a/crates/oliveworks-gateway/tests/settings.rs
+++ b/crates/oliveworks-gateway/tests/settings.rs
@@ -6,7 +6,7 @@
 
 const GOOD: &str = "
 node: gateway-1
-zone: ruwi
+failure_domain: ruwi
 listen: {callers: 127.0.0.1:1, ready: 127.0.0.1:2, peers: 127.0.0.1:3}
 store: {address: 127.0.0.1:4}
 bounds: {drain_ms: 2000, apply_ms: 2000, grace_ms: 8000, repeat_ratio: 0.2, repeat_extra: 160, \
