--- a/crates/oliveworks-gateway-core/src/planner/pressure.rs
+++ b/crates/oliveworks-gateway-core/src/planner/pressure.rs
@@ -9,6 +9,7 @@
 const DEMAND_HALF_MS: f64 = 350.0;
 /// The largest part of refused requests that is believed: what comes back is counted again.
 const REFUSED_MAX: f64 = 0.8;
+
 /// How many full groups a model's callers would fill.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Demand {
