A leader's heartbeat is passed on by all gateways, figures go between failure domains as sums

Cause: each heartbeat went to 24 gateways drawn anew, and only the leader's own counted as hearing it. With 53 gateways one misses seven in a row with 1.3 in 100 a window, so leaders that lived were deposed up to five times in 16 s, and each change throws plans away. The same datagrams said everything whole to everybody: 0.875 GB between failure domains.

Change: heartbeats of the leader are numbered and carried in every gateway's beat; only a newer number counts as hearing it, so a delayed one keeps nobody in place. Gateways of a failure domain tell each other their own figures, and two gateways of each other domain the domain's sums (core fan_out.rs). The table goes out when it changes and when somebody lacks it, not with each beat. A leader without the store is replaced only by a gateway that the store answers, and no gateway claims while the store does not answer it. A pause of the own process is no silence of the leader.

Tests: decisions.rs (election), fan_out.rs.

--- a/crates/oliveworks-gateway-core/src/balance.rs
+++ b/crates/oliveworks-gateway-core/src/balance.rs
@@ -10,6 +10,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::Millis;
+use crate::fan_out::Source;
 
 /// A backend server, or a replica group by its head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -46,6 +47,13 @@
     pub tokens: u32,
 }
 
+impl Load {
+    fn add(&mut self, other: Load) {
+        self.requests += other.requests;
+        self.tokens += other.tokens;
+    }
+}
+
 /// The most that other gateways' counts are believed for.
 const PEER_COUNT_MS: u64 = 1_500;
 /// Targets that are compared for a request, from a random one on. What others have sent in the last
@@ -98,9 +106,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct Balance {
     own: HashMap<Target, Own>,
-    peers: HashMap<u64, (Millis, HashMap<Target, Load>)>,
+    peers: HashMap<Source, (Millis, HashMap<Target, Load>)>,
     /// When other gateways last heard from targets, as far as they told.
     heard_elsewhere: HashMap<Target, Millis>,
+    /// The same of the gateways of this failure domain alone.
+    heard_near: HashMap<Target, Millis>,
 }
 
 /// Why no target was chosen.
@@ -113,9 +123,23 @@
 }
 
 impl Balance {
-    /// What another gateway has open, by target.
-    pub fn peer(&mut self, now: Millis, peer: u64, open: HashMap<Target, Load>) {
-        self.peers.insert(peer, (now, open));
+    /// What another gateway, or those of another failure domain, have open, by target.
+    pub fn peer(&mut self, now: Millis, source: Source, open: HashMap<Target, Load>) {
+        self.peers.insert(source, (now, open));
+    }
+
+    /// What the gateways of this failure domain have open, by target.
+    pub fn domain_open(&self, now: Millis) -> HashMap<Target, Load> {
+        let mut sum: HashMap<Target, Load> = self.own_open().collect();
+        for (source, (at, open)) in &self.peers {
+            if !source.is_near() || now >= at + PEER_COUNT_MS {
+                continue;
+            }
+            for (target, load) in open {
+                sum.entry(*target).or_default().add(*load);
+            }
+        }
+        sum
     }
 
     /// What this gateway has open, by target.
@@ -130,9 +154,7 @@
         let mut load =
             own.map(|own| Load { requests: own.open, tokens: own.tokens }).unwrap_or_default();
         for (_, open) in self.peers.values().filter(|(at, _)| now < at + PEER_COUNT_MS) {
-            let peer = open.get(&target).copied().unwrap_or_default();
-            load.requests += peer.requests;
-            load.tokens += peer.tokens;
+            load.add(open.get(&target).copied().unwrap_or_default());
         }
         load
     }
@@ -221,9 +243,12 @@
         self.own.get(&target).filter(|own| own.open > 0).map(|own| own.last_progress)
     }
 
-    /// Another gateway has just heard from a target.
-    pub fn heard_elsewhere(&mut self, now: Millis, target: Target) {
+    /// Another gateway, or one of another failure domain, has just heard from a target.
+    pub fn heard_elsewhere(&mut self, now: Millis, source: Source, target: Target) {
         self.heard_elsewhere.insert(target, now);
+        if source.is_near() {
+            self.heard_near.insert(target, now);
+        }
     }
 
     /// When a replica group counts as standing still, if nothing comes from it and requests of this
@@ -247,6 +272,12 @@
         heard.map(|(target, _)| *target)
     }
 
+    /// The same, of other gateways of this failure domain.
+    pub fn heard_near_since(&self, since: Millis) -> impl Iterator<Item = Target> {
+        let heard = self.heard_near.iter().filter(move |(_, at)| **at >= since);
+        heard.map(|(target, _)| *target)
+    }
+
     /// A request at a target has ended; `began` if its stream had begun, `failed` if the target is
     /// to blame.
     pub fn ended(&mut self, now: Millis, target: Target, tokens: u32, began: bool, failed: bool) {
@@ -279,5 +310,6 @@
     pub fn retain(&mut self, keep: impl Fn(Target) -> bool) {
         self.own.retain(|target, own| own.open > 0 || keep(*target));
         self.heard_elsewhere.retain(|target, _| keep(*target));
+        self.heard_near.retain(|target, _| keep(*target));
     }
 }
--- a/crates/oliveworks-gateway-core/src/demand.rs
+++ b/crates/oliveworks-gateway-core/src/demand.rs
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::Millis;
+use crate::fan_out::Source;
 
 /// A model of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -32,6 +33,13 @@
     pub refused: f64,
 }
 
+impl Looked {
+    fn add(&mut self, other: Looked) {
+        self.all += other.all;
+        self.refused += other.refused;
+    }
+}
+
 /// The time in which the weight of a request halves, in ms: long enough to hold some tens of requests
 /// at a hundred a second, and short beside the 1.6 s in which a replica group is formed.
 const HALF_MS: f64 = 1_000.0;
@@ -55,7 +63,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
     own: HashMap<ModelKey, Fading>,
-    peers: HashMap<u64, (Millis, HashMap<ModelKey, Looked>)>,
+    peers: HashMap<Source, (Millis, HashMap<ModelKey, Looked>)>,
 }
 
 impl Demand {
@@ -73,18 +81,28 @@
         self.own.iter().map(move |(model, fading)| (*model, fading.now(now)))
     }
 
-    /// What another gateway saw.
-    pub fn peer(&mut self, now: Millis, peer: u64, looked: HashMap<ModelKey, Looked>) {
-        self.peers.insert(peer, (now, looked));
+    /// What another gateway, or those of another failure domain, saw.
+    pub fn peer(&mut self, now: Millis, source: Source, looked: HashMap<ModelKey, Looked>) {
+        self.peers.insert(source, (now, looked));
+    }
+
+    /// What the gateways of this failure domain saw.
+    pub fn of_domain(&self, now: Millis) -> HashMap<ModelKey, Looked> {
+        let mut sum: HashMap<ModelKey, Looked> = self.own(now).collect();
+        let near = self.peers.iter().filter(|(source, _)| source.is_near());
+        for (_, (_, looked)) in near.filter(|(_, (at, _))| now < at + PEER_MS) {
+            for (model, looked) in looked {
+                sum.entry(*model).or_default().add(*looked);
+            }
+        }
+        sum
     }
 
     /// The part of a model's requests that found no place lately, 0 to 1; 0 if none came.
     pub fn refused_part(&self, now: Millis, model: ModelKey) -> f64 {
         let mut sum = self.own.get(&model).map(|fading| fading.now(now)).unwrap_or_default();
         for (_, looked) in self.peers.values().filter(|(at, _)| now < at + PEER_MS) {
-            let peer = looked.get(&model).copied().unwrap_or_default();
-            sum.all += peer.all;
-            sum.refused += peer.refused;
+            sum.add(looked.get(&model).copied().unwrap_or_default());
         }
         if sum.all > 0.0 { sum.refused / sum.all } else { 0.0 }
     }
--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`quota`] | how many groups of each model every domain should hold |
 //! | [`speed`] | which replica groups run much slower than others |
 //! | [`election`] | which gateway gives orders |
+//! | [`fan_out`] | which gateways a heartbeat goes to |
 //! | [`balance`] | where a request goes |
 //! | [`budget`] | whether a request may be sent once more |
 //! | [`attempts`] | what follows a failed attempt, and what the caller is told |
@@ -29,6 +30,7 @@
 pub mod demand;
 pub mod election;
 pub mod events;
+pub mod fan_out;
 pub mod freshness;
 pub mod listing;
 pub mod planner;
--- a/crates/oliveworks-gateway-core/tests/decisions.rs
+++ b/crates/oliveworks-gateway-core/tests/decisions.rs
@@ -5,8 +5,9 @@
 use oliveworks_gateway_core::attempts::{Attempts, Failure, Next, Terms, Verdict};
 use oliveworks_gateway_core::balance::{Balance, Candidate, Load, NoTarget, Target};
 use oliveworks_gateway_core::budget::{Budget, BudgetConfig};
-use oliveworks_gateway_core::election::{Claim, Election, ElectionConfig};
+use oliveworks_gateway_core::election::{Claim, Election, ElectionConfig, Heartbeat};
 use oliveworks_gateway_core::events::{Pass, Progress, Splitter};
+use oliveworks_gateway_core::fan_out::Source;
 use oliveworks_gateway_core::freshness::Freshness;
 use proptest::prelude::*;
 use test_case::test_case;
@@ -181,7 +182,7 @@
     let mut balance = Balance::default();
     balance.started(0, Target(0), 0);
     let others = HashMap::from([(Target(1), Load { requests: 2, tokens: 0 })]);
-    balance.peer(0, 7, others);
+    balance.peer(0, Source::Gateway(7), others);
     for draw in 0..3 {
         assert_eq!(balance.choose(10, &candidates(3), &[], 1.0, draw), Ok(Target(2)));
     }
@@ -201,7 +202,7 @@
     let candidates = candidates(12);
     let mut balance = Balance::default();
     let busy = candidates[1..].iter().map(|c| (c.target, Load { requests: 3, tokens: 0 }));
-    balance.peer(0, 1, busy.collect());
+    balance.peer(0, Source::Gateway(1), busy.collect());
     let idle = candidates[0].target;
     let chosen = (0..24).map(|draw| balance.choose(1, &candidates, &[], 1.0, draw));
     let to_idle = chosen.filter(|target| *target == Ok(idle)).count();
@@ -249,7 +250,7 @@
         balance.began(target, 500);
     }
     if let Some(at) = elsewhere {
-        balance.heard_elsewhere(at, target);
+        balance.heard_elsewhere(at, Source::Gateway(1), target);
     }
     assert_eq!(balance.silent_at(target, 1_000, PASS_MS), expected);
 }
@@ -258,6 +259,10 @@
     Election::new(ElectionConfig::default(), claimant, 0)
 }
 
+fn heartbeat(fence: u64, number: u64) -> Heartbeat {
+    Heartbeat { fence, number, table: 0, reaches_store: true }
+}
+
 #[test]
 fn the_first_start_needs_no_patience() {
     let mut first = election(1);
@@ -271,12 +276,12 @@
 fn a_silent_leader_is_replaced_by_rank() {
     let mut second = election(2);
     second.read(0, Some(Claim { fence: 1, claimant: 1 }), 1);
-    second.heartbeat(1_000, 1);
+    assert!(second.heard(1_000, heartbeat(1, 0)));
     assert_eq!(second.claim(1_600, 0), None);
     assert_eq!(second.claim(1_700, 0), Some(1));
     let mut third = election(3);
     third.read(0, Some(Claim { fence: 1, claimant: 1 }), 1);
-    third.heartbeat(1_000, 1);
+    assert!(third.heard(1_000, heartbeat(1, 0)));
     assert_eq!(third.claim(1_700, 1), None, "the one before it goes first");
 }
 
@@ -298,7 +303,7 @@
     refused.fenced(1);
     assert_eq!(refused.leads(), None);
     let mut told = old.clone();
-    told.heartbeat(10, 2);
+    assert!(told.heard(10, heartbeat(2, 0)));
     assert_eq!(told.leads(), None);
     old.read(10, Some(Claim { fence: 2, claimant: 2 }), 2);
     assert_eq!(old.leads(), None);
@@ -312,3 +317,59 @@
     election.read(1, Some(Claim { fence: 3, claimant: 1 }), 5);
     assert_eq!((election.leads(), election.fence()), (None, Some(5)));
 }
+
+/// What is passed on late, or by a gateway that was paused, does not keep a silent leader in place.
+#[test]
+fn only_news_of_a_leader_counts_as_hearing_it() {
+    let mut election = election(2);
+    election.read(0, Some(Claim { fence: 5, claimant: 1 }), 5);
+    assert!(election.heard(1_000, heartbeat(5, 8)));
+    assert!(!election.heard(1_500, heartbeat(5, 8)), "the same once more");
+    assert!(!election.heard(1_500, heartbeat(5, 7)), "an earlier one");
+    assert!(!election.heard(1_500, heartbeat(4, 99)), "one of an earlier leader");
+    assert_eq!(election.claim(1_700, 0), Some(5));
+}
+
+/// A leader that lives without the store stays, unless the candidate itself reaches the store.
+#[test_case(true, Some(5); "the candidate reaches the store")]
+#[test_case(false, None; "nobody reaches the store")]
+fn a_leader_without_the_store(answers: bool, expected: Option<u64>) {
+    let mut election = election(2);
+    election.read(0, Some(Claim { fence: 5, claimant: 1 }), 5);
+    if !answers {
+        election.store_failed();
+    }
+    for number in 0..60 {
+        let heartbeat = Heartbeat { reaches_store: false, ..heartbeat(5, number) };
+        let now = number * 100;
+        election.heard(now, heartbeat);
+        let claimed = election.claim(now, 0);
+        assert_eq!(claimed, expected.filter(|_| now == 2_500), "at {now} ms");
+        if claimed.is_some() {
+            return;
+        }
+    }
+}
+
+/// The store is back for all: the leader has the time to notice before another takes its place.
+#[test]
+fn an_outage_that_ends_deposes_nobody() {
+    let mut election = election(2);
+    election.read(0, Some(Claim { fence: 5, claimant: 1 }), 5);
+    election.store_failed();
+    election.heard(9_900, Heartbeat { reaches_store: false, ..heartbeat(5, 0) });
+    election.store_answered(10_000);
+    assert_eq!(election.claim(10_100, 0), None);
+    election.heard(10_300, heartbeat(5, 1));
+    assert_eq!(election.claim(10_400, 0), None);
+}
+
+/// A process that was paused has not heard what was said meanwhile.
+#[test]
+fn a_pause_is_not_the_leaders_silence() {
+    let mut election = election(2);
+    election.read(0, Some(Claim { fence: 5, claimant: 1 }), 5);
+    election.awake_since(4_000);
+    assert_eq!(election.claim(4_100, 0), None);
+    assert_eq!(election.claim(4_700, 0), Some(5));
+}
--- a/crates/oliveworks-gateway-core/tests/demand.rs
+++ b/crates/oliveworks-gateway-core/tests/demand.rs
@@ -3,8 +3,9 @@
 use std::collections::HashMap;
 
 use oliveworks_gateway_core::demand::{Demand, Looked, ModelKey};
+use oliveworks_gateway_core::fan_out::Source;
 
-const PEER: u64 = 7;
+const PEER: Source = Source::Gateway(7);
 
 fn model() -> ModelKey {
     ModelKey::of("lm", "large")
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -16,7 +16,7 @@
 use crate::dialect::Call;
 use crate::events::Event;
 use crate::exchange::{self, Broken, Exchange, NoConnection};
-use crate::state::{Gateway, TableGroup};
+use crate::state::{Gateway, Table, TableGroup};
 use crate::{peers, store};
 
 /// The time between two looks at the plans.
@@ -90,6 +90,7 @@
         return;
     }
     let (now, rank) = (gateway.now(), peers::rank(gateway));
+    gateway.election.borrow_mut().awake_since(gateway.awake_since());
     let claim = gateway.election.borrow_mut().claim(now, rank);
     if let Some(end) = claim {
         ntex::rt::spawn(store::claim_leadership(gateway.clone(), end));
@@ -199,9 +200,7 @@
         most_hosts.insert(service.clone(), planner.most_hosts().clone());
     }
     drop(planners);
-    gateway.table.borrow_mut().ended = ended;
-    gateway.table.borrow_mut().most_hosts = most_hosts;
-    publish(gateway, fence, groups);
+    publish(gateway, Table { fence, number: 0, groups, ended, most_hosts });
     for (service, command) in commands {
         ntex::rt::spawn(carry_out(gateway.clone(), fence, service, command));
     }
@@ -266,25 +265,34 @@
     groups
 }
 
-fn publish(gateway: &Gateway, fence: u64, groups: Vec<TableGroup>) {
+/// Takes over what has changed in the leader's table, under the next number.
+fn publish(gateway: &Gateway, new: Table) {
     let mut table = gateway.table.borrow_mut();
-    if table.fence != fence || table.groups != groups {
-        table.fence = fence;
-        table.number += 1;
-        table.groups = groups;
-        let counts: BTreeMap<&str, usize> =
-            table.groups.iter().fold(BTreeMap::new(), |mut all, g| {
-                *all.entry(g.model.as_str()).or_default() += 1;
-                all
-            });
-        let counts: Map<String, Value> =
-            counts.into_iter().map(|(model, count)| (model.to_owned(), count.into())).collect();
-        Event::new("groups_serve")
-            .with("groups", counts)
-            .with("fence", fence)
-            .with("table", table.number)
-            .write();
+    let regrouped = table.fence != new.fence || table.groups != new.groups;
+    if !regrouped && table.ended == new.ended && table.most_hosts == new.most_hosts {
+        return;
+    }
+    *table = Table { number: table.number + 1, ..new };
+    gateway.table_is_new.set(true);
+    gateway.send_now.notify_one();
+    if regrouped {
+        tell_groups(&table);
+    }
+}
+
+/// A line on how many groups of each model serve.
+fn tell_groups(table: &Table) {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for group in &table.groups {
+        *counts.entry(&group.model).or_default() += 1;
     }
+    let counts: Map<String, Value> =
+        counts.into_iter().map(|(model, count)| (model.to_owned(), count.into())).collect();
+    Event::new("groups_serve")
+        .with("groups", counts)
+        .with("fence", table.fence)
+        .with("table", table.number)
+        .write();
 }
 
 async fn carry_out(gateway: Rc<Gateway>, fence: u64, service: String, command: Command) {
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -87,8 +87,12 @@
 pub struct Peer {
     /// Where it listens.
     pub address: SocketAddr,
-    /// When it was last heard.
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// When it was last heard, by this gateway or one that told so.
     pub heard_at: Millis,
+    /// Whether the store answered it when it was last heard here.
+    pub store_answers: bool,
 }
 
 /// How long a leader's table is believed without a heartbeat.
@@ -147,8 +151,16 @@
     pub peers: RefCell<BTreeMap<String, Peer>>,
     /// Groups that stand still, to be told to the leader.
     pub suspects: RefCell<HashMap<u64, Millis>>,
-    /// Asks for a heartbeat at once.
-    pub beat_now: Notify,
+    /// Where the leader listens for other gateways.
+    pub leader_address: Cell<Option<SocketAddr>>,
+    /// When another gateway was last asked for a newer table.
+    pub asked_table_at: Cell<Millis>,
+    /// Whether the table is to be passed on.
+    pub table_is_new: Cell<bool>,
+    /// Whether the next heartbeat is not to wait for its time.
+    pub beat_is_urgent: Cell<bool>,
+    /// Asks for what is to be sent to other gateways to be sent at once.
+    pub send_now: Notify,
     /// Asks the leader for a look at its plans.
     pub plan_now: Notify,
     /// Whether this process is stopping.
@@ -198,7 +210,11 @@
             table_heard_at: Cell::new(0),
             peers: RefCell::default(),
             suspects: RefCell::default(),
-            beat_now: Notify::new(),
+            leader_address: Cell::new(None),
+            asked_table_at: Cell::new(0),
+            table_is_new: Cell::new(false),
+            beat_is_urgent: Cell::new(false),
+            send_now: Notify::new(),
             plan_now: Notify::new(),
             stopping: watch::channel(false).0,
             stop_began_at: Cell::new(None),
@@ -289,6 +305,7 @@
             Event::new("store_answers_again").with("after_ms", silent_ms).write();
         }
         self.store_heard_at.set(self.now());
+        self.election.borrow_mut().store_answered(self.now());
     }
 
     /// A call to the store failed.
@@ -302,6 +319,7 @@
                 .write();
         }
         self.store_failed_at.set(Some(now));
+        self.election.borrow_mut().store_failed();
     }
 
     /// Whether the leader's table is young enough to be used. One that never came is not: a process
@@ -429,7 +447,8 @@
     pub fn suspect(&self, epoch: u64) {
         let now = self.now();
         if self.suspects.borrow_mut().insert(epoch, now).is_none() {
-            self.beat_now.notify_one();
+            self.beat_is_urgent.set(true);
+            self.send_now.notify_one();
         }
         for planner in self.planners.borrow_mut().values_mut() {
             planner.suspected(epoch);
--- a/crates/oliveworks-gateway/src/store.rs
+++ b/crates/oliveworks-gateway/src/store.rs
@@ -61,7 +61,6 @@
         match exchange::call(&mut open, store.address, call, within_ms).await {
             Ok(answer) => {
                 self.exchange = Some(open);
-                self.gateway.store_answered();
                 Ok(answer)
             }
             Err(why) => Err(why.to_string()),
@@ -102,6 +101,7 @@
         match step {
             Ok(step) => {
                 self.pause_ms = RETRY_MS.0;
+                gateway.store_answered();
                 Some(step)
             }
             Err(why) => {
