A new leader keeps the spares of the one before

Cause: a spare's group has one member; a new leader takes over only groups that are whole, so spares were told to leave, were free for a moment, and joined anew. Change: spares' groups are named s and the epoch, others g and the epoch; a host that is alone in a group of the first kind is a spare, loading or ready. Ruled out: telling by the state alone (a head that is left of a group which never opened says ready as well).

--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -211,14 +211,16 @@
         let models = self.hosts.get(head).map(|host| host.holding.models.clone());
         let Some(model) = models.and_then(|models| models.first().cloned()) else { return };
         let Some(size) = self.engine.model(&model).map(|model| model.size) else { return };
+        let spare = group::is_spare_name(name) && ranks.len() == 1;
         let whole = (0..size).all(|rank| ranks.contains_key(&rank)) && ranks.len() == size;
-        if !whole {
+        if !whole && !spare {
             return;
         }
         let members: Vec<BackendServerId> = ranks.values().map(|(id, _, _)| id.clone()).collect();
         let phase = match state {
             MemberState::Open => Phase::Open { from: now },
             MemberState::Closing | MemberState::Broken => Phase::Breaking,
+            MemberState::Ready if spare => Phase::Spare,
             MemberState::Joining | MemberState::Ready => Phase::Joining,
         };
         for member in &members {
@@ -422,9 +424,10 @@
                 self.end(old);
             }
         }
-        let name = format!("g{epoch}");
         let phase = Phase::Joining;
         let (model, members) = (plan.model, plan.members);
+        let whole = self.model(&model).is_some_and(|model| model.size == members.len());
+        let name = group::name(epoch, whole);
         let group = Group {
             epoch,
             name,
--- a/crates/oliveworks-gateway-core/src/planner/group.rs
+++ b/crates/oliveworks-gateway-core/src/planner/group.rs
@@ -36,6 +36,22 @@
     }
 }
 
+/// How the names of groups that serve or will begin, and those of spares. The next leader tells by it
+/// whether a host that is alone in its group holds a model for repairs or is what is left of a group.
+const NAME: char = 'g';
+const SPARE_NAME: char = 's';
+
+/// The name of a new group: one that will serve, or a spare.
+pub(super) fn name(epoch: u64, serves: bool) -> String {
+    let first = if serves { NAME } else { SPARE_NAME };
+    format!("{first}{epoch}")
+}
+
+/// Whether a group of this name is a spare.
+pub(super) fn is_spare_name(name: &str) -> bool {
+    name.starts_with(SPARE_NAME)
+}
+
 /// A replica group.
 #[derive(Clone, Debug)]
 pub(super) struct Group {
