Two gateways of a failure domain read the store, the others ask them; proofs are passed on

Change: the first two gateways of a failure domain by name, among those that the store answers, read it; the others follow the topics through them over TCP (passing.rs), from the store's own places on. An answer tells how old the proof was; it is counted back from when the question was sent, by the asker's own clock. Who is turned away asks, and tries the store each 1.5 s. Who gets no answer reads the store itself. store.rs is four files now: calls, following, records, missing entries.

Ruled out: one reader for all (all would depend on what it reaches); proofs in heartbeats without a question (no bound by the asker's own clock); QUIC (a handshake's processor time for a few questions a second).

--- a/crates/oliveworks-gateway-core/src/backend_servers.rs
+++ b/crates/oliveworks-gateway-core/src/backend_servers.rs
@@ -4,11 +4,13 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use serde::{Deserialize, Serialize};
+
 /// The id of one life of a backend server.
 pub type BackendServerId = Rc<str>;
 
 /// Where a member of a replica group stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MemberState {
     /// It loads the model.
     Joining,
@@ -23,7 +25,7 @@
 }
 
 /// A backend server's place in a replica group.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Membership {
     /// The group's name.
     pub name: String,
@@ -36,7 +38,7 @@
 }
 
 /// A backend server as it describes itself.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct BackendServer {
     /// Its id.
     pub id: BackendServerId,
@@ -57,7 +59,7 @@
 }
 
 /// What a backend server tells of its models; changes with every order.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Holding {
     /// Models in its accelerators.
     pub models: Vec<String>,
--- a/crates/oliveworks-gateway-core/src/configuration.rs
+++ b/crates/oliveworks-gateway-core/src/configuration.rs
@@ -2,10 +2,11 @@
 
 use std::collections::HashMap;
 
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// How often a request may run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Repeat {
     /// It may run more than once.
     Idempotent,
@@ -14,7 +15,7 @@
 }
 
 /// A route: which requests it takes, and what may be done with them.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Its name, for logs.
     pub name: String,
@@ -45,7 +46,7 @@
 }
 
 /// A model as its service offers it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Model {
     /// Its name.
     pub name: String,
@@ -62,7 +63,7 @@
 }
 
 /// The engine of a service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Engine {
     /// Models that replica groups serve; empty if each backend server stands alone.
     pub models: Vec<Model>,
@@ -89,7 +90,7 @@
 }
 
 /// A service: a set of alike backend servers.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Its name.
     pub name: String,
@@ -100,7 +101,7 @@
 }
 
 /// What callers may send.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
     /// The largest head of a request.
     pub max_header_bytes: usize,
@@ -113,7 +114,7 @@
 }
 
 /// A workspace and its keys.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Workspace {
     /// Its name.
     pub name: String,
@@ -124,7 +125,7 @@
 }
 
 /// A version of the configuration, as published.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
     /// Its version; later ones are higher.
     pub version: u64,
--- a/crates/oliveworks-gateway-core/src/election.rs
+++ b/crates/oliveworks-gateway-core/src/election.rs
@@ -171,6 +171,11 @@
         (newest.claimant == self.claimant && newest.fence > self.deposed).then_some(newest.fence)
     }
 
+    /// The newest leader's claim.
+    pub fn newest(&self) -> Option<Claim> {
+        self.newest.clone()
+    }
+
     /// The fence of the newest leader.
     pub fn fence(&self) -> Option<u64> {
         self.newest.as_ref().map(|claim| claim.fence)
--- a/crates/oliveworks-gateway-core/src/freshness.rs
+++ b/crates/oliveworks-gateway-core/src/freshness.rs
@@ -4,6 +4,11 @@
 //! latest time at which the store is proved to have held nothing newer, and honours keys only while
 //! that time is near. The proof's time is when the call was sent, or, if the store held the call
 //! back because it had nothing new, when it could first have answered.
+//!
+//! Another gateway may pass its proof on. It says how old the proof was when it answered; that moment is
+//! no earlier than the one at which it was asked, by the asker's own clock, so that no two clocks are
+//! compared. Rejected: taking the proof to be as old as it was told when the answer arrives (an answer
+//! that was long on its way would make an old proof young).
 
 use crate::Millis;
 
@@ -21,7 +26,16 @@
     /// The store answered a call sent at `sent` that it held back for at least `held_ms`, and what
     /// it answered has been taken in.
     pub fn proved(&mut self, sent: Millis, held_ms: u64) {
-        let at = sent + held_ms;
+        self.prove(sent + held_ms);
+    }
+
+    /// Another gateway answered a question sent at `sent` after holding it back for `held_ms`: its own
+    /// proof was `age_ms` old then, and what it knows has been taken in.
+    pub fn passed_on(&mut self, sent: Millis, held_ms: u64, age_ms: u64) {
+        self.prove((sent + held_ms).saturating_sub(age_ms));
+    }
+
+    fn prove(&mut self, at: Millis) {
         self.proved_at = Some(self.proved_at.map_or(at, |old| old.max(at)));
     }
 
--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -8,6 +8,8 @@
 //! | module | decides |
 //! |---|---|
 //! | [`configuration`] | which service a request belongs to, and whose key it carries |
+//! | [`sources`] | which gateways read the store, and whom the others ask |
+//! | [`passing`] | what one gateway tells another of the store's records |
 //! | [`freshness`] | whether the configuration is young enough to honour keys |
 //! | [`backend_servers`] | what the platform's records say of backend servers |
 //! | [`listing`] | how soon the list of backend servers is read again |
@@ -33,8 +35,10 @@
 pub mod fan_out;
 pub mod freshness;
 pub mod listing;
+pub mod passing;
 pub mod planner;
 pub mod quota;
+pub mod sources;
 pub mod speed;
 
 /// A point on the process's steady clock, in milliseconds.
--- /dev/null
+++ b/crates/oliveworks-gateway-core/src/passing.rs
@@ -0,0 +1,93 @@
+//! What one gateway tells another of a topic of the store.
+//!
+//! A gateway that follows a topic keeps its last records, so that others can follow the topic through
+//! it: they ask from a place on, as they would ask the store, and places are the store's. Whoever is
+//! ahead of it, or so far behind that records are gone, is told so.
+
+use std::collections::VecDeque;
+
+/// Steps that are kept: at two or three a second, what a gateway misses that was away for ten seconds.
+const STEPS_MAX: usize = 32;
+/// Records that are kept beyond the newest step.
+const RECORDS_MAX: usize = 2_048;
+
+#[derive(Clone, Debug)]
+struct Step<R> {
+    end: u64,
+    records: Vec<R>,
+}
+
+/// The last records of a topic.
+#[derive(Clone, Debug)]
+pub struct Passing<R> {
+    /// From where on all records are kept.
+    start: u64,
+    /// Where the next one will be; none before the topic was read.
+    next: Option<u64>,
+    steps: VecDeque<Step<R>>,
+}
+
+impl<R> Default for Passing<R> {
+    fn default() -> Passing<R> {
+        Passing { start: 0, next: None, steps: VecDeque::new() }
+    }
+}
+
+/// What is told to whoever asks from a place on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Told<R> {
+    /// The records from there on, perhaps none, and the next place.
+    Records(Vec<R>, u64),
+    /// That is no longer kept, or nothing was held: the newest record of each key is to be told, as of
+    /// this place.
+    Newest(u64),
+    /// The asker is ahead: nothing that is told here proves anything to it.
+    Behind,
+    /// The topic was not read yet.
+    Unread,
+}
+
+impl<R: Clone> Passing<R> {
+    /// Records that follow what was read before, and the place after them.
+    pub fn followed(&mut self, records: Vec<R>, next: u64) {
+        if records.is_empty() {
+            self.next = Some(next);
+            return;
+        }
+        self.next = Some(next);
+        self.steps.push_back(Step { end: next, records });
+        let count =
+            |steps: &VecDeque<Step<R>>| steps.iter().map(|s| s.records.len()).sum::<usize>();
+        while self.steps.len() > STEPS_MAX
+            || (self.steps.len() > 1 && count(&self.steps) > RECORDS_MAX)
+        {
+            let Some(gone) = self.steps.pop_front() else { return };
+            self.start = gone.end;
+        }
+    }
+
+    /// The newest records of all keys were read, as of a place.
+    pub fn read_anew(&mut self, next: u64) {
+        self.steps.clear();
+        self.start = next;
+        self.next = Some(next);
+    }
+
+    /// The place after the last record.
+    pub fn next(&self) -> Option<u64> {
+        self.next
+    }
+
+    /// What is told to whoever holds everything before a place.
+    pub fn since(&self, from: Option<u64>) -> Told<R> {
+        let Some(next) = self.next else { return Told::Unread };
+        match from {
+            Some(from) if from > next => Told::Behind,
+            Some(from) if from >= self.start => {
+                let later = self.steps.iter().filter(|step| step.end > from);
+                Told::Records(later.flat_map(|step| step.records.iter().cloned()).collect(), next)
+            }
+            _ => Told::Newest(next),
+        }
+    }
+}
--- /dev/null
+++ b/crates/oliveworks-gateway-core/tests/passing.rs
@@ -0,0 +1,300 @@
+//! The store's records and proofs are passed on between gateways: a key that was taken away serves
+//! nowhere beyond its bound, whoever is cut from whom, and nobody goes back to an older version.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use oliveworks_gateway_core::freshness::Freshness;
+use oliveworks_gateway_core::passing::{Passing, Told};
+use oliveworks_gateway_core::sources::{Known, Own, ReadFrom, read_from};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use test_case::test_case;
+
+const TICK_MS: u64 = 10;
+const REVOKE_MS: u64 = 5_000;
+/// The longest that an answer is on its way.
+const DELAY_MAX_MS: u64 = 3_000;
+
+/// What a run gets wrong on purpose, to see that its check can fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Variant {
+    Sound,
+    /// A proof that was passed on counts from when its answer came.
+    FromArrival,
+    /// A proof that was passed on counts, though the records that came with it were lost.
+    WithoutRecords,
+}
+
+/// An answer on its way.
+struct OnTheWay {
+    at: u64,
+    sent: u64,
+    held_ms: u64,
+    /// Records and the next place; none if it brings nothing.
+    told: Option<(Vec<u64>, u64)>,
+    /// The age of the proof at another gateway; none from the store.
+    age_ms: Option<u64>,
+}
+
+#[derive(Default)]
+struct Gateway {
+    version: u64,
+    from: Option<u64>,
+    freshness: Freshness,
+    passing: Passing<u64>,
+    answer: Option<OnTheWay>,
+    store_answers: bool,
+    tried_at: u64,
+}
+
+struct World {
+    rng: ChaCha8Rng,
+    now: u64,
+    variant: Variant,
+    /// When each version was accepted; the place of a version is its number.
+    accepted: Vec<u64>,
+    gateways: Vec<Gateway>,
+    /// Gateways that the store turns away, and pairs that cannot talk.
+    turned_away: BTreeSet<usize>,
+    cut: BTreeSet<(usize, usize)>,
+    breaches: Vec<String>,
+    honoured: u64,
+}
+
+fn address(gateway: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, gateway as u8], 7340))
+}
+
+impl World {
+    fn new(seed: u64, gateways: usize, variant: Variant) -> World {
+        let gateway = |_| Gateway { store_answers: true, ..Gateway::default() };
+        World {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: 0,
+            variant,
+            accepted: vec![0],
+            gateways: (0..gateways).map(gateway).collect(),
+            turned_away: BTreeSet::new(),
+            cut: BTreeSet::new(),
+            breaches: Vec::new(),
+            honoured: 0,
+        }
+    }
+
+    fn store_end(&self) -> u64 {
+        self.accepted.len() as u64
+    }
+
+    fn step(&mut self) {
+        self.now += TICK_MS;
+        if self.rng.random_bool(0.003) {
+            self.accepted.push(self.now);
+        }
+        self.change_troubles();
+        for index in 0..self.gateways.len() {
+            self.take_answer(index);
+            self.ask(index);
+            self.check(index);
+        }
+    }
+
+    fn change_troubles(&mut self) {
+        if !self.rng.random_bool(0.01) {
+            return;
+        }
+        let count = self.gateways.len();
+        let away = self.rng.random_range(0..=count);
+        self.turned_away = (0..away).map(|_| self.rng.random_range(0..count)).collect();
+        let cuts = self.rng.random_range(0..count * 2);
+        self.cut = (0..cuts)
+            .map(|_| (self.rng.random_range(0..count), self.rng.random_range(0..count)))
+            .collect();
+    }
+
+    fn take_answer(&mut self, index: usize) {
+        let now = self.now;
+        let gateway = &mut self.gateways[index];
+        let Some(answer) = gateway.answer.take_if(|answer| answer.at <= now) else { return };
+        let Some((records, next)) = answer.told else { return };
+        let gone_back = gateway.from.is_some_and(|from| next < from);
+        if gone_back {
+            self.breaches.push(format!("{now}: {index} is told of an older place"));
+        }
+        let newest = records.iter().copied().max().unwrap_or(0);
+        gateway.version = gateway.version.max(newest);
+        match gateway.from {
+            None => gateway.passing.read_anew(next),
+            Some(_) => gateway.passing.followed(records, next),
+        }
+        gateway.from = Some(gateway.from.unwrap_or(0).max(next));
+        match (answer.age_ms, self.variant) {
+            (None, _) => gateway.freshness.proved(answer.sent, answer.held_ms),
+            (Some(age_ms), Variant::FromArrival) => gateway.freshness.passed_on(now, 0, age_ms),
+            (Some(age_ms), _) => {
+                gateway.freshness.passed_on(answer.sent, answer.held_ms, age_ms);
+            }
+        }
+    }
+
+    fn ask(&mut self, index: usize) {
+        if self.gateways[index].answer.is_some() {
+            return;
+        }
+        let names: Vec<String> = (0..self.gateways.len()).map(|n| format!("g{n}")).collect();
+        let others: Vec<Known<'_>> = (0..self.gateways.len())
+            .filter(|other| *other != index)
+            .map(|other| Known {
+                name: &names[other],
+                address: address(other),
+                near: other % 2 == index % 2,
+                store_answers: self.gateways[other].store_answers,
+                avoided: self.rng.random_bool(0.1),
+            })
+            .collect();
+        let own = Own {
+            name: &names[index],
+            store_answers: self.gateways[index].store_answers,
+            retry_due: self.now >= self.gateways[index].tried_at + 1_500,
+        };
+        match read_from(own, &others, self.rng.random()) {
+            ReadFrom::Store => self.ask_store(index),
+            ReadFrom::Gateway(at) => {
+                let other = (0..self.gateways.len()).find(|other| address(*other) == at);
+                self.ask_gateway(index, other.expect("a known address"));
+            }
+        }
+    }
+
+    /// The answer of the store is made halfway.
+    fn ask_store(&mut self, index: usize) {
+        let delay = self.rng.random_range(TICK_MS..DELAY_MAX_MS / 4);
+        let (now, end) = (self.now, self.store_end());
+        let away = self.turned_away.contains(&index);
+        let gateway = &mut self.gateways[index];
+        gateway.tried_at = now;
+        gateway.store_answers = !away;
+        let from = gateway.from.unwrap_or(0);
+        let told = (!away).then(|| ((from..end).collect(), end));
+        gateway.answer =
+            Some(OnTheWay { at: now + delay, sent: now, held_ms: 0, told, age_ms: None });
+    }
+
+    /// The other gateway answers from what it holds when the question comes, and the answer may be long
+    /// on its way.
+    fn ask_gateway(&mut self, index: usize, other: usize) {
+        let delay = self.rng.random_range(0..DELAY_MAX_MS);
+        let cut = self.cut.contains(&(index, other));
+        let asked = &self.gateways[other];
+        let age_ms = asked.freshness.age_ms(self.now);
+        let told = match asked.passing.since(self.gateways[index].from) {
+            Told::Records(records, next) => Some((records, next)),
+            Told::Newest(next) => Some((vec![asked.version], next)),
+            Told::Behind | Told::Unread => None,
+        };
+        let told = told.filter(|_| !cut && age_ms.is_some());
+        let lost = self.variant == Variant::WithoutRecords;
+        let told =
+            told.map(|(records, next)| if lost { (Vec::new(), next) } else { (records, next) });
+        self.gateways[index].answer =
+            Some(OnTheWay { at: self.now + delay, sent: self.now, held_ms: 0, told, age_ms });
+    }
+
+    /// Where keys are honoured, every version is in force that was accepted a bound ago.
+    fn check(&mut self, index: usize) {
+        let gateway = &self.gateways[index];
+        if !gateway.freshness.honours_keys(self.now, Some(REVOKE_MS)) {
+            return;
+        }
+        self.honoured += 1;
+        let due = self.accepted.iter().rposition(|at| at + REVOKE_MS <= self.now).unwrap_or(0);
+        if (gateway.version as usize) < due {
+            let (now, version) = (self.now, gateway.version);
+            self.breaches.push(format!("{now}: {index} honours keys of {version}, due is {due}"));
+        }
+    }
+}
+
+fn run(seed: u64, variant: Variant) -> World {
+    let mut world = World::new(seed, 7, variant);
+    while world.now < 60_000 {
+        world.step();
+    }
+    world
+}
+
+/// Runs of the sound variant; `OLIVEWORKS_SEEDS` sets another number.
+fn seeds() -> u64 {
+    std::env::var("OLIVEWORKS_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(40)
+}
+
+#[test]
+fn a_key_that_was_taken_away_serves_nowhere_beyond_its_bound() {
+    let mut honoured = 0;
+    for seed in 0..seeds() {
+        let world = run(seed, Variant::Sound);
+        assert_eq!(world.breaches, Vec::<String>::new(), "seed {seed}");
+        honoured += world.honoured;
+    }
+    assert!(honoured > 0, "keys are honoured at all");
+}
+
+#[test_case(Variant::FromArrival)]
+#[test_case(Variant::WithoutRecords)]
+fn a_wrong_variant_is_seen(variant: Variant) {
+    assert!((0..40).any(|seed| !run(seed, variant).breaches.is_empty()));
+}
+
+#[test]
+fn whoever_asks_gets_what_it_lacks() {
+    let mut passing = Passing::default();
+    assert_eq!(passing.since(None), Told::Unread);
+    passing.read_anew(10);
+    passing.followed(vec!['a', 'b'], 12);
+    passing.followed(vec![], 12);
+    passing.followed(vec!['c'], 13);
+    assert_eq!(passing.since(None), Told::Newest(13));
+    assert_eq!(passing.since(Some(9)), Told::Newest(13));
+    assert_eq!(passing.since(Some(10)), Told::Records(vec!['a', 'b', 'c'], 13));
+    assert_eq!(passing.since(Some(12)), Told::Records(vec!['c'], 13));
+    assert_eq!(passing.since(Some(13)), Told::Records(vec![], 13));
+    assert_eq!(passing.since(Some(14)), Told::Behind);
+    (0..100).for_each(|n| passing.followed(vec!['d'], 14 + n));
+    assert_eq!(passing.since(Some(13)), Told::Newest(113), "what is long ago is told anew");
+}
+
+fn known(name: &str, near: bool, store_answers: bool) -> Known<'_> {
+    let number = name.bytes().last().unwrap_or_default();
+    Known { name, address: address(number.into()), near, store_answers, avoided: false }
+}
+
+#[test_case("a", true, ReadFrom::Store; "the first by name reads")]
+#[test_case("b2", true, ReadFrom::Store; "the second as well")]
+#[test_case("d", true, ReadFrom::Gateway(address(b'1'.into())); "the others ask")]
+#[test_case("a", false, ReadFrom::Gateway(address(b'1'.into())); "one that is turned away asks")]
+fn two_of_a_domain_read(name: &str, store_answers: bool, expected: ReadFrom) {
+    let others = [
+        known("b1", true, true),
+        known("b5", true, true),
+        known("c3", true, false),
+        known("a4", false, true),
+    ];
+    let own = Own { name, store_answers, retry_due: false };
+    let draw = if expected == ReadFrom::Store { 1 } else { 0 };
+    assert_eq!(read_from(own, &others, draw), expected);
+    let alone = read_from(Own { name, store_answers, retry_due: false }, &[], 0);
+    assert_eq!(alone, ReadFrom::Store, "whoever knows nobody reads the store");
+}
+
+/// The readers of a domain are turned away, as is everybody there: another domain helps.
+#[test]
+fn a_domain_that_the_store_turns_away_asks_another() {
+    let others = [known("a1", true, false), known("b2", true, false), known("z3", false, true)];
+    let first = Own { name: "a0", store_answers: false, retry_due: false };
+    assert_eq!(read_from(first, &others, 5), ReadFrom::Gateway(address(b'3'.into())));
+    let due = Own { retry_due: true, ..first };
+    assert_eq!(read_from(due, &others, 5), ReadFrom::Store, "now and then it tries the store");
+    let last = Own { name: "c9", ..first };
+    let asked = read_from(last, &others, 5);
+    assert!(matches!(asked, ReadFrom::Gateway(_)), "the others go on asking the readers");
+}
--- a/crates/oliveworks-gateway/src/dialect.rs
+++ b/crates/oliveworks-gateway/src/dialect.rs
@@ -6,6 +6,7 @@
 use oliveworks_gateway_core::backend_servers::{BackendServer, BackendServerId, Holding};
 use oliveworks_gateway_core::configuration::Configuration;
 use oliveworks_gateway_core::planner::{Order, Outcome};
+use serde::{Deserialize, Serialize};
 
 /// Headers in order; names in lower case.
 pub type Headers = Vec<(String, Bytes)>;
@@ -23,7 +24,7 @@
 impl std::error::Error for Malformed {}
 
 /// A stream of the store's records.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Topic {
     /// The operators' configuration.
     Configuration,
@@ -33,8 +34,11 @@
     Leaders,
 }
 
+/// All topics.
+pub const TOPICS: [Topic; 3] = [Topic::Configuration, Topic::BackendServers, Topic::Leaders];
+
 /// A record of the store.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Record {
     /// A version of the configuration.
     Configuration(Configuration),
--- /dev/null
+++ b/crates/oliveworks-gateway/src/follow.rs
@@ -0,0 +1,200 @@
+//! Follows a topic of the store, step by step, through the store itself or another gateway.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use oliveworks_gateway_core::Millis;
+use oliveworks_gateway_core::sources::ReadFrom;
+use tokio::time::sleep;
+
+use crate::dialect::{Record, Tail, Topic};
+use crate::events::Event;
+use crate::passing::{Answer, Asking};
+use crate::sources;
+use crate::state::Gateway;
+use crate::store::Client;
+
+/// The pause after a failed call, in ms; doubles up to the second figure.
+const RETRY_MS: (u64, u64) = (40, 320);
+
+/// A topic that is followed.
+pub struct Follower {
+    client: Client,
+    asking: Option<Asking>,
+    topic: Topic,
+    from: Option<u64>,
+    pause_ms: u64,
+}
+
+/// What one step of following brought.
+pub struct Step {
+    /// Records that were added, or all newest ones.
+    pub records: Vec<Record>,
+    /// Whether these are all newest records and not just what was added.
+    pub snapshot: bool,
+    /// When the call was sent.
+    pub sent: Millis,
+    /// How long the store held it back because nothing was new, or the gateway that was asked did.
+    pub held_ms: u64,
+    /// Who told.
+    pub told_by: ToldBy,
+}
+
+/// Who told what a step brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ToldBy {
+    /// The store.
+    Store,
+    /// Another gateway, whose proof that nothing is newer was so old, if it had one.
+    Gateway {
+        /// The age of its proof when it answered.
+        proof_age_ms: Option<u64>,
+    },
+}
+
+impl Follower {
+    /// Follows a topic that was not read yet.
+    pub fn new(gateway: &Rc<Gateway>, topic: Topic) -> Follower {
+        Follower {
+            client: Client::new(gateway),
+            asking: None,
+            topic,
+            from: None,
+            pause_ms: RETRY_MS.0,
+        }
+    }
+
+    /// The place up to which everything was read.
+    pub fn from(&self) -> Option<u64> {
+        self.from
+    }
+
+    /// Makes one step, through the store or another gateway; on failure, says so and pauses.
+    /// `wait_ms` is how long the store may hold it back.
+    pub async fn step(&mut self, wait_ms: u64) -> Option<Step> {
+        let gateway = self.client.gateway().clone();
+        match sources::next(&gateway) {
+            ReadFrom::Store => self.step_in_store(&gateway, wait_ms).await,
+            ReadFrom::Gateway(address) => self.step_through(&gateway, address).await,
+        }
+    }
+
+    async fn step_in_store(&mut self, gateway: &Gateway, wait_ms: u64) -> Option<Step> {
+        gateway.store_tried_at.set(gateway.now());
+        let step = match self.from {
+            None => self.snapshot().await,
+            Some(from) => self.tail(from, wait_ms).await,
+        };
+        match step {
+            Ok(step) => {
+                self.pause_ms = RETRY_MS.0;
+                gateway.store_answered();
+                Some(step)
+            }
+            Err(why) => {
+                gateway.store_failed(&format!("{:?}", self.topic), &why);
+                sleep(Duration::from_millis(self.pause_ms)).await;
+                self.pause_ms = (self.pause_ms * 2).min(RETRY_MS.1);
+                None
+            }
+        }
+    }
+
+    async fn step_through(&mut self, gateway: &Gateway, address: SocketAddr) -> Option<Step> {
+        let sent = gateway.now();
+        gateway.count("questions_asked");
+        match self.ask(address).await {
+            Ok(answer) => {
+                self.from = Some(answer.next);
+                if let Some(ago) = answer.store_failed_ms_ago {
+                    gateway.store_failed_elsewhere(sent.saturating_sub(ago));
+                }
+                Some(Step {
+                    records: answer.records,
+                    snapshot: answer.snapshot,
+                    sent,
+                    held_ms: answer.held_ms,
+                    told_by: ToldBy::Gateway { proof_age_ms: answer.proof_age_ms },
+                })
+            }
+            Err(why) => {
+                self.asking = None;
+                sources::avoid(gateway, address, self.topic, &why);
+                None
+            }
+        }
+    }
+
+    async fn ask(&mut self, address: SocketAddr) -> Result<Answer, String> {
+        let kept = self.asking.take().filter(|asking| asking.address() == address);
+        let mut asking = match kept {
+            Some(asking) => asking,
+            None => Asking::open(address).await?,
+        };
+        let answer = asking.ask(self.topic, self.from).await?;
+        self.asking = Some(asking);
+        answer.ok_or_else(|| "it has nothing to tell".to_owned())
+    }
+
+    async fn snapshot(&mut self) -> Result<Step, String> {
+        let gateway = self.client.gateway().clone();
+        let sent = gateway.now();
+        let mut records = Vec::new();
+        let mut after: Option<String> = None;
+        let mut first_end = None;
+        if self.topic == Topic::Leaders {
+            // Its last records are enough, and there is no key to ask the newest ones for.
+            return self.tail(0, 0).await;
+        }
+        loop {
+            let call = gateway.dialect.newest(self.topic, after.as_deref());
+            let (status, body) = self.client.call(&call, 0).await?;
+            let page =
+                gateway.dialect.page(self.topic, status, &body).map_err(|e| e.to_string())?;
+            records.extend(page.records);
+            // Pages are no snapshot: what changed since the first is read again.
+            first_end.get_or_insert(page.end);
+            after = page.after;
+            if after.is_none() {
+                break;
+            }
+        }
+        self.from = first_end;
+        Ok(Step { records, snapshot: true, sent, held_ms: 0, told_by: ToldBy::Store })
+    }
+
+    async fn tail(&mut self, from: u64, wait_ms: u64) -> Result<Step, String> {
+        let gateway = self.client.gateway().clone();
+        let sent = gateway.now();
+        let call = gateway.dialect.tail(self.topic, from, wait_ms);
+        let (status, body) = self.client.call(&call, wait_ms).await?;
+        let tail = gateway
+            .dialect
+            .tailed(self.topic, from, status, &body)
+            .map_err(|error| error.to_string())?;
+        match tail {
+            Tail::Records(records, next) => {
+                let held_ms = if records.is_empty() { wait_ms } else { 0 };
+                self.from = Some(next);
+                Ok(Step { records, snapshot: false, sent, held_ms, told_by: ToldBy::Store })
+            }
+            Tail::Expired(first) => {
+                Event::new("records_expired")
+                    .debug("topic", self.topic)
+                    .with("from", from)
+                    .with("first", first)
+                    .write();
+                self.from = (self.topic == Topic::Leaders).then_some(first);
+                Ok(Step {
+                    records: Vec::new(),
+                    snapshot: false,
+                    sent,
+                    held_ms: 0,
+                    told_by: ToldBy::Store,
+                })
+            }
+            Tail::Refused(status) => Err(format!("refused with {status}")),
+        }
+    }
+}
--- a/crates/oliveworks-gateway/src/lib.rs
+++ b/crates/oliveworks-gateway/src/lib.rs
@@ -11,7 +11,10 @@
 //! | [`process`] | starts and stops everything |
 //! | `callers`, `relay` | take requests, and see each to its answer |
 //! | `exchange` | one connection to a backend server or the store |
-//! | `store` | follows the platform's records |
+//! | `store` | calls to the platform's store |
+//! | `follow`, `sources` | follow a topic of the store, through it or another gateway |
+//! | `records`, `missing` | take in what the topics tell |
+//! | `passing` | passes the store's records on to other gateways |
 //! | `leader` | gives the planner's orders |
 //! | `peers` | tells the other gateways, and hears them |
 
@@ -19,11 +22,16 @@
 pub mod dialect;
 mod events;
 mod exchange;
+mod follow;
 mod leader;
+mod missing;
+mod passing;
 mod peers;
 pub mod process;
 mod readiness;
+mod records;
 mod relay;
 pub mod settings;
+mod sources;
 mod state;
 mod store;
--- /dev/null
+++ b/crates/oliveworks-gateway/src/passing.rs
@@ -0,0 +1,207 @@
+//! Passes the store's records on between gateways: who asks follows a topic through another gateway as
+//! it would follow the store.
+//!
+//! Over TCP and not in datagrams: a configuration may be far larger than one. Frames and their bodies
+//! are those of libraries. Whoever serves answers from what it holds and opens nothing itself, so that
+//! questions never go in circles. Rejected: QUIC, whose handshake costs more processor time than the
+//! few questions a second that a gateway asks.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use log::{debug, warn};
+use oliveworks_gateway_core::passing::Told;
+use serde::{Deserialize, Serialize};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::dialect::{Record, Topic};
+use crate::state::Gateway;
+
+/// The longest that a question is held back until there is news, in ms: a gateway that answers no more
+/// is noticed within this time and the next.
+pub const HOLD_MS: u64 = 1_000;
+/// The time that an answer may take beyond that, and a connection to come up, in ms: many times the way
+/// between failure domains, and short beside the second after which a proof is missed.
+const ANSWER_MS: u64 = 300;
+/// The largest answer, in bytes.
+const ANSWER_MAX: usize = 16 << 20;
+/// The time between two attempts to accept a connection when the last one failed, in ms.
+const ACCEPT_AGAIN_MS: u64 = 20;
+
+/// Asks for what is newer than what the asker holds.
+#[derive(Debug, Serialize, Deserialize)]
+struct Question {
+    topic: Topic,
+    /// The place up to which the asker holds everything; none if it holds nothing.
+    from: Option<u64>,
+}
+
+/// What another gateway answers.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Answer {
+    /// Records from the asker's place on, or the newest of each key.
+    pub records: Vec<Record>,
+    /// Whether these are all newest records and not just what was added.
+    pub snapshot: bool,
+    /// The place after them.
+    pub next: u64,
+    /// How long the question was held back.
+    pub held_ms: u64,
+    /// How old the proof was then that nothing is newer; none without one.
+    pub proof_age_ms: Option<u64>,
+    /// How long ago a call to the store last failed at a gateway that reads it.
+    pub store_failed_ms_ago: Option<u64>,
+}
+
+type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+
+fn framed(stream: TcpStream) -> Frames {
+    let codec = LengthDelimitedCodec::builder().max_frame_length(ANSWER_MAX).new_codec();
+    Framed::new(stream, codec)
+}
+
+/// A connection to another gateway.
+pub struct Asking {
+    address: SocketAddr,
+    frames: Frames,
+}
+
+impl Asking {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    /// If none comes up in time, in words.
+    pub async fn open(address: SocketAddr) -> Result<Asking, String> {
+        let connecting = TcpStream::connect(address);
+        let stream = timeout(Duration::from_millis(ANSWER_MS), connecting).await;
+        let stream = stream.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?;
+        if let Err(error) = stream.set_nodelay(true) {
+            debug!("passing: {address}: {error}");
+        }
+        Ok(Asking { address, frames: framed(stream) })
+    }
+
+    /// Whom it asks.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Asks for what is newer; nothing if the other gateway has nothing to tell.
+    ///
+    /// # Errors
+    /// If no answer comes in time or it cannot be read, in words.
+    pub async fn ask(&mut self, topic: Topic, from: Option<u64>) -> Result<Option<Answer>, String> {
+        let question = postcard::to_stdvec(&Question { topic, from }).map_err(|e| e.to_string())?;
+        let answer = async {
+            self.frames.send(Bytes::from(question)).await.map_err(|error| error.to_string())?;
+            self.frames.next().await.ok_or("the connection ended")?.map_err(|e| e.to_string())
+        };
+        let answer: Result<_, String> = timeout(Duration::from_millis(HOLD_MS + ANSWER_MS), answer)
+            .await
+            .map_err(|_| "no answer in time".to_owned())?;
+        postcard::from_bytes(&answer?).map_err(|error| error.to_string())
+    }
+}
+
+/// Takes questions of other gateways.
+pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                ntex::rt::spawn(serve(gateway.clone(), stream, from));
+            }
+            Err(error) => {
+                warn!("passing: no connection accepted: {error}");
+                sleep(Duration::from_millis(ACCEPT_AGAIN_MS)).await;
+            }
+        }
+    }
+}
+
+async fn serve(gateway: Rc<Gateway>, stream: TcpStream, from: SocketAddr) {
+    if let Err(error) = stream.set_nodelay(true) {
+        debug!("passing: {from}: {error}");
+    }
+    let mut frames = framed(stream);
+    while let Some(Ok(frame)) = frames.next().await {
+        let question = match postcard::from_bytes::<Question>(&frame) {
+            Ok(question) => question,
+            Err(error) => {
+                warn!("passing: a question of {from}: {error}");
+                return;
+            }
+        };
+        gateway.count("questions_answered");
+        let answer = held_back(&gateway, &question).await;
+        let bytes = match postcard::to_stdvec(&answer) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                warn!("passing: an answer to {from}: {error}");
+                return;
+            }
+        };
+        if frames.send(Bytes::from(bytes)).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// The answer once there is news or a younger proof, or the time is over.
+async fn held_back(gateway: &Gateway, question: &Question) -> Option<Answer> {
+    let began = gateway.now();
+    let notified = gateway.news(question.topic).notified();
+    let mut told = tell(gateway, question);
+    let nothing_new = |answer: &Answer| answer.records.is_empty() && !answer.snapshot;
+    if told.as_ref().is_none_or(nothing_new) {
+        // Late is as good as news: the answer says what is known then.
+        let _ = timeout(Duration::from_millis(HOLD_MS), notified).await;
+        told = tell(gateway, question);
+    }
+    let mut answer = told?;
+    answer.held_ms = gateway.now() - began;
+    Some(answer)
+}
+
+fn tell(gateway: &Gateway, question: &Question) -> Option<Answer> {
+    let topic = question.topic;
+    let told = gateway.passing(topic).borrow().since(question.from);
+    let (records, snapshot, next) = match told {
+        Told::Records(records, next) => (records, false, next),
+        Told::Newest(next) => (newest(gateway, topic), true, next),
+        Told::Behind | Told::Unread => return None,
+    };
+    let now = gateway.now();
+    let proof_age_ms = match topic {
+        Topic::Configuration => gateway.freshness.get().age_ms(now),
+        Topic::BackendServers | Topic::Leaders => None,
+    };
+    let store_failed_ms_ago = gateway.store_failed_at.get().map(|at| now - at);
+    Some(Answer { records, snapshot, next, held_ms: 0, proof_age_ms, store_failed_ms_ago })
+}
+
+/// The newest record of each key, as this gateway holds them.
+fn newest(gateway: &Gateway, topic: Topic) -> Vec<Record> {
+    match topic {
+        Topic::Configuration => {
+            let lookup = gateway.lookup();
+            lookup.map(|l| Record::Configuration(l.configuration.clone())).into_iter().collect()
+        }
+        Topic::BackendServers => {
+            let directory = gateway.directory.borrow();
+            let missing = gateway.missing.borrow();
+            let listed = directory.iter().filter(|server| !missing.holds(&server.id));
+            listed.cloned().map(Record::BackendServer).collect()
+        }
+        Topic::Leaders => {
+            let claim = gateway.election.borrow().newest();
+            let record =
+                claim.map(|claim| Record::Leader { fence: claim.fence, claimant: claim.claimant });
+            record.into_iter().collect()
+        }
+    }
+}
--- a/crates/oliveworks-gateway/src/process.rs
+++ b/crates/oliveworks-gateway/src/process.rs
@@ -14,7 +14,7 @@
 use crate::relay::STOP_NOTICE_MS;
 use crate::settings::Settings;
 use crate::state::Gateway;
-use crate::{leader, peers, store};
+use crate::{leader, passing, peers, records};
 
 /// Time of the grace that is left unused.
 const GRACE_MARGIN_MS: u64 = 700;
@@ -44,15 +44,17 @@
     let callers = TcpListener::bind(listen.callers).await.context("listen.callers")?;
     let ready = TcpListener::bind(listen.ready).await.context("listen.ready")?;
     let socket = Rc::new(UdpSocket::bind(listen.peers).await.context("listen.peers")?);
+    let questions = TcpListener::bind(listen.peers).await.context("listen.peers")?;
     let gateway = Rc::new(Gateway::new(settings, dialect));
     Event::new("start")
         .with("node", gateway.settings.node.as_str())
         .with("life", gateway.life)
         .with("version", env!("CARGO_PKG_VERSION"))
         .write();
-    ntex::rt::spawn(store::follow_configuration(gateway.clone()));
-    ntex::rt::spawn(store::follow_servers(gateway.clone()));
-    ntex::rt::spawn(store::follow_leaders(gateway.clone()));
+    ntex::rt::spawn(records::follow_configuration(gateway.clone()));
+    ntex::rt::spawn(records::follow_servers(gateway.clone()));
+    ntex::rt::spawn(records::follow_leaders(gateway.clone()));
+    ntex::rt::spawn(passing::accept(gateway.clone(), questions));
     ntex::rt::spawn(peers::receive(gateway.clone(), socket.clone()));
     ntex::rt::spawn(peers::send(gateway.clone(), socket));
     ntex::rt::spawn(leader::run(gateway.clone()));
--- /dev/null
+++ b/crates/oliveworks-gateway/src/records.rs
@@ -0,0 +1,189 @@
+//! Takes in what the followed topics tell: configuration, backend servers, leaders.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::warn;
+use oliveworks_gateway_core::Millis;
+use oliveworks_gateway_core::configuration::Lookup;
+use oliveworks_gateway_core::election::Claim;
+use oliveworks_gateway_core::listing::{Listing, ListingConfig};
+use tokio::time::sleep;
+
+use crate::dialect::{Record, Topic};
+use crate::events::Event;
+use crate::follow::{Follower, Step, ToldBy};
+use crate::state::Gateway;
+
+/// How long the store holds a read of the leaders' topic back.
+const LEADERS_WAIT_MS: u64 = 15_000;
+/// The time between two reads of backend servers' records while new ones come.
+const SERVERS_QUICK_MS: u64 = 300;
+/// How long after the last new one the list counts as complete.
+const SERVERS_SETTLE_MS: u64 = 1_500;
+
+fn take_configuration(gateway: &Gateway, step: Step) {
+    for record in step.records {
+        match record {
+            Record::Configuration(configuration) => {
+                let held = gateway.lookup().map(|lookup| lookup.configuration.version);
+                if held.is_some_and(|held| held >= configuration.version) {
+                    continue;
+                }
+                Event::new("configuration")
+                    .with("version", configuration.version)
+                    .with("before", held)
+                    .with("routes", configuration.routes.len())
+                    .with("workspaces", configuration.workspaces.as_ref().map_or(0, Vec::len))
+                    .write();
+                *gateway.lookup.borrow_mut() = Some(Rc::new(Lookup::new(configuration)));
+            }
+            Record::Unknown(why) => warn!("configuration: {why}"),
+            _ => {}
+        }
+    }
+}
+
+/// Follows the configuration.
+pub async fn follow_configuration(gateway: Rc<Gateway>) {
+    let mut follower = Follower::new(&gateway, Topic::Configuration);
+    let longest_wait_ms = gateway.settings.configuration_wait_ms();
+    let mut wait_ms = longest_wait_ms;
+    loop {
+        let Some(step) = follower.step(wait_ms).await else { continue };
+        let (sent, held_ms, told_by) = (step.sent, step.held_ms, step.told_by);
+        // An answer with records proves only what was so when the call was sent, perhaps long ago:
+        // the next call is answered at once and proves more.
+        wait_ms = if step.records.is_empty() { longest_wait_ms } else { 0 };
+        keep(&gateway, Topic::Configuration, &step, follower.from());
+        take_configuration(&gateway, step);
+        if follower.from().is_some() && gateway.lookup.borrow().is_some() {
+            prove(&gateway, sent, held_ms, told_by);
+        }
+        gateway.news(Topic::Configuration).notify_waiters();
+    }
+}
+
+/// Notes how young the configuration is known to be.
+fn prove(gateway: &Gateway, sent: Millis, held_ms: u64, told_by: ToldBy) {
+    let mut freshness = gateway.freshness.get();
+    match told_by {
+        ToldBy::Store => freshness.proved(sent, held_ms),
+        ToldBy::Gateway { proof_age_ms: None } => return,
+        ToldBy::Gateway { proof_age_ms: Some(age_ms) } => {
+            freshness.passed_on(sent, held_ms, age_ms);
+            gateway.store_heard_elsewhere((sent + held_ms).saturating_sub(age_ms));
+        }
+    }
+    gateway.freshness.set(freshness);
+}
+
+/// Keeps what a step brought for gateways that ask this one; `next` is the place after it.
+fn keep(gateway: &Gateway, topic: Topic, step: &Step, next: Option<u64>) {
+    let mut passing = gateway.passing(topic).borrow_mut();
+    match next {
+        Some(next) if step.snapshot => passing.read_anew(next),
+        Some(next) => passing.followed(step.records.clone(), next),
+        // The place is lost: the topic is read anew with the next step.
+        None => {}
+    }
+}
+
+/// Takes records in; tells whether one was of a backend server that was not listed before.
+fn take_servers(gateway: &Gateway, step: Step) -> bool {
+    let mut missing = gateway.missing.borrow_mut();
+    let mut new = false;
+    let now = gateway.now();
+    let mut listed = BTreeSet::new();
+    for record in step.records {
+        match record {
+            Record::BackendServer(server) => {
+                missing.found(&server.id);
+                gateway.gone.borrow_mut().remove(&server.id);
+                listed.insert(server.id.clone());
+                if let Some(planner) = gateway.planners.borrow_mut().get_mut(&server.service) {
+                    planner.listed(now, &server);
+                }
+                let id = server.id.clone();
+                let (service, domain) = (server.service.clone(), server.domain.clone());
+                if gateway.directory.borrow().get(&id).is_none() {
+                    new = true;
+                    Event::new("host_listed")
+                        .with("host", &*id)
+                        .with("service", service)
+                        .with("domain", domain)
+                        .write();
+                }
+                gateway.directory.borrow_mut().put(server);
+            }
+            Record::BackendServerGone(id) => {
+                missing.lost(now, id);
+            }
+            Record::Unknown(why) => warn!("servers: {why}"),
+            _ => {}
+        }
+    }
+    if step.snapshot {
+        for server in gateway.directory.borrow().iter() {
+            if !listed.contains(&server.id) {
+                missing.lost(now, server.id.clone());
+            }
+        }
+        gateway.directory_read.set(true);
+    }
+    missing.sweep(gateway);
+    gateway.forget_gone();
+    new
+}
+
+/// Follows the list of backend servers.
+pub async fn follow_servers(gateway: Rc<Gateway>) {
+    let mut follower = Follower::new(&gateway, Topic::BackendServers);
+    let mut listing = Listing::new(ListingConfig {
+        quick_ms: SERVERS_QUICK_MS,
+        settle_ms: SERVERS_SETTLE_MS,
+        every_ms: gateway.settings.servers_every_ms(),
+    });
+    loop {
+        if let Some(step) = follower.step(0).await {
+            let told_by = step.told_by;
+            let news = step.snapshot || !step.records.is_empty();
+            keep(&gateway, Topic::BackendServers, &step, follower.from());
+            let new = take_servers(&gateway, step);
+            if news {
+                gateway.news(Topic::BackendServers).notify_waiters();
+            }
+            let pause_ms = listing.read(gateway.now(), new);
+            // Another gateway holds the next question back until it has news.
+            if follower.from().is_some() && told_by == ToldBy::Store {
+                sleep(Duration::from_millis(pause_ms)).await;
+            }
+        }
+        gateway.missing.borrow_mut().sweep(&gateway);
+    }
+}
+
+/// Follows who leads.
+pub async fn follow_leaders(gateway: Rc<Gateway>) {
+    let mut follower = Follower::new(&gateway, Topic::Leaders);
+    loop {
+        let Some(step) = follower.step(LEADERS_WAIT_MS).await else { continue };
+        keep(&gateway, Topic::Leaders, &step, follower.from());
+        let now = gateway.now();
+        let mut newest = None;
+        for record in step.records {
+            if let Record::Leader { fence, claimant } = record {
+                newest = Some(Claim { fence, claimant });
+            }
+        }
+        if let Some(claim) = &newest {
+            let own = claim.claimant == gateway.life;
+            Event::new("leader").with("fence", claim.fence).with("this_gateway", own).write();
+            gateway.news(Topic::Leaders).notify_waiters();
+        }
+        if let Some(end) = follower.from() {
+            gateway.election.borrow_mut().read(now, newest, end);
+        }
+    }
+}
--- a/crates/oliveworks-gateway/src/settings.rs
+++ b/crates/oliveworks-gateway/src/settings.rs
@@ -52,7 +52,7 @@
     pub callers: SocketAddr,
     /// For whoever asks whether it is ready, and for metrics, TCP.
     pub ready: SocketAddr,
-    /// For other gateways, UDP.
+    /// For other gateways, UDP and TCP.
     pub peers: SocketAddr,
 }
 
--- /dev/null
+++ b/crates/oliveworks-gateway/src/sources.rs
@@ -0,0 +1,59 @@
+//! Where this gateway reads the store's records: in the store, or through another gateway.
+
+use std::net::SocketAddr;
+
+use oliveworks_gateway_core::sources::{Known, Own, ReadFrom, read_from};
+
+use crate::dialect::Topic;
+use crate::events::Event;
+use crate::state::Gateway;
+
+/// Silence after which a gateway of this failure domain does not count as a reader, in ms: seven
+/// heartbeats.
+const NEAR_SILENT_MS: u64 = 700;
+/// The same of another failure domain, in ms, whose gateways are heard now and then.
+const FAR_SILENT_MS: u64 = 3_000;
+/// How long a gateway that did not answer is not asked, in ms.
+const AVOID_MS: u64 = 2_000;
+/// The time between two calls to a store that turns this gateway away, while others answer it, in ms:
+/// each such call is priced, and short beside the four seconds that a proof is good for.
+const STORE_AGAIN_MS: u64 = 1_500;
+
+/// Where the next step of a topic is made.
+pub fn next(gateway: &Gateway) -> ReadFrom {
+    let now = gateway.now();
+    let peers = gateway.peers.borrow();
+    let avoided = gateway.avoided.borrow();
+    let domain = &gateway.settings.failure_domain;
+    let others = peers.iter().filter_map(|(name, peer)| {
+        let near = peer.failure_domain == *domain;
+        let silent_ms = if near { NEAR_SILENT_MS } else { FAR_SILENT_MS };
+        (now < peer.heard_at + silent_ms).then(|| Known {
+            name,
+            address: peer.address,
+            near,
+            store_answers: peer.store_answers,
+            avoided: avoided.get(&peer.address).is_some_and(|at| now < at + AVOID_MS),
+        })
+    });
+    let own = Own {
+        name: &gateway.settings.node,
+        store_answers: gateway.election.borrow().store_answers(),
+        retry_due: now >= gateway.store_tried_at.get() + STORE_AGAIN_MS,
+    };
+    read_from(own, &others.collect::<Vec<_>>(), rand::random())
+}
+
+/// A gateway did not answer: it is not asked for a while.
+pub fn avoid(gateway: &Gateway, address: SocketAddr, topic: Topic, why: &str) {
+    let now = gateway.now();
+    let mut avoided = gateway.avoided.borrow_mut();
+    avoided.retain(|_, at| now < *at + AVOID_MS);
+    if avoided.insert(address, now).is_none() {
+        Event::new("gateway_does_not_answer")
+            .with("address", address.to_string())
+            .debug("topic", topic)
+            .with("why", why)
+            .write();
+    }
+}
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -15,14 +15,16 @@
 use oliveworks_gateway_core::demand::Demand;
 use oliveworks_gateway_core::election::{Election, ElectionConfig};
 use oliveworks_gateway_core::freshness::Freshness;
+use oliveworks_gateway_core::passing::Passing;
 use oliveworks_gateway_core::planner::Planner;
 use oliveworks_gateway_core::speed::Speeds;
 use oliveworks_runtime::clock::Clock;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
 
-use crate::dialect::Dialect;
+use crate::dialect::{Dialect, Record, TOPICS, Topic};
 use crate::events::Event;
+use crate::missing::Missing;
 use crate::relay::STOP_NOTICE_MS;
 use crate::settings::Settings;
 
@@ -127,9 +129,17 @@
     pub gone: RefCell<HashMap<BackendServerId, Millis>>,
     /// Whether the directory was read at all.
     pub directory_read: Cell<bool>,
-    /// When a call to the store last failed.
+    /// Backend servers that are missing from the list.
+    pub missing: RefCell<Missing>,
+    /// The last records of each topic, for gateways that ask this one, and who waits for news.
+    passing: HashMap<Topic, (RefCell<Passing<Record>>, Notify)>,
+    /// Gateways that did not answer a question, and when.
+    pub avoided: RefCell<HashMap<SocketAddr, Millis>>,
+    /// When this gateway last called the store to follow a topic.
+    pub store_tried_at: Cell<Millis>,
+    /// When a call to the store last failed, here or at a gateway that was asked.
     pub store_failed_at: Cell<Option<Millis>>,
-    /// When the store last answered.
+    /// When the store last answered, this gateway or one that was asked.
     pub store_heard_at: Cell<Millis>,
     /// How busy backend servers are.
     pub balance: RefCell<Balance>,
@@ -198,6 +208,10 @@
             directory: RefCell::default(),
             gone: RefCell::default(),
             directory_read: Cell::new(false),
+            missing: RefCell::default(),
+            passing: TOPICS.into_iter().map(|topic| (topic, Default::default())).collect(),
+            avoided: RefCell::default(),
+            store_tried_at: Cell::new(0),
             store_failed_at: Cell::new(None),
             store_heard_at: Cell::new(now),
             balance: RefCell::default(),
@@ -308,6 +322,27 @@
         self.election.borrow_mut().store_answered(self.now());
     }
 
+    /// The last records of a topic.
+    pub fn passing(&self, topic: Topic) -> &RefCell<Passing<Record>> {
+        &self.passing[&topic].0
+    }
+
+    /// Tells whoever waits for news of a topic.
+    pub fn news(&self, topic: Topic) -> &Notify {
+        &self.passing[&topic].1
+    }
+
+    /// The store answered a gateway that was asked.
+    pub fn store_heard_elsewhere(&self, at: Millis) {
+        self.store_heard_at.set(self.store_heard_at.get().max(at));
+    }
+
+    /// A call to the store failed at a gateway that was asked.
+    pub fn store_failed_elsewhere(&self, at: Millis) {
+        let failed_at = self.store_failed_at.get();
+        self.store_failed_at.set(Some(failed_at.map_or(at, |known| known.max(at))));
+    }
+
     /// A call to the store failed.
     pub fn store_failed(&self, what: &str, why: &str) {
         let now = self.now();
