Small domains: no spares beside nothing, and no model that does not fit

Change: a domain keeps spares only where a group is left for them to repair, and its spares hold only models whose groups it may come to hold.

The test (policy.rs, a_domain_of_one_small_group_serves) failed before: 0 groups of 1.

--- a/crates/oliveworks-gateway-core/src/planner/domain.rs
+++ b/crates/oliveworks-gateway-core/src/planner/domain.rs
@@ -79,12 +79,21 @@
 }
 
 /// How many hosts of a domain are kept as spares: a part of the most that it had, less those that
-/// it has lost since, for whose groups spares are.
+/// it has lost since, for whose groups spares are. Where none of the hosts beside them could form a
+/// group, there is nothing to repair, and none is kept.
 pub(super) fn reserve(planner: &Planner, domain: &Domain<'_>) -> usize {
-    let models = planner.engine.models.iter().filter(|model| model.size > 1).count();
+    let sizes = planner.engine.models.iter().map(|model| model.size).filter(|size| *size > 1);
     let most = planner.most_hosts.get(domain.name).copied().unwrap_or(domain.living);
-    let spares = models.min((most * planner.config.spare_percent).div_ceil(100));
-    spares.saturating_sub(most.saturating_sub(domain.living))
+    let spares = sizes.clone().count().min((most * planner.config.spare_percent).div_ceil(100));
+    let spares = spares.saturating_sub(most.saturating_sub(domain.living));
+    let forms_one = sizes.min().is_some_and(|least| domain.living >= least + spares);
+    if forms_one { spares } else { 0 }
+}
+
+/// Whether a domain may come to hold a group of a model, with all the hosts that it ever had.
+pub(super) fn fits(planner: &Planner, domain: &Domain<'_>, model: &Model) -> bool {
+    let most = planner.most_hosts.get(domain.name).copied().unwrap_or(0);
+    model.size <= most.max(domain.living)
 }
 
 /// All domains.
--- a/crates/oliveworks-gateway-core/src/planner/spares.rs
+++ b/crates/oliveworks-gateway-core/src/planner/spares.rs
@@ -11,7 +11,7 @@
 
 use super::Planner;
 use super::allot::{NewGroup, new_group};
-use super::domain::Domain;
+use super::domain::{Domain, fits};
 use super::host::Host;
 use crate::configuration::Model;
 
@@ -28,27 +28,33 @@
     }
 }
 
+/// Models of which a domain may come to hold a group.
+fn of_domain<'a>(planner: &'a Planner, domain: &Domain<'_>) -> Vec<&'a Model> {
+    let grouped = planner.engine.models.iter().filter(|model| model.size > 1);
+    grouped.filter(|model| fits(planner, domain, model)).collect()
+}
+
 /// Free hosts that hold nothing load a model, and those that only keep one staged take it up.
 pub(super) fn load_spares(
     planner: &Planner,
     domains: &BTreeMap<&str, Domain<'_>>,
     plans: &mut Vec<NewGroup>,
 ) {
-    let grouped: Vec<&Model> = planner.engine.models.iter().filter(|m| m.size > 1).collect();
-    let Some(held) = model_of_spares(planner, &grouped) else { return };
     // Before traffic the weight store is the bottleneck, and groups go first.
     if !planner.traffic && (!plans.is_empty() || planner.waits_for_joins()) {
         return;
     }
     for domain in domains.values().filter(|domain| domain.steady) {
+        let grouped = of_domain(planner, domain);
+        let Some(held) = model_of_spares(planner, &grouped) else { continue };
         let mut loading: BTreeMap<&str, usize> =
             grouped.iter().map(|model| (model.name.as_str(), domain.loads(model))).collect();
         for host in domain.free.iter().filter(|host| host.group.is_none()) {
             if grouped.iter().any(|model| host.held_last(&model.name)) {
                 continue;
             }
-            let spare = first_spare(planner, domain, &loading, held);
-            let model = to_load(planner, domain, &loading, host, spare);
+            let spare = first_spare(planner, domain, &grouped, &loading, held);
+            let model = to_load(planner, domain, &grouped, &loading, host, spare);
             *loading.entry(&model.name).or_default() += 1;
             plans.push(new_group(model, &[host]));
         }
@@ -62,11 +68,12 @@
 fn to_load<'a>(
     planner: &'a Planner,
     domain: &Domain<'_>,
+    models: &[&'a Model],
     loading: &BTreeMap<&str, usize>,
     host: &Host,
     spare: &'a Model,
 ) -> &'a Model {
-    let grouped = || planner.engine.models.iter().filter(|model| model.size > 1);
+    let grouped = || models.iter().copied();
     let short = |model: &&Model| {
         let comes = domain.warm(model) + loading.get(model.name.as_str()).copied().unwrap_or(0);
         comes < model.size * domain.lacks(planner, model)
@@ -91,11 +98,13 @@
 fn first_spare<'a>(
     planner: &'a Planner,
     domain: &Domain<'_>,
+    models: &[&'a Model],
     loading: &BTreeMap<&str, usize>,
     others: &'a Model,
 ) -> &'a Model {
-    let grouped = planner.engine.models.iter().filter(|model| model.size > 1);
-    let Some(largest) = grouped.max_by_key(|model| model.size) else { return others };
+    let Some(largest) = models.iter().copied().max_by_key(|model| model.size) else {
+        return others;
+    };
     let largest_first = planner.config.first_spare_largest && is_first(domain, loading, largest);
     if largest_first { largest } else { others }
 }
--- a/crates/oliveworks-gateway-core/tests/planner/policy.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/policy.rs
@@ -50,6 +50,21 @@
     }
 }
 
+/// A domain of two hosts is too small for a large group, and for spares beside a small one: both hosts
+/// serve the small model.
+#[test]
+fn a_domain_of_one_small_group_serves() {
+    let mut world = World::new(1, Broken::default());
+    for _ in 0..FEW {
+        DOMAINS.iter().for_each(|domain| world.add_host(domain));
+    }
+    (0..2).for_each(|_| world.add_host("tiny"));
+    let mut leader = Leader::take_over(&world, 1, vec![]);
+    run_for(&mut world, &mut leader, 90_000, false);
+    let lines = leader.planner.describe_domains();
+    assert_eq!(serving(&world, &leader, "small", "tiny"), 1, "{lines:?}");
+}
+
 /// Where there are many small groups, spares hold the large model and are not spent on small ones:
 /// two large groups in a row are repaired in the time of an order.
 #[test]
