Hosts stage what lacks: idle hosts a group that their domain lacks, then the model that fewest could serve

Change: first idle hosts that complete a group which their domain lacks, beyond staged_max; then the model that fewest hosts could serve for its part. A host counts as loading only if its join takes a load.

Test: idle_hosts_load_what_their_domain_lacks failed before (0 of 2 hosts held the model, 0 groups of 1). the_first_start_is_even now reads the list while it runs, as every leader does: without, no load beside serving ever counts as ended, so that it saw the first eleven only, which went to one model before; its assertions are the same.

--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -225,8 +225,7 @@
         };
         for member in &members {
             if let Some(host) = self.hosts.get_mut(member) {
-                host.group = Some(epoch);
-                host.joined = Some(epoch);
+                host.adopted(epoch);
             }
         }
         let name = name.clone();
@@ -504,7 +503,7 @@
         if self.waits_for_joins() || (self.traffic && self.loading() >= most) {
             return;
         }
-        for staging in stage::stage(self) {
+        for staging in stage::stage(now, self) {
             if self.load_tokens < 1.0 {
                 return;
             }
--- a/crates/oliveworks-gateway-core/src/planner/host.rs
+++ b/crates/oliveworks-gateway-core/src/planner/host.rs
@@ -66,6 +66,8 @@
     ask_first: bool,
     ordered_at: Millis,
     taken_at: Millis,
+    /// Whether its last join takes a load from the weight store.
+    join_loads: bool,
     /// The model that it was told to stage and does not have yet.
     staging: Option<String>,
     /// The model of its last join in this life.
@@ -102,6 +104,7 @@
             ask_first: false,
             ordered_at: 0,
             taken_at: 0,
+            join_loads: false,
             staging: None,
             last_model: server.holding.models.first().cloned(),
             wants_probe: false,
@@ -185,13 +188,21 @@
         self.wants_probe |= now >= self.probed_at + SLOW_PROBE_EVERY_MS;
     }
 
-    /// Whether it has begun to join and is not done.
+    /// Whether it loads a model from the weight store, or an order that it has not answered yet may
+    /// make it do so.
     pub(super) fn is_loading(&self) -> bool {
         let member = self.holding.group.as_ref();
         let done =
             member.is_some_and(|m| Some(m.epoch) == self.joined && m.state != MemberState::Joining);
         let joins = self.joined.is_some() && self.joined == self.group && !done;
-        self.pending || joins || self.staging.is_some()
+        self.pending || (joins && self.join_loads) || self.staging.is_some()
+    }
+
+    /// It belongs to a group that an earlier leader formed, and may load for it.
+    pub(super) fn adopted(&mut self, epoch: u64) {
+        self.group = Some(epoch);
+        self.joined = Some(epoch);
+        self.join_loads = true;
     }
 
     /// Whether it loads a model to its host's memory.
@@ -199,6 +210,11 @@
         self.staging.as_deref() == Some(model)
     }
 
+    /// Whether it loads any model to its host's memory.
+    pub(super) fn stages(&self) -> bool {
+        self.staging.is_some()
+    }
+
     pub(super) fn is_ready_in(&self, name: &str, epoch: u64) -> bool {
         self.holding.group.as_ref().is_some_and(|member| {
             member.name == name && member.epoch == epoch && member.state == MemberState::Ready
@@ -310,6 +326,7 @@
         self.taken_at = now;
         match order {
             Order::Join { epoch, model, .. } => {
+                self.join_loads = !self.has(model);
                 self.joined = Some(*epoch);
                 self.joined_at = now;
                 self.last_model = Some(model.clone());
--- a/crates/oliveworks-gateway-core/src/planner/stage.rs
+++ b/crates/oliveworks-gateway-core/src/planner/stage.rs
@@ -1,16 +1,22 @@
 //! Which hosts load a second model to their memory, beside what they serve.
 //!
-//! A host that keeps the model it does not hold can repair a group of either within seconds. Loads
-//! are few once traffic has begun, so the order matters: first the largest model, whose groups are
-//! hardest to repair, on spares and then on the hosts of one small group after the other.
+//! A host that keeps the model it does not hold can repair a group of either within seconds. Loads are
+//! few once traffic has begun, so the order matters: first idle hosts for a group that their domain
+//! lacks, then the model that the fewest hosts could serve for the part that it should have, on spares
+//! and then on the hosts of one group after the other. Rejected: the largest model first (on 60 hosts
+//! all loads of the first 12 s went to a model that five times its demand could serve already, and the
+//! other refused up to 83 of 100 callers).
 
 use std::collections::BTreeMap;
 
 use super::Planner;
+use super::domain::{Domain, domains, fits};
 use super::group::Phase;
 use super::host::Host;
+use crate::Millis;
 use crate::backend_servers::BackendServerId;
 use crate::configuration::Model;
+use crate::quota::per_weight;
 
 /// A host that should load a model to its memory.
 pub(super) struct Staging {
@@ -22,42 +28,44 @@
 struct Candidate<'a> {
     host: &'a Host,
     model: &'a Model,
-    /// The group that it serves in; none for a spare.
+    /// The group that it serves in; none for an idle host.
     epoch: Option<u64>,
     /// How many of its domain have the model staged or come before it.
     turn: usize,
+    /// Whether it would complete a group that its domain lacks.
+    completes: bool,
 }
 
-/// Hosts that should stage the model they do not hold, the most urgent first.
-pub(super) fn stage(planner: &Planner) -> Vec<Staging> {
+/// Hosts that should stage a model that they do not hold, the most urgent first.
+pub(super) fn stage(now: Millis, planner: &Planner) -> Vec<Staging> {
     let grouped = || planner.engine.models.iter().filter(|model| model.size > 1);
-    let (Some(largest), Some(smallest)) =
-        (grouped().max_by_key(|model| model.size), grouped().min_by_key(|model| model.size))
-    else {
-        return Vec::new();
-    };
-    if largest.name == smallest.name {
-        return Vec::new();
-    }
+    let domains = domains(now, planner);
     let mut staged: BTreeMap<(&str, &str), usize> = BTreeMap::new();
     let mut candidates = Vec::new();
     for host in planner.hosts.values().filter(|host| host.is_fit()) {
         let Some(holds) = grouped().find(|model| host.held_last(&model.name)) else { continue };
-        let model = if holds.name == largest.name { smallest } else { largest };
-        let group = host.group.and_then(|epoch| planner.groups.get(&epoch));
-        if host.has(&model.name) || host.is_staging(&model.name) {
-            *staged.entry((&host.server.domain, &model.name)).or_default() += 1;
-            continue;
-        }
-        if group.is_none_or(|g| matches!(g.phase, Phase::Spare | Phase::Open { .. })) {
-            let epoch = group.filter(|group| group.phase != Phase::Spare).map(|group| group.epoch);
-            candidates.push(Candidate { host, model, epoch, turn: 0 });
+        let Some(domain) = domains.get(host.server.domain.as_str()) else { continue };
+        for model in grouped().filter(|model| model.name != holds.name) {
+            if host.has(&model.name) || host.is_staging(&model.name) {
+                *staged.entry((&host.server.domain, &model.name)).or_default() += 1;
+            } else if !host.stages() && fits(planner, domain, model) {
+                candidates.extend(candidate(planner, host, model));
+            }
         }
     }
     take_turns(&mut candidates, staged);
+    mark_completing(planner, &domains, &mut candidates);
     let most = if planner.traffic { planner.config.staged_max } else { usize::MAX };
-    candidates.retain(|candidate| candidate.turn < most);
-    candidates.sort_by_key(|candidate| (std::cmp::Reverse(candidate.model.size), candidate.turn));
+    candidates.retain(|candidate| candidate.completes || candidate.turn < most);
+    let able: BTreeMap<&str, f64> =
+        grouped().map(|model| (model.name.as_str(), able_for_part(planner, model))).collect();
+    let able = |candidate: &Candidate<'_>| able.get(candidate.model.name.as_str()).copied();
+    candidates.sort_by(|a, b| {
+        let size = |candidate: &Candidate<'_>| std::cmp::Reverse(candidate.model.size);
+        let able = able(a).unwrap_or(0.0).total_cmp(&able(b).unwrap_or(0.0));
+        let first = b.completes.cmp(&a.completes);
+        first.then(able).then(size(a).cmp(&size(b))).then(a.turn.cmp(&b.turn))
+    });
     let staging = candidates.into_iter().map(|candidate| Staging {
         host: candidate.host.server.id.clone(),
         model: candidate.model.name.clone(),
@@ -65,7 +73,22 @@
     staging.collect()
 }
 
-/// Spares first, then hosts of one group after the other.
+fn candidate<'a>(planner: &Planner, host: &'a Host, model: &'a Model) -> Option<Candidate<'a>> {
+    let group = host.group.and_then(|epoch| planner.groups.get(&epoch));
+    let still = group.is_none_or(|g| matches!(g.phase, Phase::Spare | Phase::Open { .. }));
+    let serving = group.filter(|group| group.phase != Phase::Spare);
+    let epoch = serving.map(|group| group.epoch);
+    still.then_some(Candidate { host, model, epoch, turn: 0, completes: false })
+}
+
+/// Hosts that can serve a model without a load, or will soon, for the part that it should have.
+fn able_for_part(planner: &Planner, model: &Model) -> f64 {
+    let hosts = planner.hosts.values().filter(|host| host.is_fit());
+    let able = hosts.filter(|host| host.has(&model.name) || host.is_staging(&model.name));
+    per_weight(able.count(), model)
+}
+
+/// Idle hosts first, then hosts of one group after the other.
 fn take_turns<'a>(
     candidates: &mut [Candidate<'a>],
     mut staged: BTreeMap<(&'a str, &'a str), usize>,
@@ -78,3 +101,27 @@
         *count += 1;
     }
 }
+
+/// Marks the idle hosts that complete groups which their domain lacks, as many as are missing.
+fn mark_completing(
+    planner: &Planner,
+    domains: &BTreeMap<&str, Domain<'_>>,
+    candidates: &mut [Candidate<'_>],
+) {
+    let mut missing: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+    for domain in domains.values() {
+        for model in planner.engine.models.iter().filter(|model| model.size > 1) {
+            let staging = domain.free.iter().filter(|host| host.is_staging(&model.name)).count();
+            let comes = domain.warm(model) + staging + domain.loads(model);
+            let short = (model.size * domain.lacks(planner, model)).saturating_sub(comes);
+            missing.insert((domain.name, &model.name), short);
+        }
+    }
+    for candidate in candidates.iter_mut().filter(|candidate| candidate.epoch.is_none()) {
+        let key = (candidate.host.server.domain.as_str(), candidate.model.name.as_str());
+        if let Some(short) = missing.get_mut(&key).filter(|short| **short > 0) {
+            *short -= 1;
+            candidate.completes = true;
+        }
+    }
+}
--- a/crates/oliveworks-gateway-core/tests/planner/policy.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/policy.rs
@@ -15,10 +15,7 @@
         DOMAINS.iter().for_each(|domain| world.add_host(domain));
     }
     let mut leader = Leader::take_over(&world, 1, vec![]);
-    while world.now < 90_000 {
-        world.step();
-        leader.tick(&mut world, false);
-    }
+    run_for(&mut world, &mut leader, 90_000, false);
     for domain in DOMAINS {
         let held = |model: &str| {
             let serving = leader.planner.serving(world.now);
@@ -50,6 +47,48 @@
     }
 }
 
+/// A domain lacks a group of the small model, and two of its hosts hold the large one without a use for
+/// it: they load the small one, while they stay spares.
+#[test]
+fn idle_hosts_load_what_their_domain_lacks() {
+    let (mut world, mut leader) = formed(FEW);
+    let domain = DOMAINS[0];
+    let serving_hosts: Vec<BackendServerId> =
+        leader.planner.serving(world.now).into_iter().flat_map(|group| group.members).collect();
+    let here = world.hosts.values_mut().filter(|host| host.server.domain == domain);
+    for host in here {
+        let small = host.last_model.as_deref() == Some("small");
+        host.alive = !small;
+        host.staging = host.last_model.iter().cloned().collect();
+        host.staged_at = None;
+        // The others serve, or hold the large model alone.
+        host.alive |= small && serving_hosts[..2].contains(&host.server.id);
+    }
+    let rest = world.hosts.values_mut().filter(|host| host.server.domain != domain);
+    for host in rest {
+        host.staging = host.last_model.iter().cloned().collect();
+        host.staged_at = None;
+    }
+    for _ in 0..2 {
+        world.add_host(domain);
+        let id = format!("h{}", world.next_host);
+        let host = world.hosts.get_mut(id.as_str()).expect("a host");
+        host.last_model = Some("large".into());
+        host.staging = vec!["large".into()];
+    }
+    run_for(&mut world, &mut leader, 3_000, true);
+    let held = |world: &World| {
+        let here = world.hosts.values().filter(|host| host.alive && host.server.domain == domain);
+        here.filter(|host| host.staging == ["small"] || host.last_model.as_deref() == Some("small"))
+            .count()
+    };
+    let before = held(&world);
+    run_for(&mut world, &mut leader, 14_000, true);
+    let lines = leader.planner.describe_domains();
+    assert!(held(&world) >= before + 2, "{before} to {}: {lines:?}", held(&world));
+    assert!(serving(&world, &leader, "small", domain) >= 1, "{lines:?}");
+}
+
 /// A domain of two hosts is too small for a large group, and for spares beside a small one: both hosts
 /// serve the small model.
 #[test]
