--- a/crates/oliveworks-gateway-core/src/planner/shortage.rs
+++ b/crates/oliveworks-gateway-core/src/planner/shortage.rs
@@ -4,7 +4,7 @@
 
 use super::Planner;
 use super::allot::need;
-use super::domain::{Domain, Warmth, warmth};
+use super::domain::Domain;
 use super::host::Host;
 use crate::configuration::Model;
 
@@ -74,8 +74,7 @@
 
     /// Whether a domain lacks a group of a model and has the hosts for it, or is about to have them.
     fn can_complete(&self, domain: &Domain<'_>, model: &Model) -> bool {
-        let free = domain.free.iter().filter(|host| warmth(host, model) != Warmth::Cold).count();
         let lacks = domain.lacks(self.planner, model) > 0;
-        lacks && free + self.planner.freed_soon(domain.name, model) >= model.size
+        lacks && domain.warm(model) + self.planner.freed_soon(domain.name, model) >= model.size
     }
 }
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -321,9 +321,11 @@
         }
     }
 
-    /// Chooses where to send it; waits a little if there is no place.
+    /// Chooses where to send it; waits a little if all places are taken, and not at all for a first one
+    /// where there is none.
     async fn place(&mut self) -> Result<Place, NoTarget> {
-        let patience_ms = match self.begun || self.attempts.sent() > 0 {
+        let goes_on = self.begun || self.attempts.sent() > 0;
+        let patience_ms = match goes_on {
             true => RESUME_WAIT_MS,
             false => self.route.goal_ms * WAIT_PERCENT / 100,
         };
@@ -331,6 +333,10 @@
         let until = (began + patience_ms).min(self.deadline);
         loop {
             let places = self.places();
+            if places.is_empty() && !goes_on {
+                // No group is formed, and nobody joins the list, within a part of a goal.
+                return Err(NoTarget::None);
+            }
             let candidates: Vec<_> = places.iter().map(|place| place.candidate).collect();
             let now = self.gateway.now();
             let full_at = self.gateway.settings.requests.full_at;
