A comment's figure put right: 25 of 57 hosts still loaded when callers came

Found in the last reading of the change. Read besides and left: heartbeats work out the domain's sums also where no other failure domain is known; sources.rs of both crates bear one name; demand.rs and speed.rs fade alike.

--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -527,8 +527,8 @@
     }
 
     /// Whether hosts still wait for their first model before there are callers: they are listed one after
-    /// the other, and what others stage meanwhile holds their loads up (of 57 hosts a quarter had no model
-    /// when callers came, and 0.50 of the callers were served in place of 0.82).
+    /// the other, and what others stage meanwhile holds their loads up (25 of 57 hosts still loaded when
+    /// callers came, and 0.50 of the callers were served in place of 0.82).
     fn is_starting(&self) -> bool {
         let fit = || self.hosts.values().filter(|host| host.is_fit());
         let joins = |group: &Group| group.phase == Phase::Joining;
