A gateway takes only its part of what a replica group has free

Cause: gateways know each other's requests 100 to 280 ms late. Change: below a quarter of its slots free, a gateway takes its part of a group's places (its part of the model's callers) once a heartbeat; its unread prompts at a group keep to its part of three quarters of the goal.

--- a/crates/oliveworks-gateway-core/src/balance.rs
+++ b/crates/oliveworks-gateway-core/src/balance.rs
@@ -148,6 +148,11 @@
         busy.map(|(target, own)| (*target, Load { requests: own.open, tokens: own.tokens }))
     }
 
+    /// Tokens of this gateway's prompts at a target that are not read yet.
+    pub fn own_unread(&self, target: Target) -> u32 {
+        self.own.get(&target).map_or(0, |own| own.tokens)
+    }
+
     /// What all gateways have open at a target.
     pub fn load(&self, now: Millis, target: Target) -> Load {
         let own = self.own.get(&target);
--- a/crates/oliveworks-gateway-core/src/demand.rs
+++ b/crates/oliveworks-gateway-core/src/demand.rs
@@ -98,15 +98,30 @@
         sum
     }
 
-    /// The part of a model's requests that found no place lately, 0 to 1; 0 if none came.
-    pub fn refused_part(&self, now: Millis, model: ModelKey) -> f64 {
-        let mut sum = self.own.get(&model).map(|fading| fading.now(now)).unwrap_or_default();
+    fn own_looked(&self, now: Millis, model: ModelKey) -> Looked {
+        self.own.get(&model).map(|fading| fading.now(now)).unwrap_or_default()
+    }
+
+    fn looked_everywhere(&self, now: Millis, model: ModelKey) -> Looked {
+        let mut sum = self.own_looked(now, model);
         for (_, looked) in self.peers.values().filter(|(at, _)| now < at + PEER_MS) {
             sum.add(looked.get(&model).copied().unwrap_or_default());
         }
+        sum
+    }
+
+    /// The part of a model's requests that found no place lately, 0 to 1; 0 if none came.
+    pub fn refused_part(&self, now: Millis, model: ModelKey) -> f64 {
+        let sum = self.looked_everywhere(now, model);
         if sum.all > 0.0 { sum.refused / sum.all } else { 0.0 }
     }
 
+    /// The part of a model's requests that came to this gateway lately, 0 to 1; 1 if none came.
+    pub fn own_part(&self, now: Millis, model: ModelKey) -> f64 {
+        let sum = self.looked_everywhere(now, model);
+        if sum.all > 0.0 { self.own_looked(now, model).all / sum.all } else { 1.0 }
+    }
+
     /// Forgets other gateways that are no longer heard.
     pub fn retain(&mut self, now: Millis) {
         self.peers.retain(|_, (at, _)| now < *at + PEER_MS);
--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -20,10 +20,12 @@
 //! | [`election`] | which gateway gives orders |
 //! | [`fan_out`] | which gateways a heartbeat goes to |
 //! | [`balance`] | where a request goes |
+//! | [`admission`] | how much of what a group has free this gateway may take |
 //! | [`budget`] | whether a request may be sent once more |
 //! | [`attempts`] | what follows a failed attempt, and what the caller is told |
 //! | [`events`] | which bytes of a stream may be passed on |
 
+pub mod admission;
 pub mod attempts;
 pub mod backend_servers;
 pub mod balance;
--- /dev/null
+++ b/crates/oliveworks-gateway-core/tests/worst_load/load.rs
@@ -0,0 +1,29 @@
+//! Loads that are replayed.
+
+/// A caller's first attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    pub at_ms: u64,
+    pub gateway: usize,
+    pub tokens: u32,
+    pub events: u32,
+}
+
+const OVER_TWICE_THE_FLEET: &str = include_str!("loads/over-twice-the-fleet.txt");
+
+/// 13 gateways and more than twice the callers that twelve groups serve.
+pub fn over_twice_the_fleet() -> Vec<Arrival> {
+    let rows = OVER_TWICE_THE_FLEET.lines().filter(|line| !line.starts_with('#'));
+    rows.map(parse).collect()
+}
+
+fn parse(line: &str) -> Arrival {
+    let mut fields = line.split(' ').map(|field| field.parse().expect("a number"));
+    let mut next = || -> u64 { fields.next().expect("four fields") };
+    Arrival {
+        at_ms: next(),
+        gateway: next() as usize,
+        tokens: next() as u32,
+        events: next() as u32,
+    }
+}
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -8,8 +8,9 @@
 
 use ntex::http::StatusCode;
 use oliveworks_gateway_core::Millis;
+use oliveworks_gateway_core::admission::Asking;
 use oliveworks_gateway_core::attempts::{Attempts, Failure, Next, Terms, Verdict};
-use oliveworks_gateway_core::balance::{NoTarget, Target};
+use oliveworks_gateway_core::balance::{Candidate, NoTarget, Target};
 use oliveworks_gateway_core::configuration::{Lookup, Repeat, Route, Unmatched};
 use oliveworks_gateway_core::demand::ModelKey;
 use oliveworks_gateway_core::events::Progress;
@@ -261,6 +262,7 @@
                 load.tokens,
             ));
             self.gateway.balance.borrow_mut().started(now, target, tokens);
+            self.gateway.admission.borrow_mut().started(now, target);
             let mut open = Open {
                 gateway: self.gateway,
                 target,
@@ -321,6 +323,42 @@
         }
     }
 
+    /// This gateway's part of the callers of its model, 0 to 1.
+    fn own_part(&self) -> f64 {
+        let Some(model) = &self.model else { return 1.0 };
+        let key = ModelKey::of(&self.service, model);
+        self.gateway.demand.borrow().own_part(self.gateway.now(), key)
+    }
+
+    /// Leaves out replica groups of which this gateway has taken its part.
+    fn admit(&self, full_at: f64, candidates: &mut Vec<Candidate>) {
+        let asking = Asking {
+            tokens: self.asked.prompt_tokens,
+            full_at,
+            goal_ms: self.route.goal_ms,
+            part: self.own_part(),
+        };
+        let balance = self.gateway.balance.borrow();
+        let admission = self.gateway.admission.borrow();
+        admission.admit(self.gateway.now(), &balance, &asking, candidates);
+    }
+
+    /// Chooses among places, if one takes it now. A request that goes on after an attempt is not held
+    /// up by admission: its caller has waited for it already.
+    fn choose(&self, places: &[Place], goes_on: bool) -> Result<Target, NoTarget> {
+        let full_at = self.gateway.settings.requests.full_at;
+        let mut candidates: Vec<_> = places.iter().map(|place| place.candidate).collect();
+        if self.model.is_some() && !goes_on {
+            self.admit(full_at, &mut candidates);
+        }
+        if candidates.is_empty() && !places.is_empty() {
+            return Err(NoTarget::Full);
+        }
+        let now = self.gateway.now();
+        let balance = self.gateway.balance.borrow();
+        balance.choose(now, &candidates, &self.tried, full_at, rand::random())
+    }
+
     /// Chooses where to send it; waits a little if all places are taken, and not at all for a first one
     /// where there is none.
     async fn place(&mut self) -> Result<Place, NoTarget> {
@@ -337,21 +375,16 @@
                 // No group is formed, and nobody joins the list, within a part of a goal.
                 return Err(NoTarget::None);
             }
-            let candidates: Vec<_> = places.iter().map(|place| place.candidate).collect();
-            let now = self.gateway.now();
-            let full_at = self.gateway.settings.requests.full_at;
-            let chosen = {
-                let balance = self.gateway.balance.borrow();
-                balance.choose(now, &candidates, &self.tried, full_at, rand::random())
-            };
-            let none = match chosen {
+            let none = match self.choose(&places, goes_on) {
                 Ok(target) => {
                     let found = places.into_iter().find(|place| place.candidate.target == target);
                     return found.ok_or(NoTarget::None);
                 }
                 Err(none) => none,
             };
-            if now >= until {
+            if self.gateway.now() >= until {
+                let part = self.own_part();
+                self.log.push(format!("{} places, part of callers {part:.2}", places.len()));
                 return Err(none);
             }
             sleep(Duration::from_millis(LOOK_MS)).await;
--- a/crates/oliveworks-gateway/src/settings.rs
+++ b/crates/oliveworks-gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use oliveworks_gateway_core::admission::AdmissionConfig;
 use oliveworks_gateway_core::planner::PlannerConfig;
 use oliveworks_runtime::logs::LogConfig;
 use oliveworks_runtime::settings::Check;
@@ -42,6 +43,8 @@
 pub struct Policy {
     /// Which hosts form groups, and what the others load.
     pub planner: PlannerConfig,
+    /// How much of what groups have free this gateway takes.
+    pub admission: AdmissionConfig,
 }
 
 /// Where a gateway listens.
@@ -146,6 +149,7 @@
             ("bounds.grace_ms", self.bounds.grace_ms),
             ("bounds.repeat_window_ms", self.bounds.repeat_window_ms),
             ("requests.connect_ms", self.requests.connect_ms),
+            ("policy.admission.window_ms", self.policy.admission.window_ms),
         ];
         for (key, value) in positive {
             if value == 0 {
@@ -162,6 +166,7 @@
         let percents = [
             ("policy.planner.spare_percent", planner.spare_percent),
             ("policy.planner.staging_percent", planner.staging_percent),
+            ("policy.admission.plenty_percent", self.policy.admission.plenty_percent as usize),
         ];
         for (key, percent) in percents {
             if percent > 100 {
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use oliveworks_gateway_core::Millis;
+use oliveworks_gateway_core::admission::Admission;
 use oliveworks_gateway_core::backend_servers::{
     BackendServer, BackendServerId, Directory, MemberState,
 };
@@ -147,6 +148,8 @@
     pub store_heard_at: Cell<Millis>,
     /// How busy backend servers are.
     pub balance: RefCell<Balance>,
+    /// What this gateway took of each group lately.
+    pub admission: RefCell<Admission>,
     /// How many requests for models find a place.
     pub demand: RefCell<Demand>,
     /// How fast replica groups run.
@@ -220,6 +223,7 @@
             store_failed_at: Cell::new(None),
             store_heard_at: Cell::new(now),
             balance: RefCell::default(),
+            admission: RefCell::new(Admission::new(settings.policy.admission, life)),
             demand: RefCell::default(),
             speeds: RefCell::default(),
             budget: RefCell::new(budget),
@@ -480,6 +484,7 @@
         let directory = self.directory.borrow();
         let listed: HashSet<Target> = directory.iter().map(|w| Target::of(&w.id)).collect();
         self.balance.borrow_mut().retain(|target| listed.contains(&target));
+        self.admission.borrow_mut().retain(|target| listed.contains(&target));
         self.speeds.borrow_mut().retain(|target| listed.contains(&target));
     }
 
--- a/crates/oliveworks-gateway/tests/settings.rs
+++ b/crates/oliveworks-gateway/tests/settings.rs
@@ -30,6 +30,8 @@
 #[test_case("spare_percent: 10", "spare_percent: 101", "policy.planner.spare_percent"; "too many spares")]
 #[test_case("spare_percent: 10", "staging_percent: 200", "policy.planner.staging_percent"; "more than all loads")]
 #[test_case("spare_percent: 10", "yield_margin: -0.1", "policy.planner.yield_margin"; "a negative load")]
+#[test_case("planner:", "admission: {window_ms: 0}, planner:", "policy.admission.window_ms"; "no window")]
+#[test_case("planner:", "admission: {plenty_percent: 101}, planner:", "policy.admission.plenty_percent"; "more than all slots")]
 #[test_case("spare_percent: 10", "spares: 10", "spares"; "an unknown weight")]
 #[test_case("spare_percent: 10", "spare_percent: many", "many"; "not a number")]
 #[test_case("planner:", "planer:", "planer"; "an unknown section")]
