Callers who have come back fill 85 in 100 of the slots, the rest is kept for who can be in time

Cause: who comes back is past its goal, and at full load takes the place of one who could be in time; half of those are then late in their turn. At over twice the fleet's callers half of what was served had come back or began late. Change: gateways learn the time that first attempts of each route name; an attempt that names less than 80 in 100 of it has come back, and finds a group full at 85 in 100 of its slots. No identity is kept and nothing is told between gateways.

--- a/crates/oliveworks-gateway-core/src/admission.rs
+++ b/crates/oliveworks-gateway-core/src/admission.rs
@@ -33,11 +33,19 @@
     /// What reading the unread prompts of all gateways at a group may take, in hundredths of the goal;
     /// each gateway keeps to its part of it. A pass that reads holds up all streams of its group.
     pub reading_percent: u32,
+    /// The part of the slots, in hundredths, that callers who have come back may fill. They are late
+    /// whatever is done, and the rest is kept for those who can still be in time: with 100, 65 in 100 are.
+    pub returning_percent: u32,
 }
 
 impl Default for AdmissionConfig {
     fn default() -> AdmissionConfig {
-        AdmissionConfig { plenty_percent: 25, window_ms: 100, reading_percent: 75 }
+        AdmissionConfig {
+            plenty_percent: 25,
+            window_ms: 100,
+            reading_percent: 75,
+            returning_percent: 85,
+        }
     }
 }
 
@@ -97,6 +105,14 @@
         window.map_or(0, |window| window.sent)
     }
 
+    /// The load, in slots, up to which a caller may fill what others may fill up to `full_at`.
+    pub fn full_at(&self, full_at: f64, came_back: bool) -> f64 {
+        match came_back {
+            true => full_at * f64::from(self.config.returning_percent) / 100.0,
+            false => full_at,
+        }
+    }
+
     /// Leaves out the groups of which this gateway has taken its part.
     pub fn admit(
         &self,
--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -20,6 +20,7 @@
 //! | [`election`] | which gateway gives orders |
 //! | [`fan_out`] | which gateways a heartbeat goes to |
 //! | [`balance`] | where a request goes |
+//! | [`returning`] | whether a caller has come back after a refusal |
 //! | [`admission`] | how much of what a group has free this gateway may take |
 //! | [`budget`] | whether a request may be sent once more |
 //! | [`attempts`] | what follows a failed attempt, and what the caller is told |
@@ -40,6 +41,7 @@
 pub mod passing;
 pub mod planner;
 pub mod quota;
+pub mod returning;
 pub mod sources;
 pub mod speed;
 
--- /dev/null
+++ b/crates/oliveworks-gateway-core/tests/returning.rs
@@ -0,0 +1,48 @@
+//! Whether a caller has come back.
+
+use oliveworks_gateway_core::returning::Waits;
+use test_case::test_case;
+
+/// What the attempts before named, and whether one that names this has come back.
+#[test_case(&[5_000; 6], 1_000, false; "too few say nothing")]
+#[test_case(&[5_000; 20], 4_900, false; "like the others")]
+#[test_case(&[5_000; 20], 4_250, false; "a little less patient")]
+#[test_case(&[5_000; 20], 3_600, true; "after a pause of 1.3 s")]
+#[test_case(&[600; 20], 400, true; "on a route of short waits")]
+#[test_case(&[4_800, 3_500, 4_300, 3_400, 4_700, 2_600, 4_400, 3_300, 4_900, 3_100], 3_500, true; "half have come back")]
+#[test_case(&[4_800, 3_500, 4_300, 3_400, 4_700, 2_600, 4_400, 3_300, 4_900, 3_100], 4_300, false; "the other half")]
+#[test_case(&[5_000, 5_000, 5_000, 5_000, 5_000, 5_000, 5_000, 5_000, 5_000, 5_000, 5_000, 30_000], 5_000, false; "one far more patient")]
+fn comes_back(before_ms: &[u32], left_ms: u32, expected: bool) {
+    let mut waits = Waits::default();
+    for before_ms in before_ms {
+        waits.came_back("route", *before_ms);
+    }
+    assert_eq!(waits.came_back("route", left_ms), expected);
+}
+
+#[test]
+fn routes_are_apart_and_are_forgotten() {
+    let mut waits = Waits::default();
+    for _ in 0..20 {
+        waits.came_back("slow", 30_000);
+        waits.came_back("quick", 5_000);
+    }
+    assert!(!waits.came_back("quick", 5_000));
+    assert!(waits.came_back("slow", 5_000));
+    waits.retain(|route| route == "quick");
+    assert!(!waits.came_back("slow", 5_000), "nothing is known of it");
+}
+
+/// A timeout that grows is the usual one after some attempts.
+#[test]
+fn what_is_usual_follows_a_change() {
+    let mut waits = Waits::default();
+    (0..64).for_each(|_| {
+        waits.came_back("route", 8_000);
+    });
+    assert!(waits.came_back("route", 5_000));
+    (0..64).for_each(|_| {
+        waits.came_back("route", 5_000);
+    });
+    assert!(!waits.came_back("route", 5_000));
+}
--- a/crates/oliveworks-gateway-core/tests/worst_load/replay.rs
+++ b/crates/oliveworks-gateway-core/tests/worst_load/replay.rs
@@ -18,14 +18,18 @@
 
 /// Gateways that each fill every place that they see serve few in time; a bound on either what they
 /// take or what they have read, more.
-const FILL: AdmissionConfig =
-    AdmissionConfig { plenty_percent: 0, window_ms: 100, reading_percent: 100_000 };
+const FILL: AdmissionConfig = AdmissionConfig {
+    plenty_percent: 0,
+    window_ms: 100,
+    reading_percent: 100_000,
+    returning_percent: 100,
+};
 
 /// The part of callers that is served in time at over twice what the groups serve. One gateway knows all
-/// and reaches 0.69; who comes back takes places from who comes first.
-#[test_case(1, 0.66; "one gateway knows all")]
-#[test_case(13, 0.62; "thirteen")]
-#[test_case(40, 0.62; "forty")]
+/// and reaches 0.80.
+#[test_case(1, 0.77; "one gateway knows all")]
+#[test_case(13, 0.73; "thirteen")]
+#[test_case(40, 0.70; "forty")]
 fn a_herd_does_not_make_everyone_late(gateways: usize, least: f64) {
     let world = replay(gateways, AdmissionConfig::default());
     let found = world.in_time(0, 6_000);
@@ -33,9 +37,19 @@
     assert!(world.most_read <= READ_MAX, "{} tokens read in one pass", world.most_read);
 }
 
-/// The check above fails without admission.
+/// Who comes back does not take the places of those who can still be in time.
+#[test]
+fn callers_who_come_back_go_last() {
+    let alike = AdmissionConfig { returning_percent: 100, ..AdmissionConfig::default() };
+    let alike = replay(13, alike).in_time(2_000, 6_000);
+    let last = replay(13, AdmissionConfig::default()).in_time(2_000, 6_000);
+    assert!(alike <= 0.64 && last >= 0.73, "{alike:.3} alike, {last:.3} last");
+}
+
+/// The checks above fail without admission.
 #[test_case(FILL, 0.45; "nothing bounds a herd")]
 #[test_case(AdmissionConfig { reading_percent: 75, ..FILL }, 0.60; "only reading is bound")]
+#[test_case(AdmissionConfig { returning_percent: 85, ..FILL }, 0.55; "only callers that come back")]
 fn a_herd_makes_callers_late(config: AdmissionConfig, most: f64) {
     let found = replay(13, config).in_time(0, 6_000);
     assert!(found <= most, "{found:.3} served in time");
--- a/crates/oliveworks-gateway-core/tests/worst_load/world.rs
+++ b/crates/oliveworks-gateway-core/tests/worst_load/world.rs
@@ -6,6 +6,7 @@
 use oliveworks_gateway_core::balance::{Balance, Candidate, Load, Target};
 use oliveworks_gateway_core::demand::{Demand, Looked, ModelKey};
 use oliveworks_gateway_core::fan_out::Source;
+use oliveworks_gateway_core::returning::Waits;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -15,6 +16,8 @@
 const FULL_AT: f64 = 1.0;
 /// The time within which a first event is in time, and the longest pause of a stream that is.
 pub const GOAL_MS: u64 = 200;
+/// What callers name as the time that they wait, give or take 15 in 100.
+const DEADLINE_MS: f64 = 5_000.0;
 /// The least that a refused caller waits before it comes back.
 const COME_BACK_MS: u64 = 1_300;
 /// The longest that a request waits for a place, and the time between two looks.
@@ -42,6 +45,10 @@
 #[derive(Clone, Copy, Debug)]
 struct Caller {
     arrival: Arrival,
+    /// The time that it waits in all.
+    patience_ms: u64,
+    /// Whether a gateway took it for one that has come back.
+    came_back: bool,
     /// The longest time to its first event or between two of its events.
     longest_ms: u64,
 }
@@ -67,6 +74,7 @@
     balance: Balance,
     admission: Admission,
     demand: Demand,
+    waits: Waits,
     /// Requests that wait for a place: caller, since when.
     waiting: Vec<(usize, u64)>,
 }
@@ -97,10 +105,12 @@
         heads: usize,
         config: AdmissionConfig,
     ) -> World {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let gateway = |index: usize| Gateway {
             balance: Balance::default(),
             admission: Admission::new(config, index as u64 + 1),
             demand: Demand::default(),
+            waits: Waits::default(),
             waiting: Vec::new(),
         };
         let mut coming: BTreeMap<u64, Vec<usize>> = BTreeMap::new();
@@ -109,12 +119,15 @@
         }
         let callers = arrivals.iter().map(|arrival| Caller {
             arrival: Arrival { gateway: arrival.gateway % gateways, ..*arrival },
+            patience_ms: (DEADLINE_MS * rng.random_range(0.85..1.0)) as u64,
+            came_back: false,
             longest_ms: 0,
         });
+        let callers = callers.collect();
         World {
-            rng: ChaCha8Rng::seed_from_u64(seed),
+            rng,
             now: 0,
-            callers: callers.collect(),
+            callers,
             coming,
             gateways: (0..gateways).map(gateway).collect(),
             heads: (0..heads).map(|_| Head::default()).collect(),
@@ -194,8 +207,11 @@
 
     fn arrive(&mut self) {
         for caller in self.coming.remove(&self.now).unwrap_or_default() {
-            let gateway = self.callers[caller].arrival.gateway;
-            self.gateways[gateway].waiting.push((caller, self.now));
+            let found = &mut self.callers[caller];
+            let gateway = &mut self.gateways[found.arrival.gateway];
+            let left_ms = found.patience_ms - (self.now - found.arrival.at_ms);
+            found.came_back = gateway.waits.came_back("route", left_ms as u32);
+            gateway.waiting.push((caller, self.now));
         }
     }
 
@@ -221,14 +237,15 @@
     /// Sends a request to a head, if one may have it.
     fn place(&mut self, index: usize, caller: usize) -> bool {
         let now = self.now;
-        let arrival = self.callers[caller].arrival;
+        let Caller { arrival, came_back, .. } = self.callers[caller];
         let mut candidates = self.candidates();
         let draw = self.rng.random();
         let gateway = &mut self.gateways[index];
         let part = gateway.demand.own_part(now, World::key());
-        let asking = Asking { tokens: arrival.tokens, full_at: FULL_AT, goal_ms: GOAL_MS, part };
+        let full_at = gateway.admission.full_at(FULL_AT, came_back);
+        let asking = Asking { tokens: arrival.tokens, full_at, goal_ms: GOAL_MS, part };
         gateway.admission.admit(now, &gateway.balance, &asking, &mut candidates);
-        let chosen = gateway.balance.choose(now, &candidates, &[], FULL_AT, draw);
+        let chosen = gateway.balance.choose(now, &candidates, &[], full_at, draw);
         let Ok(target) = chosen else { return false };
         gateway.balance.started(now, target, arrival.tokens);
         gateway.admission.started(now, target);
--- a/crates/oliveworks-gateway/src/records.rs
+++ b/crates/oliveworks-gateway/src/records.rs
@@ -6,7 +6,7 @@
 
 use log::warn;
 use oliveworks_gateway_core::Millis;
-use oliveworks_gateway_core::configuration::Lookup;
+use oliveworks_gateway_core::configuration::{Configuration, Lookup};
 use oliveworks_gateway_core::election::Claim;
 use oliveworks_gateway_core::listing::{Listing, ListingConfig};
 use tokio::time::sleep;
@@ -37,6 +37,7 @@
                     .with("routes", configuration.routes.len())
                     .with("workspaces", configuration.workspaces.as_ref().map_or(0, Vec::len))
                     .write();
+                forget_waits(gateway, &configuration);
                 *gateway.lookup.borrow_mut() = Some(Rc::new(Lookup::new(configuration)));
             }
             Record::Unknown(why) => warn!("configuration: {why}"),
@@ -45,6 +46,13 @@
     }
 }
 
+/// Forgets how long callers of routes wait that a configuration no longer has.
+fn forget_waits(gateway: &Gateway, configuration: &Configuration) {
+    let names = configuration.routes.iter().map(|route| route.name.as_str());
+    let routes: BTreeSet<&str> = names.collect();
+    gateway.waits.borrow_mut().retain(|route| routes.contains(route));
+}
+
 /// Follows the configuration.
 pub async fn follow_configuration(gateway: Rc<Gateway>) {
     let mut follower = Follower::new(&gateway, Topic::Configuration);
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -73,6 +73,8 @@
     deadline: Millis,
     attempts: Attempts,
     tried: Vec<Target>,
+    /// Whether its caller has been refused or failed before.
+    came_back: bool,
     /// What the caller has of the stream.
     progress: Progress,
     /// Whether the caller has the head of a stream.
@@ -152,6 +154,7 @@
         .with("model", job.model.clone())
         .with("outcome", outcome)
         .with("took_ms", took)
+        .with("came_back", job.came_back)
         .with("sent", job.attempts.sent())
         .with("longest_gap_ms", job.longest_gap_ms)
         .with("configuration", lookup.configuration.version)
@@ -189,7 +192,12 @@
         let model = engine.model(asked.model.as_deref()?)?;
         Some(engine.longest_pass_ms(model).ceil() as u64)
     });
+    let came_back = asked.deadline_ms.is_some_and(|left_ms| {
+        let mut waits = gateway.waits.borrow_mut();
+        waits.came_back(&found.route.name, u32::try_from(left_ms).unwrap_or(u32::MAX))
+    });
     Ok(Job {
+        came_back,
         pass_ms: pass_ms.unwrap_or(0),
         model: asked.model.clone().filter(|_| grouped),
         workspace: found.workspace.map(|workspace| workspace.name.clone()),
@@ -347,6 +355,8 @@
     /// up by admission: its caller has waited for it already.
     fn choose(&self, places: &[Place], goes_on: bool) -> Result<Target, NoTarget> {
         let full_at = self.gateway.settings.requests.full_at;
+        let came_back = self.came_back && !goes_on;
+        let full_at = self.gateway.admission.borrow().full_at(full_at, came_back);
         let mut candidates: Vec<_> = places.iter().map(|place| place.candidate).collect();
         if self.model.is_some() && !goes_on {
             self.admit(full_at, &mut candidates);
--- a/crates/oliveworks-gateway/src/settings.rs
+++ b/crates/oliveworks-gateway/src/settings.rs
@@ -167,6 +167,10 @@
             ("policy.planner.spare_percent", planner.spare_percent),
             ("policy.planner.staging_percent", planner.staging_percent),
             ("policy.admission.plenty_percent", self.policy.admission.plenty_percent as usize),
+            (
+                "policy.admission.returning_percent",
+                self.policy.admission.returning_percent as usize,
+            ),
         ];
         for (key, percent) in percents {
             if percent > 100 {
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -18,6 +18,7 @@
 use oliveworks_gateway_core::freshness::Freshness;
 use oliveworks_gateway_core::passing::Passing;
 use oliveworks_gateway_core::planner::Planner;
+use oliveworks_gateway_core::returning::Waits;
 use oliveworks_gateway_core::speed::Speeds;
 use oliveworks_runtime::clock::Clock;
 use serde::{Deserialize, Serialize};
@@ -148,6 +149,8 @@
     pub store_heard_at: Cell<Millis>,
     /// How busy backend servers are.
     pub balance: RefCell<Balance>,
+    /// How long callers of each route still wait.
+    pub waits: RefCell<Waits>,
     /// What this gateway took of each group lately.
     pub admission: RefCell<Admission>,
     /// How many requests for models find a place.
@@ -223,6 +226,7 @@
             store_failed_at: Cell::new(None),
             store_heard_at: Cell::new(now),
             balance: RefCell::default(),
+            waits: RefCell::default(),
             admission: RefCell::new(Admission::new(settings.policy.admission, life)),
             demand: RefCell::default(),
             speeds: RefCell::default(),
