A new leader counts the loads that run

Cause: what hosts load to their memory was known to the leader that ordered it alone. Change: hosts say whether an order is under way; a leader that takes over counts those that say so and join nothing, until the list or a question every 4 s shows that it is done. Ruled out: telling loads in the leader's table (more bytes to every gateway; a leader that dies before it tells leaves the gap).

--- a/crates/oliveworks-gateway-core/src/backend_servers.rs
+++ b/crates/oliveworks-gateway-core/src/backend_servers.rs
@@ -69,6 +69,8 @@
     pub group: Option<Membership>,
     /// How much slower than usual it is, if it says so; 1 is usual.
     pub pace: Option<f64>,
+    /// Whether it loads a model or joins a group, if it says so.
+    pub loads: Option<bool>,
 }
 
 /// All backend servers that the platform lists.
--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -186,6 +186,7 @@
     pub fn adopt(&mut self, now: Millis) {
         for host in self.hosts.values_mut() {
             host.knows_fence = false;
+            host.adopt_load();
         }
         let mut found: BTreeMap<u64, BTreeMap<usize, (BackendServerId, MemberState, String)>> =
             BTreeMap::new();
--- a/crates/oliveworks-gateway-core/src/planner/host.rs
+++ b/crates/oliveworks-gateway-core/src/planner/host.rs
@@ -26,6 +26,9 @@
 const USUAL_PACE: f64 = 1.25;
 /// The time between two questions to a host that is slow, or whose group is.
 const SLOW_PROBE_EVERY_MS: u64 = 1_000;
+/// The time between two questions to a host that loads what this leader did not order, in ms: a load takes
+/// four times as long, and its end also shows in the list.
+const ADOPTED_PROBE_EVERY_MS: u64 = 4_000;
 /// The time that a member which has the model needs to join.
 const JOIN_MS: u64 = 200;
 
@@ -70,6 +73,8 @@
     join_loads: bool,
     /// The model that it was told to stage and does not have yet.
     staging: Option<String>,
+    /// Whether it loads something that this leader did not order.
+    adopted_load: bool,
     /// The model of its last join in this life.
     last_model: Option<String>,
     pub(super) wants_probe: bool,
@@ -106,6 +111,7 @@
             taken_at: 0,
             join_loads: false,
             staging: None,
+            adopted_load: false,
             last_model: server.holding.models.first().cloned(),
             wants_probe: false,
             probing: false,
@@ -123,6 +129,8 @@
     }
 
     pub(super) fn heard(&mut self, now: Millis, holding: &Holding) {
+        let changed = self.holding.staging != holding.staging;
+        self.adopted_load &= !changed && holding.loads != Some(false);
         self.holding = holding.clone();
         self.heard_at = now;
         if let Some(model) = holding.models.first() {
@@ -195,7 +203,7 @@
         let done =
             member.is_some_and(|m| Some(m.epoch) == self.joined && m.state != MemberState::Joining);
         let joins = self.joined.is_some() && self.joined == self.group && !done;
-        self.pending || (joins && self.join_loads) || self.staging.is_some()
+        self.pending || (joins && self.join_loads) || self.stages()
     }
 
     /// It belongs to a group that an earlier leader formed, and may load for it.
@@ -212,7 +220,14 @@
 
     /// Whether it loads any model to its host's memory.
     pub(super) fn stages(&self) -> bool {
-        self.staging.is_some()
+        self.staging.is_some() || self.adopted_load
+    }
+
+    /// An earlier leader may have told it to load a model to its host's memory: what it says it loads and
+    /// no join explains.
+    pub(super) fn adopt_load(&mut self) {
+        let joins = self.holding.group.as_ref().is_some_and(|m| m.state == MemberState::Joining);
+        self.adopted_load = self.holding.loads == Some(true) && !joins;
     }
 
     pub(super) fn is_ready_in(&self, name: &str, epoch: u64) -> bool {
@@ -337,6 +352,7 @@
                 self.last_model = Some(model.clone());
                 // A load stages its model in place of what was to be staged.
                 self.staging = None;
+                self.adopted_load = false;
             }
             Order::Stage { model } if self.holding.staging.contains(model) => {}
             Order::Stage { model } => self.staging = Some(model.clone()),
@@ -370,6 +386,8 @@
         if self.pace > USUAL_PACE && self.stays() {
             self.slows(now);
         }
+        self.wants_probe |=
+            self.adopted_load && self.stays() && now >= self.probed_at + ADOPTED_PROBE_EVERY_MS;
         let lost_due =
             self.is_lost() && !self.unlisted && now >= self.probed_at + LOST_PROBE_EVERY_MS;
         let again_at = self.ordered_at + ORDER_AGAIN_MS;
--- a/crates/oliveworks-gateway-core/tests/planner/handover.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/handover.rs
@@ -58,3 +58,22 @@
     assert_eq!(given, Vec::<String>::new());
     assert_eq!(world.loads.len(), loads, "no load begins anew");
 }
+
+/// Loads to hosts' memory that the last leader began go on: no more begin than may run at once.
+#[test]
+fn the_next_leader_counts_the_loads_that_run() {
+    let (mut world, mut leader) = formed(MANY);
+    run_for(&mut world, &mut leader, 3_000, true);
+    let running = |world: &World| world.hosts.values().filter(|h| h.staged_at.is_some()).count();
+    let before = running(&world);
+    assert!(before > 0, "loads run");
+    let loads = world.loads.len();
+    let mut next = Leader::take_over(&world, 2, leader.planner.ended().collect());
+    run_for(&mut world, &mut next, 3_000, true);
+    let most = engine().loads_at_once as usize;
+    assert!(before >= most, "as many run as may");
+    assert_eq!(world.loads.len(), loads, "none is begun beside them");
+    // They are counted no longer once they are done.
+    run_for(&mut world, &mut next, 20_000, true);
+    assert!(world.loads.len() > loads, "more are begun");
+}
--- a/crates/oliveworks-gateway-core/tests/planner/world.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/world.rs
@@ -272,6 +272,7 @@
             staging: host.staging.clone(),
             group: host.group.as_ref().map(|(member, _, _)| member.clone()),
             pace: Some(host.pace),
+            loads: Some(host.staged_at.is_some() || self.now < host.ready_at),
         })
     }
 
@@ -283,6 +284,7 @@
                 staging: host.staging.clone(),
                 group: host.group.as_ref().map(|(member, _, _)| member.clone()),
                 pace: None,
+                loads: None,
             },
             ..host.server.clone()
         });
