What callers got is counted: in time, late by cause, refused by cause

Cause: whether answers were late for waiting, for reading, for pauses or since their callers had come back had to be worked out from request lines by scripts. Change: core module timeliness judges each answer; counters served_in_time, served_late_* and refused_full, refused_without_group; the outcome in request lines says 'served late'. The longest pause no longer counts the time between an answer's head and its first event. Measured: nothing; no decision depends on it.

--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -24,6 +24,7 @@
 //! | [`admission`] | how much of what a group has free this gateway may take |
 //! | [`budget`] | whether a request may be sent once more |
 //! | [`attempts`] | what follows a failed attempt, and what the caller is told |
+//! | [`timeliness`] | whether an answer came in time, and if not, why |
 //! | [`events`] | which bytes of a stream may be passed on |
 
 pub mod admission;
@@ -44,6 +45,7 @@
 pub mod returning;
 pub mod sources;
 pub mod speed;
+pub mod timeliness;
 
 /// A point on the process's steady clock, in milliseconds.
 pub type Millis = u64;
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -14,6 +14,7 @@
 use oliveworks_gateway_core::configuration::{Lookup, Repeat, Route, Unmatched};
 use oliveworks_gateway_core::demand::ModelKey;
 use oliveworks_gateway_core::events::Progress;
+use oliveworks_gateway_core::timeliness::{Goal, Served, Timeliness};
 use tokio::time::sleep;
 
 use attempt::Tried;
@@ -73,14 +74,12 @@
     deadline: Millis,
     attempts: Attempts,
     tried: Vec<Target>,
-    /// Whether its caller has been refused or failed before.
-    came_back: bool,
     /// What the caller has of the stream.
     progress: Progress,
     /// Whether the caller has the head of a stream.
     begun: bool,
-    /// The longest pause between two parts of its stream.
-    longest_gap_ms: u64,
+    /// How its answer comes about.
+    served: Served,
     /// The leader's table by which it was sent: fence and number.
     table: (u64, u64),
     log: Vec<String>,
@@ -154,9 +153,9 @@
         .with("model", job.model.clone())
         .with("outcome", outcome)
         .with("took_ms", took)
-        .with("came_back", job.came_back)
+        .with("came_back", job.served.came_back)
         .with("sent", job.attempts.sent())
-        .with("longest_gap_ms", job.longest_gap_ms)
+        .with("longest_gap_ms", job.served.longest_gap_ms)
         .with("configuration", lookup.configuration.version)
         .with("proof_age_ms", gateway.freshness.get().age_ms(gateway.now()))
         .with("table", format!("{}.{}", job.table.0, job.table.1))
@@ -197,7 +196,6 @@
         waits.came_back(&found.route.name, u32::try_from(left_ms).unwrap_or(u32::MAX))
     });
     Ok(Job {
-        came_back,
         pass_ms: pass_ms.unwrap_or(0),
         model: asked.model.clone().filter(|_| grouped),
         workspace: found.workspace.map(|workspace| workspace.name.clone()),
@@ -213,7 +211,7 @@
         deadline,
         tried: Vec::new(),
         begun: false,
-        longest_gap_ms: 0,
+        served: Served { came_back, ..Served::default() },
         table: (0, 0),
         log: Vec::new(),
     })
@@ -246,6 +244,10 @@
                 Ok(place) => place,
                 Err(none) => {
                     self.log.push(format!("no place: {none:?}"));
+                    self.gateway.count(match none {
+                        NoTarget::None => "refused_without_group",
+                        NoTarget::Full => "refused_full",
+                    });
                     let verdict = self.attempts.verdict(self.gateway.now());
                     return self.give_up(connection, verdict, COME_BACK_MS).await;
                 }
@@ -261,6 +263,9 @@
             let tokens = self.asked.prompt_tokens;
             self.tried.push(target);
             let now = self.gateway.now();
+            if self.attempts.sent() == 0 {
+                self.served.sent_after_ms = now - self.received;
+            }
             let load = self.gateway.balance.borrow().load(now, target);
             self.log.push(format!(
                 "to {} at {} ms: {} open, {} tokens unread",
@@ -283,7 +288,7 @@
                 matches!(tried, Tried::Failed { failure, .. } if failure != Failure::Refused);
             drop(open);
             let (failure, gone) = match tried {
-                Tried::Done => return (End::Whole, "served".into()),
+                Tried::Done => return (End::Whole, self.count_served().into()),
                 Tried::Left => return (End::Torn, "left".into()),
                 Tried::Failed { failure, gone } => (failure, gone),
             };
@@ -296,6 +301,22 @@
         }
     }
 
+    /// Counts an answer by whether it came in time; returns the outcome for the log.
+    fn count_served(&mut self) -> &'static str {
+        let now = self.gateway.now();
+        if self.served.first_after_ms == 0 {
+            self.served.first_after_ms = now - self.received;
+        }
+        self.served.sends = self.attempts.sent();
+        let goal = Goal { first_ms: self.route.goal_ms, gap_ms: self.route.gap_goal_ms };
+        let timeliness = Timeliness::of(&self.served, goal);
+        self.gateway.count(timeliness.counter());
+        match timeliness {
+            Timeliness::InTime => "served",
+            _ => "served late",
+        }
+    }
+
     /// Counts a request that looks for its first place, by its model.
     fn note_demand(&self, refused: bool) {
         let Some(model) = self.model.as_ref().filter(|_| self.attempts.sent() == 0) else { return };
@@ -355,7 +376,7 @@
     /// up by admission: its caller has waited for it already.
     fn choose(&self, places: &[Place], goes_on: bool) -> Result<Target, NoTarget> {
         let full_at = self.gateway.settings.requests.full_at;
-        let came_back = self.came_back && !goes_on;
+        let came_back = self.served.came_back && !goes_on;
         let full_at = self.gateway.admission.borrow().full_at(full_at, came_back);
         let mut candidates: Vec<_> = places.iter().map(|place| place.candidate).collect();
         if self.model.is_some() && !goes_on {
--- a/crates/oliveworks-gateway/src/relay/attempt.rs
+++ b/crates/oliveworks-gateway/src/relay/attempt.rs
@@ -285,8 +285,8 @@
             };
             let before = since;
             since = self.heard(place);
-            self.longest_gap_ms = self.longest_gap_ms.max(since - before);
             if began.get() {
+                self.served.longest_gap_ms = self.served.longest_gap_ms.max(since - before);
                 let target = place.candidate.target;
                 self.gateway.speeds.borrow_mut().paused(since, target, since - before);
             }
@@ -333,7 +333,8 @@
         if !self.begun {
             connection.begin(StatusCode::OK, &self.passed_on(headers.clone()))?;
             self.begun = true;
-            self.log.push(format!("first event at {} ms", self.gateway.now() - self.received));
+            self.served.first_after_ms = self.gateway.now() - self.received;
+            self.log.push(format!("first event at {} ms", self.served.first_after_ms));
         }
         match bytes.is_empty() {
             true => Ok(()),
