--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -16,7 +16,8 @@
 use crate::dialect::Call;
 use crate::events::Event;
 use crate::exchange::{self, Broken, Exchange, NoConnection};
-use crate::state::{Gateway, Table, TableGroup};
+use crate::state::Gateway;
+use crate::table::{Table, TableGroup};
 use crate::{peers, store};
 
 /// The time between two looks at the plans.
--- a/crates/oliveworks-gateway/src/lib.rs
+++ b/crates/oliveworks-gateway/src/lib.rs
@@ -15,6 +15,8 @@
 //! | `follow`, `sources` | follow a topic of the store, through it or another gateway |
 //! | `records`, `missing` | take in what the topics tell |
 //! | `passing` | passes the store's records on to other gateways |
+//! | `table`, `places` | groups that serve, and where requests can be sent |
+//! | `suspicions` | groups that stand still or run slowly |
 //! | `leader` | gives the planner's orders |
 //! | `peers` | tells the other gateways, and hears them |
 
@@ -27,6 +29,7 @@
 mod missing;
 mod passing;
 mod peers;
+mod places;
 pub mod process;
 mod readiness;
 mod records;
@@ -35,3 +38,5 @@
 mod sources;
 mod state;
 mod store;
+mod suspicions;
+mod table;
--- a/crates/oliveworks-gateway/src/peers.rs
+++ b/crates/oliveworks-gateway/src/peers.rs
@@ -21,7 +21,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::events::Event;
-use crate::state::{Gateway, Peer, Table};
+use crate::state::{Gateway, Peer};
+use crate::table::Table;
 
 /// The time between two heartbeats.
 const BEAT_MS: u64 = 100;
--- a/crates/oliveworks-gateway/src/relay/attempt.rs
+++ b/crates/oliveworks-gateway/src/relay/attempt.rs
@@ -19,7 +19,7 @@
 use crate::dialect::{Answered, Headers, Said};
 use crate::events::Event;
 use crate::exchange::{Exchange, NoConnection, headers_of};
-use crate::state::Place;
+use crate::places::Place;
 
 /// The silence after which a plain request that may be repeated goes elsewhere.
 const PLAIN_SILENCE_MS: u64 = 400;
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -7,10 +7,8 @@
 
 use oliveworks_gateway_core::Millis;
 use oliveworks_gateway_core::admission::Admission;
-use oliveworks_gateway_core::backend_servers::{
-    BackendServer, BackendServerId, Directory, MemberState,
-};
-use oliveworks_gateway_core::balance::{Balance, Candidate, Target};
+use oliveworks_gateway_core::backend_servers::{BackendServerId, Directory};
+use oliveworks_gateway_core::balance::{Balance, Target};
 use oliveworks_gateway_core::budget::{Budget, BudgetConfig};
 use oliveworks_gateway_core::configuration::Lookup;
 use oliveworks_gateway_core::demand::Demand;
@@ -21,7 +19,6 @@
 use oliveworks_gateway_core::returning::Waits;
 use oliveworks_gateway_core::speed::Speeds;
 use oliveworks_runtime::clock::Clock;
-use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
 
 use crate::dialect::{Dialect, Record, TOPICS, Topic};
@@ -29,62 +26,7 @@
 use crate::missing::Missing;
 use crate::relay::STOP_NOTICE_MS;
 use crate::settings::Settings;
-
-/// A replica group as the leader publishes it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TableGroup {
-    /// Its service.
-    pub service: String,
-    /// Its model.
-    pub model: String,
-    /// Its epoch.
-    pub epoch: u64,
-    /// Its members, the head first.
-    pub members: Vec<String>,
-    /// Where its head listens.
-    pub address: SocketAddr,
-    /// Requests that it works on at once.
-    pub slots: u32,
-    /// The failure domain of its head.
-    pub failure_domain: String,
-    /// How much slower than usual it runs, in hundredths; 100 is usual.
-    pub pace_percent: u32,
-}
-
-impl TableGroup {
-    /// How much slower than usual it runs.
-    fn pace(&self) -> f64 {
-        f64::from(self.pace_percent.max(100)) / 100.0
-    }
-}
-
-/// All groups that serve, as the leader published them.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Table {
-    /// The fence of the leader.
-    pub fence: u64,
-    /// Counts the leader's changes.
-    pub number: u64,
-    /// The groups.
-    pub groups: Vec<TableGroup>,
-    /// Epochs of groups that have ended for certain, for the next leader.
-    pub ended: Vec<u64>,
-    /// The most hosts that each domain of each service had, for the next leader.
-    pub most_hosts: BTreeMap<String, BTreeMap<String, usize>>,
-}
-
-/// Somewhere that a request can be sent.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Place {
-    /// The backend server's id.
-    pub server: BackendServerId,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// How it is counted.
-    pub candidate: Candidate,
-    /// The group that it heads.
-    pub epoch: Option<u64>,
-}
+use crate::table::Table;
 
 /// Another gateway.
 #[derive(Clone, Debug)]
@@ -101,16 +43,8 @@
     pub proved_at: Option<Millis>,
 }
 
-/// How long a leader's table is believed without a heartbeat.
-const TABLE_MS: u64 = 2_000;
-/// What an open request costs the next one at a plain backend server, in ms.
-const PLAIN_OPEN_MS: f64 = 5.0;
-/// The same at a replica group, beside what its prompt costs.
-const GROUP_OPEN_MS: f64 = 1.0;
 /// A gap between two ticks after which this process has been asleep.
 const ASLEEP_MS: u64 = 150;
-/// How lately something must have come from a group for another's suspicion to be put aside.
-const JUST_HEARD_MS: u64 = 150;
 /// How long a gateway that is not heard still counts for the budget.
 const BUDGET_PEER_MS: u64 = 20_000;
 
@@ -370,119 +304,6 @@
         self.election.borrow_mut().store_failed();
     }
 
-    /// Whether the leader's table is young enough to be used. One that never came is not: a process
-    /// that has just started goes by the list of backend servers until a leader is heard.
-    fn table_is_young(&self) -> bool {
-        let came = self.table.borrow().number > 0;
-        let leads = self.election.borrow().leads().is_some();
-        came && (leads || self.now() < self.table_heard_at.get() + TABLE_MS)
-    }
-
-    /// Backend servers that stand alone.
-    pub fn plain_places(&self, service: &str) -> Vec<Place> {
-        let directory = self.directory.borrow();
-        let servers = directory.of_service(service).filter(|server| !server.draining);
-        servers.map(|server| self.place(server, None)).collect()
-    }
-
-    fn place(&self, server: &BackendServer, epoch: Option<u64>) -> Place {
-        let candidate = Candidate {
-            target: Target::of(&server.id),
-            slots: server.slots,
-            near: server.failure_domain == self.settings.failure_domain,
-            open_ms: PLAIN_OPEN_MS,
-            token_ms: 0.0,
-        };
-        Place { server: server.id.clone(), address: server.address, candidate, epoch }
-    }
-
-    /// Heads of groups that serve a model.
-    pub fn group_places(&self, service: &str, model: &str) -> Vec<Place> {
-        if self.table_is_young() {
-            return self.table_places(service, model);
-        }
-        let directory = self.directory.borrow();
-        let mut places = Vec::new();
-        for server in directory.of_service(service) {
-            let Some(member) = &server.holding.group else { continue };
-            let serves = member.rank == 0 && member.state == MemberState::Open;
-            let has = server.holding.models.iter().any(|held| held == model);
-            if serves && has && !server.draining {
-                places.push(self.place(server, Some(member.epoch)));
-            }
-        }
-        places
-    }
-
-    fn table_places(&self, service: &str, model: &str) -> Vec<Place> {
-        let directory = self.directory.borrow();
-        let lookup = self.lookup();
-        let engine = lookup.as_ref().and_then(|l| l.service(service)?.engine.as_ref());
-        let token_ms = engine.map_or(0.0, |engine| {
-            let pace = engine.model(model).map_or(1.0, |model| model.pace);
-            pace / engine.read_per_ms.max(0.001)
-        });
-        let table = self.table.borrow();
-        let groups = table.groups.iter().filter(|g| g.service == service && g.model == model);
-        let staying = groups.filter(|group| {
-            let gone = self.gone.borrow();
-            !group.members.iter().any(|id| {
-                let draining = directory.get(id).is_some_and(|server| server.draining);
-                draining || gone.contains_key(id.as_str())
-            })
-        });
-        staying
-            .map(|group| {
-                let head = &group.members[0];
-                let candidate = Candidate {
-                    target: Target::of(head),
-                    // A slow group writes as fast as usual only with fewer requests.
-                    slots: (f64::from(group.slots) / group.pace()).ceil() as u32,
-                    near: group.failure_domain == self.settings.failure_domain,
-                    open_ms: GROUP_OPEN_MS * group.pace(),
-                    token_ms: token_ms * group.pace(),
-                };
-                Place {
-                    server: head.as_str().into(),
-                    address: group.address,
-                    candidate,
-                    epoch: Some(group.epoch),
-                }
-            })
-            .collect()
-    }
-
-    /// Groups that run much slower than others of their model, as this gateway sees them.
-    pub fn slow_groups(&self) -> Vec<u64> {
-        let Some(lookup) = self.lookup() else { return Vec::new() };
-        let now = self.now();
-        let table = self.table.borrow();
-        let speeds = self.speeds.borrow();
-        let mut slow = Vec::new();
-        for service in &lookup.configuration.services {
-            let Some(engine) = &service.engine else { continue };
-            for model in &engine.models {
-                let of_model = |g: &&TableGroup| g.service == service.name && g.model == model.name;
-                let groups: Vec<&TableGroup> = table.groups.iter().filter(of_model).collect();
-                let targets: Vec<Target> =
-                    groups.iter().map(|group| Target::of(&group.members[0])).collect();
-                let longest_ms = engine.longest_pass_ms(model).ceil() as u64;
-                let found = speeds.slow(now, &targets, longest_ms);
-                let is_slow = |group: &&&TableGroup| found.contains(&Target::of(&group.members[0]));
-                slow.extend(groups.iter().filter(is_slow).map(|group| group.epoch));
-            }
-        }
-        slow
-    }
-
-    /// A gateway sees a group running slowly.
-    pub fn runs_slowly(&self, epoch: u64) {
-        let now = self.now();
-        for planner in self.planners.borrow_mut().values_mut() {
-            planner.runs_slowly(now, epoch);
-        }
-    }
-
     /// Forgets backend servers that are no longer listed.
     pub fn forget_gone(&self) {
         let directory = self.directory.borrow();
@@ -491,36 +312,4 @@
         self.admission.borrow_mut().retain(|target| listed.contains(&target));
         self.speeds.borrow_mut().retain(|target| listed.contains(&target));
     }
-
-    /// A group stands still: others and the leader are told.
-    pub fn suspect(&self, epoch: u64) {
-        let now = self.now();
-        if self.suspects.borrow_mut().insert(epoch, now).is_none() {
-            self.beat_is_urgent.set(true);
-            self.send_now.notify_one();
-        }
-        for planner in self.planners.borrow_mut().values_mut() {
-            planner.suspected(epoch);
-        }
-    }
-
-    /// Another gateway sees a group standing still: this one avoids it too, unless it just heard
-    /// from there itself.
-    pub fn suspected_by_another(&self, epoch: u64) {
-        let now = self.now();
-        let table = self.table.borrow();
-        let head = table.groups.iter().find(|group| group.epoch == epoch);
-        if let Some(group) = head {
-            let target = Target::of(&group.members[0]);
-            let mut balance = self.balance.borrow_mut();
-            let silent = balance.last_progress(target).is_none_or(|at| now > at + JUST_HEARD_MS);
-            if silent && !balance.suspended(now, target) {
-                balance.suspend(now, target);
-            }
-        }
-        drop(table);
-        for planner in self.planners.borrow_mut().values_mut() {
-            planner.suspected(epoch);
-        }
-    }
 }
--- /dev/null
+++ b/crates/oliveworks-gateway/src/suspicions.rs
@@ -0,0 +1,74 @@
+//! Replica groups that stand still or run slowly, as gateways see them.
+
+use oliveworks_gateway_core::balance::Target;
+
+use crate::state::Gateway;
+use crate::table::TableGroup;
+
+/// How lately something must have come from a group for another's suspicion to be put aside.
+const JUST_HEARD_MS: u64 = 150;
+
+impl Gateway {
+    /// Groups that run much slower than others of their model, as this gateway sees them.
+    pub fn slow_groups(&self) -> Vec<u64> {
+        let Some(lookup) = self.lookup() else { return Vec::new() };
+        let now = self.now();
+        let table = self.table.borrow();
+        let speeds = self.speeds.borrow();
+        let mut slow = Vec::new();
+        for service in &lookup.configuration.services {
+            let Some(engine) = &service.engine else { continue };
+            for model in &engine.models {
+                let of_model = |g: &&TableGroup| g.service == service.name && g.model == model.name;
+                let groups: Vec<&TableGroup> = table.groups.iter().filter(of_model).collect();
+                let targets: Vec<Target> =
+                    groups.iter().map(|group| Target::of(&group.members[0])).collect();
+                let longest_ms = engine.longest_pass_ms(model).ceil() as u64;
+                let found = speeds.slow(now, &targets, longest_ms);
+                let is_slow = |group: &&&TableGroup| found.contains(&Target::of(&group.members[0]));
+                slow.extend(groups.iter().filter(is_slow).map(|group| group.epoch));
+            }
+        }
+        slow
+    }
+
+    /// A gateway sees a group running slowly.
+    pub fn runs_slowly(&self, epoch: u64) {
+        let now = self.now();
+        for planner in self.planners.borrow_mut().values_mut() {
+            planner.runs_slowly(now, epoch);
+        }
+    }
+
+    /// A group stands still: others and the leader are told.
+    pub fn suspect(&self, epoch: u64) {
+        let now = self.now();
+        if self.suspects.borrow_mut().insert(epoch, now).is_none() {
+            self.beat_is_urgent.set(true);
+            self.send_now.notify_one();
+        }
+        for planner in self.planners.borrow_mut().values_mut() {
+            planner.suspected(epoch);
+        }
+    }
+
+    /// Another gateway sees a group standing still: this one avoids it too, unless it just heard
+    /// from there itself.
+    pub fn suspected_by_another(&self, epoch: u64) {
+        let now = self.now();
+        let table = self.table.borrow();
+        let head = table.groups.iter().find(|group| group.epoch == epoch);
+        if let Some(group) = head {
+            let target = Target::of(&group.members[0]);
+            let mut balance = self.balance.borrow_mut();
+            let silent = balance.last_progress(target).is_none_or(|at| now > at + JUST_HEARD_MS);
+            if silent && !balance.suspended(now, target) {
+                balance.suspend(now, target);
+            }
+        }
+        drop(table);
+        for planner in self.planners.borrow_mut().values_mut() {
+            planner.suspected(epoch);
+        }
+    }
+}
