Reading is shared out only once it takes three quarters of the goal in the mean

The larger model refused callers that it could serve: in the replay 5 in 100 of as many as the groups can just serve. Change: until reading all that is unread takes three quarters of the goal in the mean, a gateway keeps to its part of that time as before; only then to its part of what is left of it, by lot.

--- a/crates/oliveworks-gateway-core/src/admission.rs
+++ b/crates/oliveworks-gateway-core/src/admission.rs
@@ -24,7 +24,7 @@
 /// The weights of admission, each measured by replayed loads with 13 gateways: *many* has more than twice
 /// the callers that twelve groups serve, *long* has half as many callers with long prompts again as three
 /// groups serve. Without any bound 42 in 100 callers of *many* and 15 of *long* are served in time, with
-/// all 76 and 56.
+/// all 75 and 49.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct AdmissionConfig {
@@ -35,10 +35,9 @@
     /// The time in which a gateway takes its part once, in ms: that between two heartbeats, which bring
     /// the counts. With 250 ms 72 in 100 of *many* are in time.
     pub window_ms: u64,
-    /// What reading the unread prompts of all gateways at a group may take, in hundredths of the goal. A
-    /// first event takes up to two passes, and a pass writes as well, so that more than half would make
-    /// it late: with 75, a sixth of four times the load of *long* is in time, with 50 a fifth; without the
-    /// bound 30 in 100 of *long*.
+    /// What reading the unread prompts of all gateways at a group may take, in hundredths of the goal.
+    /// Without the bound 30 in 100 of *long* are in time. With 50 for 75 more of *long* are, but 5 in 100 of
+    /// as many as the groups can just serve are refused, which cost pools of 30 hosts 0.04 of their worth.
     pub reading_percent: u32,
     /// The part of the slots, in hundredths, that callers who have come back may fill. They are late
     /// whatever is done, and the rest is kept for those who can still be in time: with 100, 65 in 100
@@ -51,16 +50,12 @@
         AdmissionConfig {
             plenty_percent: 25,
             window_ms: 100,
-            reading_percent: 50,
+            reading_percent: 75,
             returning_percent: 85,
         }
     }
 }
 
-/// The part of the time for reading that must be taken in the mean before gateways keep to their parts of
-/// it. Below, a prompt goes wherever this gateway has none unread, so that one of few callers is not
-/// refused beside idle groups: with a tenth, 7 in 100 were of callers that groups could all serve in time.
-const READING_BUSY: f64 = 0.5;
 /// The time in which half of a change in what is unread is taken in, in ms: some passes, since between
 /// the end of one and the next herd nothing is unread.
 const UNREAD_HALF_MS: f64 = 300.0;
@@ -170,13 +165,14 @@
         let own_ms = f64::from(balance.own_unread(candidate.target)) * candidate.token_ms;
         let prompt_ms = f64::from(asking.tokens) * candidate.token_ms;
         let group = self.groups.get(&candidate.target).copied().unwrap_or_default();
+        // Kept to already where half of that time was taken, 5 in 100 callers were refused that the groups
+        // could all serve in time.
+        if group.unread_ms < all_ms {
+            return own_ms == 0.0 || own_ms + prompt_ms <= all_ms * asking.part;
+        }
         let part_ms = (all_ms - unread_ms + own_ms).max(0.0) * asking.part;
-        let rounded_ms = match own_ms > 0.0 {
-            true => 0.0,
-            false if group.unread_ms < all_ms * READING_BUSY => prompt_ms,
-            false => prompt_ms * self.lot(now, candidate.target),
-        };
-        own_ms + prompt_ms <= part_ms + rounded_ms
+        let lot = if own_ms > 0.0 { 0.0 } else { self.lot(now, candidate.target) };
+        own_ms + prompt_ms <= part_ms + prompt_ms * lot
     }
 
     fn window(&self, now: Millis) -> u64 {
