Hosts follow callers where a shortage lasts as long as a load

Cause: how many groups of each model there are followed configured shares alone. With callers who ask for something else a model refuses them for good beside hosts that another one does not need; a group of a larger model never ended for a smaller one, and hosts of small groups never loaded what a larger one lacks. Change: planner/parts.rs: parts of the hosts follow demand in both directions where a model was busy through the time of a load and none becomes as busy for it; hosts of groups that a domain has too many of load what it lacks and serve meanwhile; the group ends once all is there. policy.planner.follows_callers switches it; log line part_follows_callers. Tests without the bench: tests/planner/follow.rs: there and back (14 and 5 groups by shares, 20 and 2, then 8 and 8), a wave moves nothing, a group serves until its hosts can serve the other model; the first fails where shares alone count.

--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -15,6 +15,7 @@
 mod group;
 mod host;
 mod order;
+mod parts;
 mod pressure;
 mod shortage;
 mod spares;
@@ -30,6 +31,7 @@
 use group::{Group, Phase};
 use host::Host;
 pub use order::{Command, ModelLoad, Order, Outcome, PlannerConfig, Serving};
+use parts::Parts;
 use pressure::Demand;
 
 /// Epochs that one fence has room for.
@@ -53,7 +55,12 @@
 #[derive(Clone, Debug)]
 pub struct Planner {
     config: PlannerConfig,
+    /// The engine as it is configured.
+    configured: Engine,
+    /// The same, where the shares of models are the parts of the hosts that they should have now.
     engine: Engine,
+    /// What these parts follow.
+    parts: Parts,
     fence: u64,
     epochs: u64,
     hosts: BTreeMap<BackendServerId, Host>,
@@ -82,7 +89,9 @@
     pub fn new(config: PlannerConfig, engine: Engine, fence: u64, now: Millis) -> Planner {
         Planner {
             config,
+            configured: engine.clone(),
             engine,
+            parts: Parts::new(now),
             fence,
             epochs: 0,
             hosts: BTreeMap::new(),
@@ -105,6 +114,14 @@
         &self.engine.models
     }
 
+    /// The part of the hosts that each model should have, 0 to 1.
+    pub fn parts(&self) -> BTreeMap<String, f64> {
+        let all: f64 = self.engine.models.iter().map(|model| model.share).sum();
+        let part = |model: &Model| model.share / all.max(f64::MIN_POSITIVE);
+        let parts = self.engine.models.iter().map(|model| (model.name.clone(), part(model)));
+        parts.collect()
+    }
+
     /// What a host was last known to hold.
     pub fn holding(&self, id: &str) -> Option<&Holding> {
         self.hosts.get(id).map(|host| &host.holding)
@@ -136,7 +153,8 @@
 
     /// Takes over the engine's figures of a newer configuration.
     pub fn set_engine(&mut self, engine: &Engine) {
-        if self.engine != *engine {
+        if self.configured != *engine {
+            self.configured = engine.clone();
             self.engine = engine.clone();
             self.rooms.clear();
         }
@@ -150,6 +168,7 @@
             self.quotas_at = now;
             self.rooms = rooms;
         }
+        self.follow_callers(now);
     }
 
     /// Epochs of groups that have ended for certain, the newest ones.
--- a/crates/oliveworks-gateway-core/src/planner/order.rs
+++ b/crates/oliveworks-gateway-core/src/planner/order.rs
@@ -135,6 +135,8 @@
     /// Whether a small group ends for a large one that is busier, also where fewer small ones remain
     /// than wanted.
     pub yields_by_load: bool,
+    /// Whether the parts of the hosts that models should have follow their callers.
+    pub follows_callers: bool,
     /// The demand for each group (1: all its slots) above which spares that hold a model serve it.
     pub busy_load: f64,
     /// The same above which a model gets hosts that are kept or wait for another: soon its groups
@@ -157,6 +159,7 @@
             first_spare_largest: true,
             waiting_serve: true,
             yields_by_load: true,
+            follows_callers: true,
             busy_load: 0.5,
             crowded_load: 0.65,
             yield_margin: 0.1,
--- a/crates/oliveworks-gateway-core/src/planner/pressure.rs
+++ b/crates/oliveworks-gateway-core/src/planner/pressure.rs
@@ -25,6 +25,9 @@
         let demand = self.demand.entry(model.to_owned()).or_insert(Demand { groups, at: now });
         let old = 0.5f64.powf(now.saturating_sub(demand.at) as f64 / DEMAND_HALF_MS);
         *demand = Demand { groups: demand.groups * old + groups * (1.0 - old), at: now };
+        let groups = demand.groups;
+        let load_ms = self.load_ms();
+        self.parts.asked(now, model, groups, load_ms);
     }
 
     /// How many full groups a model's callers would fill, those among them that are refused.
--- a/crates/oliveworks-gateway-core/src/planner/stage.rs
+++ b/crates/oliveworks-gateway-core/src/planner/stage.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeMap;
 
 use super::Planner;
-use super::domain::{Domain, domains, fits};
+use super::domain::{Domain, domains, fits, quota};
 use super::group::Phase;
 use super::host::Host;
 use super::shortage::SPARE_RATIO;
@@ -106,7 +106,17 @@
     }
 }
 
-/// Marks the idle hosts that complete groups which their domain lacks, as many as are missing.
+/// Whether a domain has more groups of a group's model than it should.
+fn is_surplus(planner: &Planner, domains: &BTreeMap<&str, Domain<'_>>, epoch: u64) -> bool {
+    let Some(group) = planner.groups.get(&epoch) else { return false };
+    let Some(model) = planner.model(&group.model) else { return false };
+    let head = planner.hosts.get(&group.members[0]);
+    let domain = head.and_then(|head| domains.get(head.server.domain.as_str()));
+    domain.is_some_and(|domain| domain.count(model) > quota(planner, domain.name, model))
+}
+
+/// Marks the hosts that complete groups which their domain lacks, as many as are missing: idle ones,
+/// and those of groups that end for it once all is there.
 fn mark_completing(
     planner: &Planner,
     domains: &BTreeMap<&str, Domain<'_>>,
@@ -121,7 +131,12 @@
             missing.insert((domain.name, &model.name), short);
         }
     }
-    for candidate in candidates.iter_mut().filter(|candidate| candidate.epoch.is_none()) {
+    // Idle hosts first, then those of one group after the other.
+    candidates.sort_by_key(|candidate| candidate.epoch);
+    let frees = |candidate: &Candidate<'_>| {
+        candidate.epoch.is_none_or(|epoch| is_surplus(planner, domains, epoch))
+    };
+    for candidate in candidates.iter_mut().filter(|candidate| frees(candidate)) {
         let key = (candidate.host.server.domain.as_str(), candidate.model.name.as_str());
         if let Some(short) = missing.get_mut(&key).filter(|short| **short > 0) {
             *short -= 1;
--- a/crates/oliveworks-gateway-core/src/planner/yielding.rs
+++ b/crates/oliveworks-gateway-core/src/planner/yielding.rs
@@ -31,7 +31,27 @@
 /// it should hold: what is left over may form new ones at once.
 fn givers(planner: &Planner, domain: &Domain<'_>, needy: &Model) -> Option<Vec<u64>> {
     let smaller = planner.engine.models.iter().filter(|m| m.size > 1 && m.size < needy.size);
-    smaller.filter_map(|model| givers_of(planner, domain, needy, model)).next()
+    let found = smaller.filter_map(|model| givers_of(planner, domain, needy, model)).next();
+    found.or_else(|| surplus_group(planner, domain, needy).map(|epoch| vec![epoch]))
+}
+
+/// A group of a larger model of which the domain has more than it should, if all its hosts keep the needy
+/// model in memory: until then it serves on.
+fn surplus_group(planner: &Planner, domain: &Domain<'_>, needy: &Model) -> Option<u64> {
+    let larger = |name: &str| planner.model(name).is_some_and(|model| model.size > needy.size);
+    let mut groups = planner.groups.values().filter(|group| larger(&group.model));
+    groups.find_map(|group| {
+        let model = planner.model(&group.model)?;
+        let surplus = domain.count(model) > quota(planner, domain.name, model);
+        let open = matches!(group.phase, Phase::Open { .. });
+        let able = group.members.iter().all(|id| {
+            let host = planner.hosts.get(id);
+            host.is_some_and(|host| {
+                host.server.domain == domain.name && warmth(host, needy) < Warmth::Cold
+            })
+        });
+        (surplus && open && able).then_some(group.epoch)
+    })
 }
 
 fn givers_of(
--- /dev/null
+++ b/crates/oliveworks-gateway-core/tests/planner/follow.rs
@@ -0,0 +1,72 @@
+//! Hosts follow callers, in both directions, and not each swing of them.
+
+use oliveworks_gateway_core::planner::PlannerConfig;
+
+use crate::world::*;
+
+fn following(follows_callers: bool) -> (World, Leader) {
+    formed_with(MANY, PlannerConfig { follows_callers, ..PlannerConfig::default() })
+}
+
+fn counts(world: &World, leader: &Leader) -> (usize, usize) {
+    (serving_everywhere(world, leader, "large"), serving_everywhere(world, leader, "small"))
+}
+
+const MANY_SMALL: [(&str, f64); 2] = [("large", 1.0), ("small", 16.0)];
+const MANY_LARGE: [(&str, f64); 2] = [("large", 8.0), ("small", 3.0)];
+
+/// Shares say half and half, callers something else; both move, and move back.
+#[test]
+fn groups_follow_callers_there_and_back() {
+    let (mut world, mut leader) = following(true);
+    run_with_demand(&mut world, &mut leader, 50_000, &MANY_SMALL);
+    let (large, small) = counts(&world, &leader);
+    assert!(large >= 1 && small >= 18, "{large} large, {small} small");
+    run_with_demand(&mut world, &mut leader, 70_000, &MANY_LARGE);
+    let (large, small) = counts(&world, &leader);
+    assert!(large >= 7 && small >= 4, "{large} large, {small} small");
+    assert_eq!(world.breaches, Vec::<String>::new());
+}
+
+/// The check above fails where shares alone count.
+#[test]
+fn groups_stay_where_shares_alone_count() {
+    let (mut world, mut leader) = following(false);
+    run_with_demand(&mut world, &mut leader, 50_000, &MANY_SMALL);
+    let (_, small) = counts(&world, &leader);
+    run_with_demand(&mut world, &mut leader, 70_000, &MANY_LARGE);
+    let (large, _) = counts(&world, &leader);
+    assert!(small < 18 && large < 7, "{small} small, then {large} large");
+}
+
+/// A wave of callers that is shorter than a load ends no group.
+#[test]
+fn a_wave_moves_nothing() {
+    let (mut world, mut leader) = following(true);
+    run_with_demand(&mut world, &mut leader, 20_000, &[("large", 2.0), ("small", 5.0)]);
+    let (before, _) = counts(&world, &leader);
+    for _ in 0..4 {
+        run_with_demand(&mut world, &mut leader, 5_000, &[("large", 2.0), ("small", 18.0)]);
+        run_with_demand(&mut world, &mut leader, 6_000, &[("large", 2.0), ("small", 4.0)]);
+        let (large, _) = counts(&world, &leader);
+        assert_eq!(large, before, "a large group ended for a wave");
+    }
+}
+
+/// Groups that give their hosts serve until these keep the other model in memory: the hosts of at most one
+/// large group serve nobody meanwhile.
+#[test]
+fn a_group_serves_until_its_hosts_can_serve_the_other_model() {
+    let (mut world, mut leader) = following(true);
+    let of_both = |world: &World, leader: &Leader| {
+        let (large, small) = counts(world, leader);
+        large * 4 + small * 2
+    };
+    run_with_demand(&mut world, &mut leader, 10_000, &MANY_SMALL);
+    let before = of_both(&world, &leader);
+    for _ in 0..200 {
+        run_with_demand(&mut world, &mut leader, 200, &MANY_SMALL);
+        let now = of_both(&world, &leader);
+        assert!(now + 4 >= before, "{now} hosts serve at {} ms, {before} before", world.now);
+    }
+}
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -195,7 +195,9 @@
         planner.set_traffic(gateway.traffic.get());
         tell_load(gateway, service, planner);
         slow.iter().for_each(|epoch| planner.runs_slowly(now, *epoch));
+        let parts = planner.parts();
         commands.extend(planner.tick(now).into_iter().map(|command| (service.clone(), command)));
+        tell_parts(planner, &parts);
         groups.extend(table_groups(gateway, service, planner));
         ended.extend(planner.ended());
         most_hosts.insert(service.clone(), planner.most_hosts().clone());
@@ -207,6 +209,20 @@
     }
 }
 
+/// A line for each model whose part of the hosts has changed.
+fn tell_parts(planner: &Planner, before: &BTreeMap<String, f64>) {
+    for (model, part) in
+        planner.parts().iter().filter(|(model, part)| before.get(*model) != Some(part))
+    {
+        Event::new("part_follows_callers")
+            .with("model", model.as_str())
+            .with("percent_of_hosts", (part * 100.0).round())
+            .with("percent_before", before.get(model).map(|part| (part * 100.0).round()))
+            .with("demand_percent", (planner.demand(model) * 100.0).round())
+            .write();
+    }
+}
+
 fn refresh(gateway: &Gateway, service: &str, planner: &mut Planner) {
     let Some(lookup) = gateway.lookup() else { return };
     if let Some(engine) = lookup.service(service).and_then(|service| service.engine.as_ref()) {
