--- a/crates/oliveworks-gateway-core/src/backend_servers.rs
+++ b/crates/oliveworks-gateway-core/src/backend_servers.rs
@@ -54,6 +54,8 @@
     pub slots: u32,
     /// Whether it is leaving.
     pub draining: bool,
+    /// How much longer it was cold when its record was written, in ms; 0 if it was warm.
+    pub cold_ms: u64,
     /// What it tells of its models.
     pub holding: Holding,
 }
--- a/crates/oliveworks-gateway-core/src/configuration.rs
+++ b/crates/oliveworks-gateway-core/src/configuration.rs
@@ -43,6 +43,8 @@
     pub max_attempts: u32,
     /// Whether requests need no key.
     pub public: bool,
+    /// Regions that its requests may be served in; empty if any may serve them.
+    pub regions: Vec<String>,
 }
 
 /// A model as its service offers it.
@@ -89,6 +91,15 @@
     pub form_ms: u64,
 }
 
+/// How backend servers of a service begin: each bears few requests for some time after its start.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SlowStart {
+    /// How long after its start a backend server is cold, in ms.
+    pub lasts_ms: u64,
+    /// The requests a second that a cold backend server bears.
+    pub requests_per_s: f64,
+}
+
 /// A service: a set of alike backend servers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
@@ -98,6 +109,8 @@
     pub max_connections: u32,
     /// Its engine, if it serves models.
     pub engine: Option<Engine>,
+    /// How its backend servers begin; none if they bear any load from the start.
+    pub slow_start: Option<SlowStart>,
 }
 
 /// What callers may send.
@@ -122,6 +135,8 @@
     pub keys: Vec<String>,
     /// Its rank, 0 the highest; goes before that of the route.
     pub priority: Option<u8>,
+    /// Regions that its requests may be served in; empty if any may serve them.
+    pub regions: Vec<String>,
 }
 
 /// A version of the configuration, as published.
--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`configuration`] | which service a request belongs to, and whose key it carries |
 //! | [`sources`] | which gateways read the store, and whom the others ask |
 //! | [`passing`] | what one gateway tells another of the store's records |
+//! | [`drains`] | which failure domains get no requests, by the operators' word |
 //! | [`freshness`] | whether the configuration is young enough to honour keys |
 //! | [`backend_servers`] | what the platform's records say of backend servers |
 //! | [`listing`] | how soon the list of backend servers is read again |
@@ -34,6 +35,7 @@
 pub mod budget;
 pub mod configuration;
 pub mod demand;
+pub mod drains;
 pub mod election;
 pub mod events;
 pub mod fan_out;
--- a/crates/oliveworks-gateway-core/tests/configuration.rs
+++ b/crates/oliveworks-gateway-core/tests/configuration.rs
@@ -20,6 +20,7 @@
         priority: 1,
         max_attempts: 2,
         public,
+        regions: Vec::new(),
     }
 }
 
@@ -43,7 +44,9 @@
 }
 
 fn workspaces() -> Option<Vec<Workspace>> {
-    Some(vec![Workspace { name: "riders".into(), keys: vec!["k1".into()], priority: Some(0) }])
+    let keys = vec!["k1".into()];
+    let priority = Some(0);
+    Some(vec![Workspace { name: "riders".into(), keys, priority, regions: Vec::new() }])
 }
 
 #[test_case("a.example", "/x/y/z", Some("k1"), Ok("deep"); "the longest prefix")]
--- a/crates/oliveworks-gateway-core/tests/planner/world.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/world.rs
@@ -112,6 +112,7 @@
             domain: domain.into(),
             slots: 34,
             draining: false,
+            cold_ms: 0,
             holding: Holding::default(),
         };
         let host = SimHost {
--- a/crates/oliveworks-gateway/src/dialect.rs
+++ b/crates/oliveworks-gateway/src/dialect.rs
@@ -42,6 +42,13 @@
 pub enum Record {
     /// A version of the configuration.
     Configuration(Configuration),
+    /// The operators drain a failure domain, or do so no more. Stands in the configuration's topic.
+    Drain {
+        /// The failure domain.
+        failure_domain: String,
+        /// Whether it is drained from here on.
+        drained: bool,
+    },
     /// A backend server.
     BackendServer(BackendServer),
     /// A backend server that is no longer listed.
--- a/crates/oliveworks-gateway/src/places.rs
+++ b/crates/oliveworks-gateway/src/places.rs
@@ -14,6 +14,8 @@
     pub server: BackendServerId,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: String,
     /// How it is counted.
     pub candidate: Candidate,
     /// The group that it heads.
@@ -51,7 +53,13 @@
             open_ms: PLAIN_OPEN_MS,
             token_ms: 0.0,
         };
-        Place { server: server.id.clone(), address: server.address, candidate, epoch }
+        Place {
+            server: server.id.clone(),
+            address: server.address,
+            failure_domain: server.failure_domain.clone(),
+            candidate,
+            epoch,
+        }
     }
 
     /// Heads of groups that serve a model.
@@ -103,6 +111,7 @@
                 Place {
                     server: head.as_str().into(),
                     address: group.address,
+                    failure_domain: group.failure_domain.clone(),
                     candidate,
                     epoch: Some(group.epoch),
                 }
--- a/crates/oliveworks-gateway/src/records.rs
+++ b/crates/oliveworks-gateway/src/records.rs
@@ -40,12 +40,31 @@
                 forget_waits(gateway, &configuration);
                 *gateway.lookup.borrow_mut() = Some(Rc::new(Lookup::new(configuration)));
             }
+            Record::Drain { failure_domain, drained } => {
+                take_drain(gateway, &failure_domain, drained);
+            }
             Record::Unknown(why) => warn!("configuration: {why}"),
             _ => {}
         }
     }
 }
 
+/// The operators drain a failure domain, or do so no more.
+fn take_drain(gateway: &Gateway, failure_domain: &str, drained: bool) {
+    let now = gateway.now();
+    let mut drains = gateway.drains.borrow_mut();
+    if drained {
+        if drains.begin(now, failure_domain) {
+            Event::new("drain_begins").with("failure_domain", failure_domain).write();
+        }
+    } else if let Some(lasted_ms) = drains.end(now, failure_domain) {
+        Event::new("drain_ends")
+            .with("failure_domain", failure_domain)
+            .with("known_for_ms", lasted_ms)
+            .write();
+    }
+}
+
 /// Forgets how long callers of routes wait that a configuration no longer has.
 fn forget_waits(gateway: &Gateway, configuration: &Configuration) {
     let names = configuration.routes.iter().map(|route| route.name.as_str());
--- a/crates/oliveworks-gateway/src/relay/placing.rs
+++ b/crates/oliveworks-gateway/src/relay/placing.rs
@@ -19,10 +19,17 @@
 
 impl Job<'_> {
     fn places(&self) -> Vec<Place> {
-        match &self.model {
+        let mut places = match &self.model {
             Some(model) => self.gateway.group_places(&self.service, model),
             None => self.gateway.plain_places(&self.service),
-        }
+        };
+        places.retain(|place| self.may_go_to(place));
+        places
+    }
+
+    /// Whether a request may go to a place at all, however busy that is.
+    fn may_go_to(&self, place: &Place) -> bool {
+        !self.gateway.drains.borrow().holds(&place.failure_domain)
     }
 
     /// This gateway's part of the callers of its model, 0 to 1.
--- a/crates/oliveworks-gateway/src/settings.rs
+++ b/crates/oliveworks-gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! A gateway's settings.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use oliveworks_gateway_core::admission::AdmissionConfig;
@@ -26,6 +27,12 @@
     pub store: Store,
     /// What must hold.
     pub bounds: Bounds,
+    /// The region of each failure domain; needed where routes or workspaces name regions.
+    #[serde(default)]
+    pub regions: BTreeMap<String, String>,
+    /// What may be lost at once with every promise kept.
+    #[serde(default)]
+    pub tolerance: Tolerance,
     /// How it treats requests.
     #[serde(default)]
     pub requests: Requests,
@@ -97,6 +104,31 @@
     pub repeat_extra: f64,
     /// The window.
     pub repeat_window_ms: u64,
+    /// The time after which a drained failure domain gets no requests; none if it is not bound.
+    #[serde(default)]
+    pub domain_drain_ms: Option<u64>,
+    /// What a cold backend server may be sent; none if it is not bound.
+    #[serde(default)]
+    pub slow_start: Option<SlowStartBound>,
+}
+
+/// What may be lost at once.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Tolerance {
+    /// Failure domains.
+    pub failure_domains: usize,
+}
+
+/// What all gateways together may send to a cold backend server in a second: its own figure times
+/// `excess`, and `extra` more.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SlowStartBound {
+    /// The factor on the requests a second that it bears.
+    pub excess: f64,
+    /// Requests beyond that.
+    pub extra: f64,
 }
 
 /// How requests are treated.
@@ -159,6 +191,15 @@
         if self.node.is_empty() {
             return Err("node: must not be empty".into());
         }
+        if self.bounds.domain_drain_ms == Some(0) {
+            return Err("bounds.domain_drain_ms: must be more than 0".into());
+        }
+        if let Some(bound) = self.bounds.slow_start
+            && !(bound.excess > 0.0 && bound.extra >= 0.0)
+        {
+            let message = "bounds.slow_start: excess must be more than 0, extra not negative";
+            return Err(message.into());
+        }
         if !(self.bounds.repeat_ratio >= 0.0 && self.bounds.repeat_extra >= 0.0) {
             return Err("bounds.repeat_ratio, bounds.repeat_extra: must not be negative".into());
         }
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -12,6 +12,7 @@
 use oliveworks_gateway_core::budget::{Budget, BudgetConfig};
 use oliveworks_gateway_core::configuration::Lookup;
 use oliveworks_gateway_core::demand::Demand;
+use oliveworks_gateway_core::drains::Drains;
 use oliveworks_gateway_core::election::{Election, ElectionConfig};
 use oliveworks_gateway_core::freshness::Freshness;
 use oliveworks_gateway_core::passing::Passing;
@@ -58,6 +59,8 @@
     pub clock: Clock,
     /// The newest configuration.
     pub lookup: RefCell<Option<Rc<Lookup>>>,
+    /// Failure domains that the operators drain.
+    pub drains: RefCell<Drains>,
     /// How young it is.
     pub freshness: Cell<Freshness>,
     /// Backend servers that the platform lists.
@@ -148,6 +151,7 @@
         Gateway {
             dialect,
             lookup: RefCell::new(None),
+            drains: RefCell::default(),
             freshness: Cell::default(),
             directory: RefCell::default(),
             gone: RefCell::default(),
