The gateway's connections with callers are a module below those that see requests to their answers

Cause: callers and relay, and state and relay, imported each other. Change: connection.rs holds one connection and what is read from and written to it; the time for which new connections still come after a stop stands with the shared state, with its reason. No behaviour changes; path tests pass.

--- /dev/null
+++ b/crates/oliveworks-gateway/src/connection.rs
@@ -0,0 +1,252 @@
+//! One connection with a caller: requests are read whole, answers are written as they come.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use ntex::SharedCfg;
+use ntex::http::body::BodySize;
+use ntex::http::error::DecodeError;
+use ntex::http::h1::{Codec, Message, PayloadItem, PayloadType};
+use ntex::http::header::{HeaderName, HeaderValue};
+use ntex::http::{HttpServiceConfig, Method, Request, Response, StatusCode};
+use ntex::io::Io;
+use ntex::util::{Either, select};
+use oliveworks_gateway_core::attempts::Verdict;
+use tokio::time::{sleep, timeout};
+
+use crate::dialect::Headers;
+use crate::state::{Gateway, STOP_NOTICE_MS};
+
+/// What bounds a connection before the first configuration has come.
+const HEAD_MAX: usize = 16 << 10;
+const BODY_MAX: usize = 4 << 20;
+const IDLE_MS: u64 = 15_000;
+/// The time that a body may take.
+const BODY_MS: u64 = 10_000;
+/// How much longer than promised a connection may rest, so that no request crosses its close.
+const IDLE_EXTRA_MS: u64 = 2_000;
+/// The time in which the last bytes of a connection leave.
+const CLOSE_MS: u64 = 500;
+
+/// A request, read whole.
+pub struct Whole {
+    /// Its method.
+    pub method: Method,
+    /// Path and query, as they came.
+    pub target: String,
+    /// Its headers.
+    pub headers: Headers,
+    /// Its body.
+    pub body: Bytes,
+}
+
+impl Whole {
+    /// A header's value.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(n, _)| n == name);
+        found.and_then(|(_, value)| std::str::from_utf8(value).ok())
+    }
+}
+
+/// What came on a connection.
+pub enum Received {
+    /// A request.
+    Request(Box<Whole>),
+    /// Something that is answered with a verdict, after which the connection ends.
+    Improper(Verdict),
+    /// Nothing more.
+    End,
+}
+
+/// The connection ended while an answer was written.
+pub struct Gone;
+
+/// A connection with a caller.
+pub struct Connection {
+    io: Io,
+    codec: Codec,
+    closes: bool,
+}
+
+fn header(name: &str, value: &[u8]) -> Option<(HeaderName, HeaderValue)> {
+    let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+    Some((name, HeaderValue::from_bytes(value).ok()?))
+}
+
+fn headers_of(request: &Request) -> Headers {
+    let pairs = request.headers().iter();
+    pairs.map(|(n, v)| (n.as_str().to_owned(), Bytes::copy_from_slice(v.as_bytes()))).collect()
+}
+
+impl Connection {
+    /// A connection that has just been accepted.
+    pub fn new(gateway: &Gateway, io: Io) -> Connection {
+        let head_max =
+            gateway.lookup().map_or(HEAD_MAX, |l| l.configuration.limits.max_header_bytes);
+        let config = HttpServiceConfig::new().set_max_buf_size(head_max.max(1_024));
+        let shared: SharedCfg = SharedCfg::new("callers").add(config).into();
+        Connection { io, codec: Codec::new(0, shared.get()), closes: false }
+    }
+
+    /// Waits for a request.
+    pub async fn receive(&mut self, gateway: &Gateway) -> Received {
+        let limits = gateway.lookup().map(|lookup| lookup.configuration.limits);
+        let idle_ms = limits.map_or(IDLE_MS, |limits| limits.idle_timeout_ms) + IDLE_EXTRA_MS;
+        let mut stopping = gateway.stopping.subscribe();
+        let message = {
+            let next = timeout(Duration::from_millis(idle_ms), self.io.recv(&self.codec));
+            let stop = async {
+                let _ = stopping.wait_for(|stopping| *stopping).await;
+                // The platform needs a moment to send its new connections elsewhere.
+                sleep(Duration::from_millis(STOP_NOTICE_MS)).await;
+            };
+            match select(next, stop).await {
+                Either::Left(Ok(message)) => message,
+                Either::Left(Err(_)) | Either::Right(()) => return Received::End,
+            }
+        };
+        let (request, payload) = match message {
+            Ok(Some(message)) => message,
+            Ok(None) | Err(Either::Right(_)) => return Received::End,
+            Err(Either::Left(error)) => return Received::Improper(verdict_of(&error)),
+        };
+        let body_max = limits.map_or(BODY_MAX, |limits| limits.max_body_bytes);
+        let body = match self.body(&request, payload, body_max).await {
+            Ok(body) => body,
+            Err(received) => return received,
+        };
+        let head = request.head();
+        let target = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+        let headers = headers_of(&request);
+        Received::Request(Box::new(Whole { method: head.method.clone(), target, headers, body }))
+    }
+
+    async fn body(
+        &mut self,
+        request: &Request,
+        payload: PayloadType,
+        max: usize,
+    ) -> Result<Bytes, Received> {
+        let decoder = match payload {
+            PayloadType::None => return Ok(Bytes::new()),
+            PayloadType::Payload(decoder) => decoder,
+            PayloadType::Stream(_) => return Err(Received::Improper(Verdict::BadRequest)),
+        };
+        if request.head().expect() {
+            let _ = self.io.encode_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        let mut body = Vec::new();
+        let read = async {
+            loop {
+                match self.io.recv(&decoder).await {
+                    Ok(Some(PayloadItem::Chunk(chunk))) if body.len() + chunk.len() > max => {
+                        return Err(Received::Improper(Verdict::BodyTooLarge));
+                    }
+                    Ok(Some(PayloadItem::Chunk(chunk))) => body.extend_from_slice(&chunk),
+                    Ok(Some(PayloadItem::Eof)) => return Ok(()),
+                    Ok(None) | Err(Either::Right(_)) => return Err(Received::End),
+                    Err(Either::Left(_)) => return Err(Received::Improper(Verdict::BadRequest)),
+                }
+            }
+        };
+        match timeout(Duration::from_millis(BODY_MS), read).await {
+            Ok(Ok(())) => Ok(body.into()),
+            Ok(Err(received)) => Err(received),
+            Err(_) => Err(Received::Improper(Verdict::TooSlow)),
+        }
+    }
+
+    /// Says in the next answer that the connection ends with it.
+    pub fn closes(&mut self) {
+        self.closes = true;
+    }
+
+    /// Whether another request may follow.
+    pub fn keeps(&self) -> bool {
+        !self.closes && self.codec.keepalive()
+    }
+
+    fn head(&self, status: StatusCode, headers: &Headers, size: BodySize) -> Result<(), Gone> {
+        let mut response = Response::build(status).finish().drop_body();
+        for (name, value) in headers {
+            if let Some((name, value)) = header(name, value) {
+                response.headers_mut().append(name, value);
+            }
+        }
+        if self.closes {
+            response.head_mut().set_connection_type(ntex::http::ConnectionType::Close);
+        }
+        self.io.encode(Message::Item((response, size)), &self.codec).map_err(|_| Gone)
+    }
+
+    /// Writes a whole answer.
+    ///
+    /// # Errors
+    /// If the caller is gone.
+    pub async fn answer(
+        &mut self,
+        status: StatusCode,
+        headers: &[(String, Bytes)],
+        body: Bytes,
+    ) -> Result<(), Gone> {
+        let size = BodySize::Sized(body.len() as u64);
+        self.head(status, &headers.to_vec(), size)?;
+        if !body.is_empty() {
+            let chunk = ntex::util::Bytes::copy_from_slice(&body);
+            self.io.encode(Message::Chunk(Some(chunk)), &self.codec).map_err(|_| Gone)?;
+        }
+        self.io.flush(true).await.map_err(|_| Gone)
+    }
+
+    /// Begins an answer whose length is not known.
+    ///
+    /// # Errors
+    /// If the caller is gone.
+    pub fn begin(&mut self, status: StatusCode, headers: &Headers) -> Result<(), Gone> {
+        self.head(status, headers, BodySize::Stream)
+    }
+
+    /// Writes a part of an answer.
+    ///
+    /// # Errors
+    /// If the caller is gone.
+    pub async fn part(&mut self, bytes: &[u8]) -> Result<(), Gone> {
+        let chunk = ntex::util::Bytes::copy_from_slice(bytes);
+        self.io.encode(Message::Chunk(Some(chunk)), &self.codec).map_err(|_| Gone)?;
+        if self.io.is_wr_backpressure() {
+            self.io.flush(false).await.map_err(|_| Gone)?;
+        }
+        Ok(())
+    }
+
+    /// Ends an answer.
+    ///
+    /// # Errors
+    /// If the caller is gone.
+    pub async fn end(&mut self) -> Result<(), Gone> {
+        self.io.encode(Message::Chunk(None), &self.codec).map_err(|_| Gone)?;
+        self.io.flush(true).await.map_err(|_| Gone)
+    }
+
+    /// Waits until the caller is gone.
+    pub fn gone(&self) -> ntex::io::OnDisconnect {
+        self.io.on_disconnect()
+    }
+
+    /// Ends the connection after what was written.
+    pub async fn close(self) {
+        let _ = timeout(Duration::from_millis(CLOSE_MS), self.io.shutdown()).await;
+    }
+
+    /// Ends the connection so that no answer on it looks whole.
+    pub fn tear(self) {
+        self.io.get_ref().terminate();
+    }
+}
+
+fn verdict_of(error: &DecodeError) -> Verdict {
+    match error {
+        DecodeError::MaxHeaders | DecodeError::TooLarge(_) => Verdict::HeadTooLarge,
+        _ => Verdict::BadRequest,
+    }
+}
--- a/crates/oliveworks-gateway/src/lib.rs
+++ b/crates/oliveworks-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`settings`] | the settings file |
 //! | [`dialect`] | what a platform's adapter must say |
 //! | [`process`] | starts and stops everything |
+//! | `connection` | reads requests of one connection and writes their answers |
 //! | `callers`, `relay` | take requests, and see each to its answer |
 //! | `exchange` | one connection to a backend server or the store |
 //! | `store` | calls to the platform's store |
@@ -21,6 +22,7 @@
 //! | `peers` | tells the other gateways, and hears them |
 
 mod callers;
+mod connection;
 pub mod dialect;
 mod events;
 mod exchange;
--- a/crates/oliveworks-gateway/src/process.rs
+++ b/crates/oliveworks-gateway/src/process.rs
@@ -11,9 +11,8 @@
 use crate::callers::{self, Audience};
 use crate::dialect::Dialect;
 use crate::events::Event;
-use crate::relay::STOP_NOTICE_MS;
 use crate::settings::Settings;
-use crate::state::Gateway;
+use crate::state::{Gateway, STOP_NOTICE_MS};
 use crate::{leader, passing, peers, records};
 
 /// Time of the grace that is left unused.
--- a/crates/oliveworks-gateway/src/readiness.rs
+++ b/crates/oliveworks-gateway/src/readiness.rs
@@ -5,7 +5,7 @@
 use ntex::http::StatusCode;
 use ntex::io::Io;
 
-use crate::callers::{Connection, Received};
+use crate::connection::{Connection, Received};
 use crate::state::Gateway;
 
 /// Where figures are told.
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -17,13 +17,11 @@
 
 use attempt::Tried;
 
-use crate::callers::{Connection, Gone, Whole};
+use crate::connection::{Connection, Gone, Whole};
 use crate::dialect::{Asked, Headers};
 use crate::events::Event;
 use crate::state::Gateway;
 
-/// How long after a stop begins new connections may still come.
-pub const STOP_NOTICE_MS: u64 = 2_300;
 /// What a request's deadline is if its caller names none.
 const DEADLINE_MS: u64 = 30_000;
 /// When a caller may come back.
--- a/crates/oliveworks-gateway/src/relay/attempt.rs
+++ b/crates/oliveworks-gateway/src/relay/attempt.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 
 use super::Job;
-use crate::callers::{Connection, Gone};
+use crate::connection::{Connection, Gone};
 use crate::dialect::{Answered, Headers, Said};
 use crate::events::Event;
 use crate::exchange::{Exchange, NoConnection, headers_of};
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -25,7 +25,6 @@
 use crate::dialect::{Dialect, Record, TOPICS, Topic};
 use crate::events::Event;
 use crate::missing::Missing;
-use crate::relay::STOP_NOTICE_MS;
 use crate::settings::Settings;
 use crate::table::Table;
 
@@ -44,6 +43,9 @@
     pub proved_at: Option<Millis>,
 }
 
+/// How long after a stop begins new connections may still come: the platform asks once a second whether a
+/// process is ready, and takes it out after two refusals.
+pub const STOP_NOTICE_MS: u64 = 2_300;
 /// A gap between two ticks after which this process has been asleep.
 const ASLEEP_MS: u64 = 150;
 /// How long a gateway that is not heard still counts for the budget.
