oliveworksctl explains a request, and shows a time line, from gateways' logs alone

Cause: explain and timeline asked the first design's entries only; for a gateway an operator had grep.

--- a/crates/oliveworksctl/src/main.rs
+++ b/crates/oliveworksctl/src/main.rs
@@ -3,7 +3,9 @@
 mod client;
 mod context;
 mod document;
+mod explain;
 mod keys;
+mod logs;
 mod publish;
 mod show;
 
@@ -30,6 +32,8 @@
   oliveworksctl --context saffah.yaml status
   oliveworksctl --context saffah.yaml timeline --group group-12
   oliveworksctl --context saffah.yaml explain 0123456789abcdef0123456789abcdef
+  oliveworksctl explain d8f0409b51bf2cdc --logs /var/log/oliveworks
+  oliveworksctl timeline --host i-5023806497 --logs gateway-1.log gateway-2.log
   oliveworksctl --context saffah.yaml drain host-7
   oliveworksctl keys token";
 
@@ -87,6 +91,18 @@
         /// Only of this host, such as host-7.
         #[arg(long)]
         host: Option<String>,
+        /// Only of this domain; with --logs.
+        #[arg(long, requires = "logs")]
+        domain: Option<String>,
+        /// Only from this time on, in ms since 1970; with --logs.
+        #[arg(long, requires = "logs")]
+        from_ms: Option<u64>,
+        /// Only up to this time, in ms since 1970; with --logs.
+        #[arg(long, requires = "logs")]
+        to_ms: Option<u64>,
+        /// Gateways' logs, files or folders, to read in place of asking entries.
+        #[arg(long, num_args = 1..)]
+        logs: Vec<PathBuf>,
     },
     /// Take a host out of use; what runs there is finished first.
     Drain {
@@ -102,6 +118,9 @@
     Explain {
         /// The request's id, as in the answer's `id` after the dash.
         request: String,
+        /// Gateways' logs, files or folders, to read in place of asking entries.
+        #[arg(long, num_args = 1..)]
+        logs: Vec<PathBuf>,
     },
     /// Make keys and tokens.
     Keys {
@@ -129,12 +148,21 @@
             publish::withdraw(&context()?, &workspace, &template, cli.output).await
         }
         Command::Status => show::status(&context()?, cli.output).await,
-        Command::Timeline { request, group, host } => {
+        Command::Timeline { request, group, host, domain, from_ms, to_ms, logs }
+            if !logs.is_empty() =>
+        {
+            let filter = explain::Filter { request, group, host, domain, from_ms, to_ms };
+            explain::timeline(&filter, &logs, cli.output)
+        }
+        Command::Timeline { request, group, host, .. } => {
             show::timeline(&context()?, &Filter { request, group, host }, cli.output).await
         }
         Command::Drain { host } => publish::drain(&context()?, host, true, cli.output).await,
         Command::Restore { host } => publish::drain(&context()?, host, false, cli.output).await,
-        Command::Explain { request } => show::explain(&context()?, &request, cli.output).await,
+        Command::Explain { request, logs } if !logs.is_empty() => {
+            explain::explain(&request, &logs, cli.output)
+        }
+        Command::Explain { request, .. } => show::explain(&context()?, &request, cli.output).await,
         Command::Keys { command } => keys::run(command, cli.output),
         Command::Completions { shell } => {
             let name = "oliveworksctl";
--- /dev/null
+++ b/crates/oliveworksctl/tests/logs.rs
@@ -0,0 +1,85 @@
+//! Requests explained from gateways' logs alone.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use test_case::test_case;
+
+fn ctl(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_oliveworksctl"))
+        .args(args)
+        .env_remove("OLIVEWORKS_CONTEXT")
+        .output()
+        .unwrap()
+}
+
+fn line(time_ms: u64, process: &str, event: &str) -> String {
+    format!(
+        "{{\"time_ms\":{time_ms},\"process\":\"{process}\",\"level\":\"INFO\",\"part\":\"event\",\"event\":{event}}}"
+    )
+}
+
+/// Two gateways' logs in a folder of their own, with words of a collector, a torn line and a foreign one.
+fn folder(name: &str) -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::create_dir_all(&folder).unwrap();
+    let first = [
+        line(100, "gateway-1", r#"{"kind":"groups_serve","groups":{"m0":3}}"#),
+        line(900, "gateway-1", r#"{"kind":"groups_serve","groups":{"m0":1}}"#),
+        line(
+            1_000,
+            "gateway-1",
+            r#"{"kind":"request","request":"r-1","model":"m0","outcome":"refused: NotRun","took_ms":90,"sent":0,"steps":["no place: Full"]}"#,
+        ),
+        line(1_010, "gateway-1", r#"{"kind":"groups_serve","groups":{"m0":7}}"#),
+        "something else".to_owned(),
+        "{\"time_ms\":1020,\"proc".to_owned(),
+    ];
+    let second = [
+        line(1_900, "gateway-2", r#"{"kind":"group_stands_still","host":"i-7","epoch":12}"#),
+        line(1_950, "gateway-2", r#"{"kind":"group_stands_still","host":"i-70","epoch":13}"#),
+        format!(
+            "collected {}",
+            line(
+                2_000,
+                "gateway-2",
+                r#"{"kind":"request","request":"r-2","outcome":"torn: MayHaveRun","took_ms":500,"sent":1,"steps":["to i-7 at 3 ms: 2 open, 0 tokens unread","i-7 Stalled at 480 ms"]}"#
+            )
+        ),
+    ];
+    std::fs::write(folder.join("gateway-1.log"), first.join("\n")).unwrap();
+    std::fs::write(folder.join("gateway-2.log"), second.join("\n")).unwrap();
+    folder
+}
+
+#[test_case("r-1", &["every group that may serve it was full", "{\"m0\":1}"], &["{\"m0\":7}", "{\"m0\":3}"]; "refused for want of a place")]
+#[test_case("r-2", &["the last group that it was sent to stood still", "host=\"i-7\""], &["i-70"]; "a group that stood still")]
+fn a_request_is_explained(request: &str, says: &[&str], says_not: &[&str]) {
+    let folder = folder(&format!("explain-{request}"));
+    let output = ctl(&["explain", request, "--logs", folder.to_str().unwrap()]);
+    let told = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(output.status.success(), "{told}");
+    assert!(says.iter().all(|text| told.contains(text)), "{told}");
+    assert!(!says_not.iter().any(|text| told.contains(text)), "{told}");
+    assert!(told.contains("left out: 1 torn lines, 1 that are no gateway's"), "{told}");
+}
+
+#[test]
+fn a_request_that_no_log_names_is_an_error() {
+    let folder = folder("explain-none");
+    let output = ctl(&["explain", "r-3", "--logs", folder.to_str().unwrap()]);
+    assert!(!output.status.success());
+    assert!(String::from_utf8_lossy(&output.stderr).contains("r-3"));
+}
+
+#[test_case(&["--host", "i-7"], 2; "by host")]
+#[test_case(&["--group", "13"], 1; "by group")]
+#[test_case(&["--from-ms", "900", "--to-ms", "1010"], 3; "by time")]
+fn lines_are_chosen(filter: &[&str], count: usize) {
+    let folder = folder(&format!("timeline-{}", filter[1]));
+    let mut args = vec!["timeline", "--output", "json", "--logs", folder.to_str().unwrap()];
+    args.extend(filter);
+    let output = ctl(&args);
+    let told: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert_eq!(told["lines"].as_array().unwrap().len(), count, "{told}");
+}
