The gateway tells latencies as summaries, and why an answer was late in its request line

Cause: an operator saw counts only; 'served late' gave no reason. Change: Latencies of the runtime (taken out of Metrics) in the gateway's scrape: first event, wait for a place, longest pause, calls to the store; outcomes 'served late: ...'.

--- a/crates/oliveworks-gateway-core/src/timeliness.rs
+++ b/crates/oliveworks-gateway-core/src/timeliness.rs
@@ -61,6 +61,18 @@
         }
     }
 
+    /// What the log says of it.
+    pub fn outcome(self) -> &'static str {
+        match self {
+            Timeliness::InTime => "served",
+            Timeliness::CameBack => "served late: came back",
+            Timeliness::SentAgain => "served late: sent again",
+            Timeliness::Waited => "served late: waited",
+            Timeliness::BeganLate => "served late: began late",
+            Timeliness::Paused => "served late: paused",
+        }
+    }
+
     /// The name of its counter.
     pub fn counter(self) -> &'static str {
         match self {
--- a/crates/oliveworks-gateway/src/readiness.rs
+++ b/crates/oliveworks-gateway/src/readiness.rs
@@ -11,6 +11,9 @@
 /// Where figures are told.
 const METRICS_PATH: &str = "/metrics";
 
+/// What the names of figures begin with.
+const FIGURES_PREFIX: &str = "oliveworks_gateway";
+
 /// Serves a connection of the platform's.
 pub async fn serve(gateway: Rc<Gateway>, io: Io) {
     let mut connection = Connection::new(&gateway, io);
@@ -39,6 +42,6 @@
 
 fn figures(gateway: &Gateway) -> String {
     let counters = gateway.counters.borrow();
-    let lines = counters.iter().map(|(name, count)| format!("oliveworks_gateway_{name} {count}\n"));
-    lines.collect()
+    let lines = counters.iter().map(|(name, count)| format!("{FIGURES_PREFIX}_{name} {count}\n"));
+    lines.collect::<String>() + &gateway.latencies.borrow().text(FIGURES_PREFIX)
 }
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -299,13 +299,15 @@
             self.served.first_after_ms = now - self.received;
         }
         self.served.sends = self.attempts.sent();
+        self.gateway.note_latency("first_event", self.served.first_after_ms);
+        self.gateway.note_latency("wait_for_place", self.served.sent_after_ms);
+        if self.route.stream {
+            self.gateway.note_latency("longest_pause", self.served.longest_gap_ms);
+        }
         let goal = Goal { first_ms: self.route.goal_ms, gap_ms: self.route.gap_goal_ms };
         let timeliness = Timeliness::of(&self.served, goal);
         self.gateway.count(timeliness.counter());
-        match timeliness {
-            Timeliness::InTime => "served",
-            _ => "served late",
-        }
+        timeliness.outcome()
     }
 
     /// Counts a request that looks for its first place, by its model.
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -20,6 +20,7 @@
 use oliveworks_gateway_core::returning::Waits;
 use oliveworks_gateway_core::speed::Speeds;
 use oliveworks_runtime::clock::Clock;
+use oliveworks_runtime::latencies::Latencies;
 use tokio::sync::{Notify, watch};
 
 use crate::dialect::{Dialect, Record, TOPICS, Topic};
@@ -134,6 +135,8 @@
     pub life: u64,
     /// Counters, by name.
     pub counters: RefCell<BTreeMap<String, u64>>,
+    /// Latencies, by what they are of.
+    pub latencies: RefCell<Latencies>,
     ticked_at: Cell<Millis>,
     woke_at: Cell<Millis>,
 }
@@ -189,6 +192,7 @@
             traffic: Cell::new(false),
             life,
             counters: RefCell::default(),
+            latencies: RefCell::default(),
             ticked_at: Cell::new(now),
             woke_at: Cell::new(0),
             clock,
@@ -235,6 +239,11 @@
         }
     }
 
+    /// Notes a latency in ms.
+    pub fn note_latency(&self, what: &'static str, ms: u64) {
+        self.latencies.borrow_mut().note(what, ms.saturating_mul(1_000));
+    }
+
     /// Whether this process is stopping.
     pub fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
--- a/crates/oliveworks-gateway/src/store.rs
+++ b/crates/oliveworks-gateway/src/store.rs
@@ -48,9 +48,14 @@
         let store = self.gateway.settings.store.clone();
         let within_ms = store.call_ms + extra_ms;
         let mut open = self.open(store.call_ms).await?;
+        let sent = self.gateway.now();
         match exchange::call(&mut open, store.address, call, within_ms).await {
             Ok(answer) => {
                 self.exchange = Some(open);
+                // One that the store may hold back tells of the wait for news, not of the store.
+                if extra_ms == 0 {
+                    self.gateway.note_latency("store_call", self.gateway.now() - sent);
+                }
                 Ok(answer)
             }
             Err(why) => Err(why.to_string()),
--- a/crates/oliveworks-runtime/src/lib.rs
+++ b/crates/oliveworks-runtime/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod clock;
 pub mod fleet;
 pub mod keys;
+pub mod latencies;
 pub mod logs;
 pub mod metrics;
 pub mod process;
--- a/crates/oliveworks-runtime/src/metrics.rs
+++ b/crates/oliveworks-runtime/src/metrics.rs
@@ -1,16 +1,16 @@
 //! Metrics, in the text format that monitoring systems scrape.
 
-use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::sync::Mutex;
 
-use hdrhistogram::Histogram;
 use prometheus_client::encoding::{EncodeLabelSet, text::encode};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
+use crate::latencies::Latencies;
+
 /// Labels of a count of messages.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct MessageLabels {
@@ -40,14 +40,9 @@
     bytes: Family<MessageLabels, Counter>,
     requests: Family<KindLabel, Counter>,
     gauges: Family<KindLabel, Gauge>,
-    latencies: Mutex<BTreeMap<&'static str, Histogram<u64>>>,
+    latencies: Mutex<Latencies>,
 }
 
-/// The longest latency told apart, in microseconds: ten minutes.
-const LATENCY_MAX_US: u64 = 600_000_000;
-/// Quantiles that are shown.
-const QUANTILES: [f64; 3] = [0.5, 0.95, 0.99];
-
 impl Metrics {
     /// Metrics at zero.
     #[expect(clippy::new_without_default, reason = "a registry is started, not defaulted")]
@@ -89,10 +84,7 @@
     /// Notes a latency in microseconds.
     pub fn latency(&self, what: &'static str, micros: u64) {
         let Ok(mut latencies) = self.latencies.lock() else { return };
-        let histogram = latencies.entry(what).or_insert_with(|| {
-            Histogram::new_with_bounds(1, LATENCY_MAX_US, 2).expect("constant bounds")
-        });
-        histogram.saturating_record(micros.max(1));
+        latencies.note(what, micros);
     }
 
     /// All metrics as text.
@@ -107,25 +99,13 @@
         let _ = writeln!(out, "# TYPE process_cpu_seconds counter");
         let _ = writeln!(out, "process_cpu_seconds_total {cpu_seconds}");
         if let Ok(latencies) = self.latencies.lock() {
-            for (what, histogram) in latencies.iter() {
-                write_summary(&mut out, what, histogram);
-            }
+            out.push_str(&latencies.text("oliveworks"));
         }
         out.push_str("# EOF\n");
         out
     }
 }
 
-fn write_summary(out: &mut String, what: &str, histogram: &Histogram<u64>) {
-    let name = format!("oliveworks_{what}_seconds");
-    let _ = writeln!(out, "# TYPE {name} summary");
-    for quantile in QUANTILES {
-        let value = histogram.value_at_quantile(quantile) as f64 / 1e6;
-        let _ = writeln!(out, "{name}{{quantile=\"{quantile}\"}} {value}");
-    }
-    let _ = writeln!(out, "{name}_count {}", histogram.len());
-}
-
 /// Kernel ticks in a second, as the process files count them.
 const TICKS_PER_SECOND: f64 = 100.0;
 /// Bytes in a page, as the process files count them.
--- a/crates/oliveworksctl/src/explain.rs
+++ b/crates/oliveworksctl/src/explain.rs
@@ -165,6 +165,15 @@
         Some(step) if step.contains("Lost") => "the last answer broke off",
         Some(step) if step.contains("NotSent") => "the last host could not be reached",
         Some(step) if step.contains("Refused") => "the last host refused it without running it",
+        _ if outcome.starts_with("served late: came back") => {
+            "its caller had been refused or failed before, so that no answer is in time"
+        }
+        _ if outcome.starts_with("served late: waited") => "it waited too long for a place",
+        _ if outcome.starts_with("served late: began late") => {
+            "it was sent at once and its first event came late"
+        }
+        _ if outcome.starts_with("served late: paused") => "its events paused too long",
+        _ if outcome.starts_with("served late: sent again") => "an attempt before failed",
         _ => return format!("{outcome} after {took_ms} ms, sent {sent} times"),
     };
     format!("{outcome} after {took_ms} ms, sent {sent} times: {why}")
