--- a/crates/oliveworks-gateway/src/lib.rs
+++ b/crates/oliveworks-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`dialect`] | what a platform's adapter must say |
 //! | [`process`] | starts and stops everything |
 //! | `connection` | reads requests of one connection and writes their answers |
+//! | [`reload`] | tells what has changed in settings that are read again |
 //! | `callers`, `relay` | take requests, and see each to its answer |
 //! | `exchange` | one connection to a backend server or the store |
 //! | `store` | calls to the platform's store |
@@ -36,6 +37,7 @@
 mod readiness;
 mod records;
 mod relay;
+pub mod reload;
 pub mod settings;
 mod sources;
 mod state;
--- a/crates/oliveworks-gateway/src/process.rs
+++ b/crates/oliveworks-gateway/src/process.rs
@@ -13,17 +13,28 @@
 use crate::events::Event;
 use crate::settings::Settings;
 use crate::state::{Gateway, STOP_NOTICE_MS};
-use crate::{leader, passing, peers, records};
+use crate::{leader, passing, peers, records, reload};
 
 /// Time of the grace that is left unused.
 const GRACE_MARGIN_MS: u64 = 700;
 
-/// Runs a gateway until SIGTERM.
+/// Runs a gateway until SIGTERM; at SIGHUP, `read` reads its settings again.
 ///
 /// # Errors
 /// If it cannot listen where its settings say.
-pub async fn run(settings: Settings, dialect: Rc<dyn Dialect>) -> anyhow::Result<()> {
+pub async fn run(
+    settings: Settings,
+    read: impl Fn() -> anyhow::Result<Settings> + 'static,
+    dialect: Rc<dyn Dialect>,
+) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
+    let mut hang_up = signal(SignalKind::hangup())?;
+    let held = settings.clone();
+    ntex::rt::spawn(async move {
+        while hang_up.recv().await.is_some() {
+            reload::tell(&held, read());
+        }
+    });
     let told = async move {
         terminate.recv().await;
     };
@@ -59,12 +70,6 @@
     ntex::rt::spawn(leader::run(gateway.clone()));
     ntex::rt::spawn(callers::accept(gateway.clone(), ready, Audience::Platform));
     ntex::rt::spawn(callers::accept(gateway.clone(), callers, Audience::Callers));
-    let mut hang_up = signal(SignalKind::hangup())?;
-    ntex::rt::spawn(async move {
-        while hang_up.recv().await.is_some() {
-            Event::new("reload").with("outcome", "settings are read at the next start").write();
-        }
-    });
     told.await;
     stop(&gateway).await;
     Ok(())
--- a/crates/oliveworks-gateway/tests/settings.rs
+++ b/crates/oliveworks-gateway/tests/settings.rs
@@ -1,5 +1,6 @@
 //! A gateway's settings: the policy section, its defaults, and errors that name the key.
 
+use oliveworks_gateway::reload::changed_keys;
 use oliveworks_gateway::settings::Settings;
 use oliveworks_runtime::settings::parse;
 use test_case::test_case;
@@ -27,6 +28,23 @@
     assert_eq!(planner.settle_ms, defaults.settle_ms);
 }
 
+#[test_case("", "", &[]; "nothing")]
+#[test_case("drain_ms: 2000", "drain_ms: 2500", &["bounds.drain_ms"]; "a bound")]
+#[test_case("spare_percent: 10", "staged_max: 1", &["policy.planner.spare_percent", "policy.planner.staged_max"]; "two weights")]
+#[test_case("node:", "regions: {ruwi: muscat}\nnode:", &["regions.ruwi"]; "something that was not there")]
+fn what_has_changed_is_named(part: &str, change: &str, keys: &[&str]) {
+    let held = read(GOOD).expect("good settings");
+    let new = read(&GOOD.replacen(part, change, 1)).expect("good settings");
+    assert_eq!(changed_keys(&held, &new), keys);
+}
+
+#[test_case("repeat_window_ms: 10000", "repeat_window_ms: 10000, domain_drain_ms: 0", "bounds.domain_drain_ms"; "no time to drain")]
+#[test_case("repeat_window_ms: 10000", "repeat_window_ms: 10000, slow_start: {excess: 0, extra: 5}", "bounds.slow_start"; "nothing for cold hosts")]
+fn a_wrong_bound_is_refused(part: &str, fault: &str, says: &str) {
+    let error = read(&GOOD.replace(part, fault)).expect_err("a fault");
+    assert!(error.contains(says), "{error}");
+}
+
 #[test_case("spare_percent: 10", "spare_percent: 101", "policy.planner.spare_percent"; "too many spares")]
 #[test_case("spare_percent: 10", "staging_percent: 200", "policy.planner.staging_percent"; "more than all loads")]
 #[test_case("spare_percent: 10", "yield_margin: -0.1", "policy.planner.yield_margin"; "a negative load")]
