Each model has groups in more failure domains than may be lost

Cause: tolerance.failure_domains was read and used by nobody; where the groups of a model stood was luck of the sizes, and a model with little of the work had a single group (planner test with shares 0.05 and 0.95, three domains of ten: the larger model in one domain, now in two).

Change: quota::spread_out places, before all other groups, one group of each model, then a second in another failure domain, up to the tolerance and one; the model with the larger part of the work first; spares give way to these. Models that do not fit so are told each second (spread_gap, spread_gaps). Packing stands in a module of its own.

Ruled out: moving further groups until what is left after the worst loss is largest (each move costs a load); keeping spares where a model lacks its second failure domain.

With a tolerance of 0 quotas are as before: 200 random pools compared, and all earlier tests of quotas and planner.

--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -19,6 +19,7 @@
 mod pressure;
 mod shortage;
 mod spares;
+mod spread;
 mod stage;
 mod yielding;
 
@@ -80,6 +81,8 @@
     quotas: Quotas,
     /// When that last changed.
     quotas_at: Millis,
+    /// How many failure domains may be lost at once.
+    tolerance: usize,
     /// Whether callers have been served, from which time on loads are slow and counted.
     traffic: bool,
 }
@@ -105,6 +108,7 @@
             rooms: BTreeMap::new(),
             quotas: Quotas::new(),
             quotas_at: now,
+            tolerance: 0,
             traffic: true,
         }
     }
@@ -164,7 +168,7 @@
     fn update_quotas(&mut self, now: Millis) {
         let rooms = domain::rooms(self);
         if rooms != self.rooms {
-            self.quotas = quota::serving_all(&self.engine.models, &rooms);
+            self.quotas = quota::spread_out(&self.engine.models, &rooms, &self.spread());
             self.quotas_at = now;
             self.rooms = rooms;
         }
--- a/crates/oliveworks-gateway-core/src/planner/parts.rs
+++ b/crates/oliveworks-gateway-core/src/planner/parts.rs
@@ -115,7 +115,7 @@
             let groups = self.parts.highest(&model.name) + GROUPS_BEYOND;
             model.share = groups * model.size as f64;
         }
-        let quotas = quota::serving_all(&models, rooms);
+        let quotas = quota::spread_out(&models, rooms, &self.spread());
         let pressure = |demand: f64, quotas: &Quotas, name: &str| demand / count(quotas, name);
         // What the busiest model that gets more groups had to bear all the time.
         let bears = |name: &str| pressure(self.parts.lowest(name), &self.quotas, name);
--- /dev/null
+++ b/crates/oliveworks-gateway-core/src/planner/spread.rs
@@ -0,0 +1,32 @@
+//! Which failure domains the groups of a model are spread over.
+
+use std::collections::BTreeMap;
+
+use super::Planner;
+use crate::quota::{Gap, Spread, gaps};
+
+impl Planner {
+    /// How many failure domains may be lost at once with every model still served.
+    pub fn set_tolerance(&mut self, failure_domains: usize) {
+        if self.tolerance != failure_domains {
+            self.tolerance = failure_domains;
+            self.rooms.clear();
+        }
+    }
+
+    /// What groups are spread over.
+    pub(super) fn spread(&self) -> Spread {
+        if self.tolerance == 0 {
+            return Spread::default();
+        }
+        let servers = self.hosts.values().map(|host| &host.server);
+        let failure_domains: BTreeMap<String, String> =
+            servers.map(|server| (server.domain.clone(), server.failure_domain.clone())).collect();
+        Spread { lost: self.tolerance, failure_domains }
+    }
+
+    /// The models whose groups do not fit into enough failure domains.
+    pub fn spread_gaps(&self) -> Vec<Gap> {
+        gaps(&self.engine.models, &self.quotas, &self.spread())
+    }
+}
--- a/crates/oliveworks-gateway-core/src/quota.rs
+++ b/crates/oliveworks-gateway-core/src/quota.rs
@@ -4,10 +4,17 @@
 //! group, as long as all groups still fit into the domains, the largest placed first. Rejected:
 //! forming whatever fits next, group by group, since small groups spread over all domains leave no
 //! domain with room for a large one.
+//!
+//! Where failure domains may be lost, each model first gets its groups in more of them than that.
+
+mod packing;
+mod spread;
 
 use std::collections::BTreeMap;
 
 use crate::configuration::Model;
+use packing::Pool;
+pub use spread::{Gap, Spread, gaps};
 
 /// What a domain can hold, and holds.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -40,9 +47,15 @@
 ///
 /// A domain may be no larger than one group: spares that no group is left for serve nobody.
 pub fn serving_all(models: &[Model], rooms: &BTreeMap<String, Room>) -> Quotas {
+    spread_out(models, rooms, &Spread::default())
+}
+
+/// The same, where each model has groups in as many failure domains as it is to be spread over, as far as
+/// they fit; spares give way to these, too.
+pub fn spread_out(models: &[Model], rooms: &BTreeMap<String, Room>, spread: &Spread) -> Quotas {
     let mut rooms = rooms.clone();
     loop {
-        let found = quotas(models, &rooms);
+        let found = fill(models, &rooms, spread);
         let Some(domain) = gives_way(models, &rooms, &found) else { return found };
         let Some(room) = rooms.get_mut(&domain) else { return found };
         room.hosts += 1;
@@ -67,8 +80,12 @@
 /// Groups that exist are kept where that is possible; a domain that lost a large group may have to
 /// give up small ones for it.
 pub fn quotas(models: &[Model], rooms: &BTreeMap<String, Room>) -> Quotas {
-    let pool = Pool::new(models, rooms);
-    let mut counts = vec![0; models.len()];
+    fill(models, rooms, &Spread::default())
+}
+
+fn fill(models: &[Model], rooms: &BTreeMap<String, Room>, spread: &Spread) -> Quotas {
+    let pool = Pool::new(models, rooms, spread);
+    let mut counts = pool.spread_groups().to_vec();
     let mut open: Vec<usize> = (0..models.len()).filter(|index| models[*index].size > 0).collect();
     while !open.is_empty() {
         let most = pool.most_groups();
@@ -126,90 +143,3 @@
     };
     open.iter().min_by(by_need).copied().unwrap_or_default()
 }
-
-/// Domains and models by number, since packing looks at each domain for each group.
-struct Pool<'a> {
-    models: &'a [Model],
-    rooms: &'a BTreeMap<String, Room>,
-    hosts: Vec<usize>,
-    /// Groups that exist, and free hosts that hold the model, by domain and model.
-    groups: Vec<Vec<usize>>,
-    hot: Vec<Vec<usize>>,
-    /// Models, the largest first.
-    largest_first: Vec<usize>,
-}
-
-/// Groups by domain and model, by number.
-type Packed = Vec<Vec<usize>>;
-
-impl<'a> Pool<'a> {
-    fn new(models: &'a [Model], rooms: &'a BTreeMap<String, Room>) -> Pool<'a> {
-        let by_model = |counts: &BTreeMap<String, usize>| -> Vec<usize> {
-            models.iter().map(|model| counts.get(&model.name).copied().unwrap_or(0)).collect()
-        };
-        let mut largest_first: Vec<usize> = (0..models.len()).collect();
-        largest_first.sort_by_key(|model| std::cmp::Reverse(models[*model].size));
-        Pool {
-            models,
-            rooms,
-            hosts: rooms.values().map(|room| room.hosts).collect(),
-            groups: rooms.values().map(|room| by_model(&room.groups)).collect(),
-            hot: rooms.values().map(|room| by_model(&room.hot)).collect(),
-            largest_first,
-        }
-    }
-
-    /// More groups than ever fit.
-    fn most_groups(&self) -> usize {
-        let smallest = self.models.iter().map(|model| model.size).filter(|size| *size > 0).min();
-        self.hosts.iter().sum::<usize>() / smallest.unwrap_or(1) + 1
-    }
-
-    fn empty(&self) -> Quotas {
-        self.rooms.keys().map(|domain| (domain.clone(), BTreeMap::new())).collect()
-    }
-
-    fn named(&self, packed: &Packed) -> Quotas {
-        let groups = |counts: &Vec<usize>| {
-            let some = self.models.iter().zip(counts).filter(|(_, count)| **count > 0);
-            some.map(|(model, count)| (model.name.clone(), *count)).collect()
-        };
-        let domains = self.rooms.keys().zip(packed);
-        domains.map(|(domain, counts)| (domain.clone(), groups(counts))).collect()
-    }
-
-    /// Places so many groups of each model, the largest first; nothing if they do not fit.
-    fn pack(&self, counts: &[usize]) -> Option<Packed> {
-        let needed: usize =
-            self.models.iter().zip(counts).map(|(model, count)| model.size * count).sum();
-        if needed > self.hosts.iter().sum() {
-            return None;
-        }
-        let mut left = self.hosts.clone();
-        let mut packed = vec![vec![0; self.models.len()]; self.hosts.len()];
-        for model in self.largest_first.iter().copied() {
-            for _ in 0..counts[model] {
-                let domain = self.best_domain(model, &left, &packed)?;
-                left[domain] -= self.models[model].size;
-                packed[domain][model] += 1;
-            }
-        }
-        Some(packed)
-    }
-
-    /// The domain for the next group of a model: where one exists, where most hosts hold the model, where
-    /// there are fewest of it, where most hosts are left.
-    fn best_domain(&self, model: usize, left: &[usize], packed: &Packed) -> Option<usize> {
-        let size = self.models[model].size;
-        let fitting = (0..left.len()).filter(|domain| left[*domain] >= size);
-        fitting.min_by_key(|domain| {
-            let placed = packed[*domain][model];
-            let groups = self.groups[*domain][model];
-            let new = placed.saturating_sub(groups) * size;
-            let hot = self.hot[*domain][model].saturating_sub(new);
-            let exists = placed < groups;
-            let most = std::cmp::Reverse;
-            (!exists, most(hot.min(size)), placed, most(left[*domain]))
-        })
-    }
-}
--- a/crates/oliveworks-gateway-core/tests/planner/main.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/main.rs
@@ -4,5 +4,6 @@
 mod handover;
 mod policy;
 mod safety;
+mod spread;
 mod starved;
 mod world;
--- a/crates/oliveworks-gateway-core/tests/quota/main.rs
+++ b/crates/oliveworks-gateway-core/tests/quota/main.rs
@@ -1,6 +1,7 @@
 //! How many groups of each model every domain should hold.
 
 mod one_by_one;
+mod spread;
 
 use std::collections::BTreeMap;
 
--- /dev/null
+++ b/crates/oliveworks-gateway-core/tests/quota/spread.rs
@@ -0,0 +1,160 @@
+//! Each model has groups in more failure domains than may be lost at once, where they fit.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use oliveworks_gateway_core::configuration::Model;
+use oliveworks_gateway_core::quota::{Quotas, Room, Spread, gaps, serving_all, spread_out};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use test_case::test_case;
+
+use crate::{model, random_room};
+
+/// Domains, each of them a failure domain.
+fn each_its_own(rooms: &BTreeMap<String, Room>, lost: usize) -> Spread {
+    let failure_domains = rooms.keys().map(|domain| (domain.clone(), domain.clone())).collect();
+    Spread { lost, failure_domains }
+}
+
+fn named(rooms: impl IntoIterator<Item = Room>) -> BTreeMap<String, Room> {
+    rooms.into_iter().enumerate().map(|(n, room)| (format!("d{n}"), room)).collect()
+}
+
+fn empty(hosts: usize, spares: usize) -> Room {
+    Room { hosts, spares, ..Room::default() }
+}
+
+fn count(quotas: &Quotas, domain: &str, model: &str) -> usize {
+    quotas[domain].get(model).copied().unwrap_or(0)
+}
+
+fn by_domain(quotas: &Quotas) -> Vec<(usize, usize)> {
+    quotas.keys().map(|name| (count(quotas, name, "large"), count(quotas, name, "small"))).collect()
+}
+
+fn failure_domains(quotas: &Quotas, spread: &Spread, model: &str) -> usize {
+    let holding = quotas.iter().filter(|(_, groups)| groups.contains_key(model));
+    let names = holding.map(|(domain, _)| &spread.failure_domains[domain]);
+    names.collect::<BTreeSet<_>>().len()
+}
+
+/// Groups of the large and of the small model in each domain of so many hosts and spares beside them.
+#[test_case(8, 4, 0.5, &[(11, 2), (11, 2), (11, 2)], &[(1, 1), (1, 0), (0, 2)]; "spares of thirteen give way to a small one beside the large one")]
+#[test_case(8, 4, 0.5, &[(13, 0), (13, 0), (13, 0)], &[(1, 1), (1, 1), (0, 3)]; "thirteen hold one of each")]
+#[test_case(8, 4, 0.5, &[(13, 0), (13, 0)], &[(1, 1), (1, 1)]; "two of thirteen")]
+#[test_case(12, 6, 0.9, &[(25, 2), (25, 2), (25, 2)], &[(1, 2), (2, 0), (1, 2)]; "a model of a small share is in two all the same")]
+#[test_case(12, 6, 0.05, &[(25, 2), (25, 2), (25, 2)], &[(1, 2), (1, 2), (0, 4)]; "so is the larger one")]
+#[test_case(8, 4, 0.5, &[(13, 0)], &[(1, 1)]; "one domain")]
+#[test_case(8, 4, 0.5, &[(13, 0), (5, 0), (4, 0)], &[(1, 1), (0, 1), (0, 1)]; "the larger one fits one domain only")]
+#[test_case(8, 4, 0.6, &[(8, 0), (8, 0)], &[(1, 0), (0, 2)]; "no model is without a group for another's second one")]
+#[test_case(8, 4, 0.6, &[(8, 0), (8, 0), (8, 0)], &[(1, 0), (1, 0), (0, 2)]; "the one with more of the work has a second one first")]
+fn groups(
+    large: usize,
+    small: usize,
+    share: f64,
+    rooms: &[(usize, usize)],
+    expected: &[(usize, usize)],
+) {
+    let models = [model("large", large, share), model("small", small, 1.0 - share)];
+    let rooms = named(rooms.iter().map(|(hosts, spares)| empty(*hosts, *spares)));
+    let found = spread_out(&models, &rooms, &each_its_own(&rooms, 1));
+    assert_eq!(by_domain(&found), expected);
+}
+
+/// A model whose groups all serve in one domain gets one in another; what else serves stays.
+#[test]
+fn groups_that_stand_together_are_parted() {
+    let models = [model("large", 8, 0.3), model("small", 4, 0.7)];
+    let held =
+        |large, small| BTreeMap::from([("large".to_owned(), large), ("small".to_owned(), small)]);
+    let rooms = named([
+        Room { groups: held(2, 0), ..empty(16, 0) },
+        Room { groups: held(0, 4), ..empty(16, 0) },
+        Room { groups: held(0, 4), ..empty(16, 0) },
+    ]);
+    assert_eq!(by_domain(&serving_all(&models, &rooms)), [(2, 0), (0, 4), (0, 4)]);
+    let found = spread_out(&models, &rooms, &each_its_own(&rooms, 1));
+    assert_eq!(by_domain(&found), [(1, 2), (1, 2), (0, 4)]);
+}
+
+/// Two domains of one failure domain are lost together.
+#[test]
+fn domains_of_one_failure_domain_count_once() {
+    let models = [model("large", 8, 0.2), model("small", 4, 0.8)];
+    let rooms = named([empty(16, 0), empty(16, 0), empty(12, 0)]);
+    let failure_domains_of = ["a", "a", "b"].map(str::to_owned);
+    let spread = Spread {
+        lost: 1,
+        failure_domains: rooms.keys().cloned().zip(failure_domains_of).collect(),
+    };
+    let found = spread_out(&models, &rooms, &spread);
+    assert_eq!(count(&found, "d2", "large"), 1);
+    assert_eq!(failure_domains(&found, &spread, "small"), 2);
+}
+
+#[test]
+fn two_losses_are_borne() {
+    let models = [model("large", 8, 0.1), model("small", 4, 0.9)];
+    let rooms = named([empty(12, 0), empty(12, 0), empty(12, 0), empty(12, 0)]);
+    let spread = each_its_own(&rooms, 2);
+    let found = spread_out(&models, &rooms, &spread);
+    let spreads = ["large", "small"].map(|name| failure_domains(&found, &spread, name));
+    assert_eq!(spreads, [3, 4]);
+}
+
+/// What does not fit is named.
+#[test]
+fn gaps_are_told() {
+    let models = [model("large", 8, 0.5), model("small", 4, 0.5)];
+    let rooms = named([empty(13, 0), empty(5, 0), empty(4, 0)]);
+    let spread = each_its_own(&rooms, 1);
+    let found = gaps(&models, &spread_out(&models, &rooms, &spread), &spread);
+    let found: Vec<_> = found.iter().map(|gap| (&*gap.model, gap.found, gap.wanted)).collect();
+    assert_eq!(found, [("large", 1, 2)]);
+    assert!(gaps(&models, &Quotas::new(), &each_its_own(&rooms, 0)).is_empty());
+}
+
+fn random_case(rng: &mut ChaCha8Rng) -> (Vec<Model>, BTreeMap<String, Room>) {
+    let models = vec![
+        model("large", rng.random_range(3..13), rng.random_range(0.05..1.0)),
+        model("small", rng.random_range(1..7), rng.random_range(0.05..1.0)),
+    ];
+    let domains = rng.random_range(1..6);
+    let mut rooms = named((0..domains).map(|_| random_room(rng, &models)));
+    for room in rooms.values_mut() {
+        room.spares = rng.random_range(0..3);
+    }
+    (models, rooms)
+}
+
+/// Where nothing may be lost, nothing changes.
+#[test]
+fn without_a_tolerance_nothing_is_spread() {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    for _ in 0..200 {
+        let (models, rooms) = random_case(&mut rng);
+        let found = spread_out(&models, &rooms, &each_its_own(&rooms, 0));
+        assert_eq!(found, serving_all(&models, &rooms), "{models:?} {rooms:?}");
+    }
+}
+
+/// No domain holds more than its hosts and spares, and models stand in no fewer failure domains together than
+/// without a tolerance, as far as that asks for.
+#[test]
+fn spreading_takes_nothing_away() {
+    let mut rng = ChaCha8Rng::seed_from_u64(8);
+    for _ in 0..1_000 {
+        let (models, rooms) = random_case(&mut rng);
+        let spread = each_its_own(&rooms, 1);
+        let (before, found) = (serving_all(&models, &rooms), spread_out(&models, &rooms, &spread));
+        for (domain, room) in &rooms {
+            let used: usize =
+                models.iter().map(|model| model.size * count(&found, domain, &model.name)).sum();
+            assert!(used <= room.hosts + room.spares, "{models:?} {rooms:?} {found:?}");
+        }
+        let held = |quotas: &Quotas| -> usize {
+            models.iter().map(|m| failure_domains(quotas, &spread, &m.name).min(2)).sum()
+        };
+        assert!(held(&found) >= held(&before), "{models:?} {rooms:?} {before:?} {found:?}");
+    }
+}
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -69,6 +69,14 @@
         for line in planner.describe_domains() {
             Event::new("domain").with("hosts", line).write();
         }
+        for gap in planner.spread_gaps() {
+            gateway.count("spread_gaps");
+            Event::new("spread_gap")
+                .with("model", gap.model)
+                .with("failure_domains", gap.found)
+                .with("wanted", gap.wanted)
+                .write();
+        }
         for model in planner.models() {
             let key = ModelKey::of(service, &model.name);
             let refused = gateway.demand.borrow().refused_part(gateway.now(), key);
@@ -120,6 +128,7 @@
 async fn take_over(gateway: &Rc<Gateway>, service: &str, engine: &Engine, fence: u64) -> Planner {
     let config = gateway.settings.policy.planner.clone();
     let mut planner = Planner::new(config, engine.clone(), fence, gateway.now());
+    planner.set_tolerance(gateway.settings.tolerance.failure_domains);
     let servers: Vec<BackendServer> =
         gateway.directory.borrow().of_service(service).cloned().collect();
     let mut asked = Vec::new();
