Drains of failure domains: read anew, passed on, planned without, checked once more before sending

Cause: a drain ended only by its own record, another gateway's newest records left drains out, the planner counted drained hosts, and a request that waited for its connection was still sent there. Change: Drains::read_anew, Record::Drain among the newest records that are passed on, Planner::set_drained, a check between connection and send, refused_drained, lines and figures while a drain lasts.

--- a/crates/oliveworks-gateway-core/src/balance.rs
+++ b/crates/oliveworks-gateway-core/src/balance.rs
@@ -120,6 +120,8 @@
     None,
     /// All are full.
     Full,
+    /// All are in drained failure domains.
+    Drained,
 }
 
 impl Balance {
--- a/crates/oliveworks-gateway-core/src/passing.rs
+++ b/crates/oliveworks-gateway-core/src/passing.rs
@@ -78,6 +78,12 @@
         self.next
     }
 
+    /// Whether more was read before than the newest records as of a place: they may lack what is known
+    /// here, and so do not tell what has ended.
+    pub fn is_ahead_of(&self, place: u64) -> bool {
+        self.next.is_some_and(|next| next > place)
+    }
+
     /// What is told to whoever holds everything before a place.
     pub fn since(&self, from: Option<u64>) -> Told<R> {
         let Some(next) = self.next else { return Told::Unread };
--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -12,6 +12,7 @@
 mod advance;
 mod allot;
 mod domain;
+mod drain;
 mod group;
 mod host;
 mod order;
@@ -329,7 +330,7 @@
     /// Groups that serve.
     pub fn serving(&self, now: Millis) -> Vec<Serving> {
         let open = self.groups.values().filter(|group| group.serves(now));
-        let whole = open.filter(|group| !self.is_hurt(group));
+        let whole = open.filter(|group| !self.is_hurt(group) && !self.is_drained(group));
         whole
             .map(|group| Serving {
                 epoch: group.epoch,
@@ -594,6 +595,10 @@
                 _ if host.is_lost() => "lost".to_owned(),
                 _ if host.server.draining || host.unlisted => "leaving".to_owned(),
                 _ if host.is_slow() => "slow".to_owned(),
+                Some(group) if host.drained => {
+                    format!("drained:{}:{}", group.model, group.phase.name())
+                }
+                None if host.drained => "drained:free".to_owned(),
                 Some(group) => format!("{}:{}{}", group.model, group.phase.name(), host.beside()),
                 None => format!("free:{}{}", host.last_model(), host.beside()),
             };
--- a/crates/oliveworks-gateway-core/src/planner/advance.rs
+++ b/crates/oliveworks-gateway-core/src/planner/advance.rs
@@ -43,6 +43,10 @@
     }
 
     fn advance_joining(&mut self, now: Millis, group: &Group, commands: &mut Vec<Command>) {
+        if !group.adopted && self.is_stopped_by_drain(group) {
+            self.dissolve(group.epoch);
+            return;
+        }
         if self.is_hurt(group) {
             match group.adopted {
                 // An earlier leader may have told the head to open.
--- a/crates/oliveworks-gateway-core/src/planner/host.rs
+++ b/crates/oliveworks-gateway-core/src/planner/host.rs
@@ -49,6 +49,8 @@
     pub(super) closed_at: Millis,
     pub(super) left: Option<u64>,
     pub(super) unlisted: bool,
+    /// Its failure domain is drained.
+    pub(super) drained: bool,
     /// Whether it has taken an order of this leader's, or never had one of another's.
     pub(super) knows_fence: bool,
     /// Another backend server answers at its address: this one has ended.
@@ -97,6 +99,7 @@
             closed_at: 0,
             left: None,
             unlisted: false,
+            drained: false,
             knows_fence: true,
             replaced: false,
             unanswered: None,
@@ -167,9 +170,9 @@
         !self.is_lost() && !self.unlisted && !self.server.draining
     }
 
-    /// Whether it may belong to a group.
+    /// Whether it may come to belong to a group, or load something.
     pub(super) fn is_fit(&self) -> bool {
-        self.stays() && !self.slow
+        self.stays() && !self.slow && !self.drained
     }
 
     /// Whether it said that it is slow.
--- /dev/null
+++ b/crates/oliveworks-gateway/src/drains.rs
@@ -0,0 +1,98 @@
+//! Carries out drains of failure domains: takes them in, and tells what is still open there.
+//!
+//! Every place of a request passes [`Gateway::is_drained`], when it is chosen and once more when its
+//! connection is up.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use oliveworks_gateway_core::balance::Target;
+use oliveworks_gateway_core::drains::Ended;
+use tokio::time::sleep;
+
+use crate::events::Event;
+use crate::state::Gateway;
+
+/// The time between two lines on each drain, in ms: an operator who waits for a domain to be empty sees it
+/// soon, and a drain of hours stays readable.
+const TELL_MS: u64 = 2_000;
+
+/// A failure domain is to be drained.
+pub fn begin(gateway: &Gateway, failure_domain: &str) {
+    let now = gateway.now();
+    if !gateway.drains.borrow_mut().begin(now, failure_domain) {
+        return;
+    }
+    gateway.count("drains_begun");
+    Event::new("drain_begins")
+        .with("failure_domain", failure_domain)
+        // The store may have taken the record at any moment since this proof.
+        .with("proof_before_ms_ago", gateway.freshness.get().age_ms(now))
+        .with("open_requests", gateway.open_there(failure_domain))
+        .write();
+}
+
+/// A drain has ended, as its own record says.
+pub fn end(gateway: &Gateway, failure_domain: &str) {
+    let ended = gateway.drains.borrow_mut().end(gateway.now(), failure_domain);
+    ended.iter().for_each(|ended| tell_end(gateway, ended, "its record is gone"));
+}
+
+/// All newest records were read, with these drains among them.
+pub fn read_anew(gateway: &Gateway, drained: &BTreeSet<String>) {
+    let ended = gateway.drains.borrow_mut().read_anew(gateway.now(), drained);
+    ended.iter().for_each(|ended| tell_end(gateway, ended, "not among the newest records"));
+}
+
+fn tell_end(gateway: &Gateway, ended: &Ended, why: &str) {
+    gateway.count("drains_ended");
+    Event::new("drain_ends")
+        .with("failure_domain", ended.failure_domain.as_str())
+        .with("why", why)
+        .with("known_for_ms", ended.known_for_ms)
+        .write();
+}
+
+/// Tells of each drain, while it lasts, what is still open there.
+pub async fn tell(gateway: Rc<Gateway>) {
+    loop {
+        sleep(Duration::from_millis(TELL_MS)).await;
+        let drains = gateway.drains.borrow();
+        for (failure_domain, known_for_ms) in drains.known_for(gateway.now()) {
+            Event::new("drain_goes_on")
+                .with("failure_domain", failure_domain)
+                .with("known_for_ms", known_for_ms)
+                .with("open_requests", gateway.open_there(failure_domain))
+                .write();
+        }
+    }
+}
+
+impl Gateway {
+    /// Whether a failure domain gets no requests.
+    pub fn is_drained(&self, failure_domain: &str) -> bool {
+        self.drains.borrow().holds(failure_domain)
+    }
+
+    /// Whether a service has backend servers, and all of them are drained.
+    pub fn is_all_drained(&self, service: &str) -> bool {
+        let drains = self.drains.borrow();
+        if drains.is_empty() {
+            return false;
+        }
+        let directory = self.directory.borrow();
+        let mut servers = directory.of_service(service).peekable();
+        servers.peek().is_some() && servers.all(|server| drains.holds(&server.failure_domain))
+    }
+
+    /// Requests of this gateway that are open in a failure domain.
+    pub fn open_there(&self, failure_domain: &str) -> u32 {
+        let balance = self.balance.borrow();
+        let open: BTreeMap<Target, u32> =
+            balance.own_open().map(|(target, load)| (target, load.requests)).collect();
+        let directory = self.directory.borrow();
+        let there = directory.iter().filter(|server| server.failure_domain == failure_domain);
+        there.filter_map(|server| open.get(&Target::of(&server.id))).sum()
+    }
+}
--- a/crates/oliveworks-gateway/src/follow.rs
+++ b/crates/oliveworks-gateway/src/follow.rs
@@ -150,7 +150,13 @@
         };
         let answer = asking.ask(self.topic, self.from).await?;
         self.asking = Some(asking);
-        answer.ok_or_else(|| "it has nothing to tell".to_owned())
+        let answer = answer.ok_or("it has nothing to tell")?;
+        let known = self.client.gateway().passing(self.topic).borrow();
+        if answer.snapshot && known.is_ahead_of(answer.next) {
+            // What it lacks may be newer than what it knows, and has not ended.
+            return Err("it knows less than this gateway".to_owned());
+        }
+        Ok(answer)
     }
 
     async fn snapshot(&mut self) -> Result<Step, String> {
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -224,6 +224,7 @@
 }
 
 fn refresh(gateway: &Gateway, service: &str, planner: &mut Planner) {
+    planner.set_drained(&gateway.drains.borrow().failure_domains());
     let Some(lookup) = gateway.lookup() else { return };
     if let Some(engine) = lookup.service(service).and_then(|service| service.engine.as_ref()) {
         planner.set_engine(engine);
--- a/crates/oliveworks-gateway/src/lib.rs
+++ b/crates/oliveworks-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `store` | calls to the platform's store |
 //! | `follow`, `sources` | follow a topic of the store, through it or another gateway |
 //! | `records`, `missing` | take in what the topics tell |
+//! | `drains` | drains of failure domains |
 //! | `passing` | passes the store's records on to other gateways |
 //! | `table`, `places` | groups that serve, and where requests can be sent |
 //! | `suspicions` | groups that stand still or run slowly |
@@ -22,6 +23,7 @@
 
 mod callers;
 pub mod dialect;
+mod drains;
 mod events;
 mod exchange;
 mod follow;
--- a/crates/oliveworks-gateway/src/passing.rs
+++ b/crates/oliveworks-gateway/src/passing.rs
@@ -189,7 +189,11 @@
     match topic {
         Topic::Configuration => {
             let lookup = gateway.lookup();
-            lookup.map(|l| Record::Configuration(l.configuration.clone())).into_iter().collect()
+            let configuration = lookup.map(|l| Record::Configuration(l.configuration.clone()));
+            let drained = gateway.drains.borrow().failure_domains().into_iter();
+            let drains =
+                drained.map(|failure_domain| Record::Drain { failure_domain, drained: true });
+            configuration.into_iter().chain(drains).collect()
         }
         Topic::BackendServers => {
             let directory = gateway.directory.borrow();
--- a/crates/oliveworks-gateway/src/process.rs
+++ b/crates/oliveworks-gateway/src/process.rs
@@ -14,7 +14,7 @@
 use crate::relay::STOP_NOTICE_MS;
 use crate::settings::Settings;
 use crate::state::Gateway;
-use crate::{leader, passing, peers, records};
+use crate::{drains, leader, passing, peers, records};
 
 /// Time of the grace that is left unused.
 const GRACE_MARGIN_MS: u64 = 700;
@@ -58,6 +58,7 @@
     ntex::rt::spawn(peers::receive(gateway.clone(), socket.clone()));
     ntex::rt::spawn(peers::send(gateway.clone(), socket));
     ntex::rt::spawn(leader::run(gateway.clone()));
+    ntex::rt::spawn(drains::tell(gateway.clone()));
     ntex::rt::spawn(callers::accept(gateway.clone(), ready, Audience::Platform));
     ntex::rt::spawn(callers::accept(gateway.clone(), callers, Audience::Callers));
     let mut hang_up = signal(SignalKind::hangup())?;
--- a/crates/oliveworks-gateway/src/readiness.rs
+++ b/crates/oliveworks-gateway/src/readiness.rs
@@ -40,5 +40,9 @@
 fn figures(gateway: &Gateway) -> String {
     let counters = gateway.counters.borrow();
     let lines = counters.iter().map(|(name, count)| format!("oliveworks_gateway_{name} {count}\n"));
-    lines.collect()
+    let drains = gateway.drains.borrow().failure_domains();
+    let open: u32 = drains.iter().map(|name| gateway.open_there(name)).sum();
+    let now = [("drained_failure_domains", drains.len()), ("drained_open_requests", open as usize)];
+    let now = now.map(|(name, count)| format!("oliveworks_gateway_{name} {count}\n"));
+    lines.chain(now).collect()
 }
--- a/crates/oliveworks-gateway/src/records.rs
+++ b/crates/oliveworks-gateway/src/records.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 
 use crate::dialect::{Record, Topic};
+use crate::drains;
 use crate::events::Event;
 use crate::follow::{Follower, Step, ToldBy};
 use crate::state::Gateway;
@@ -24,6 +25,7 @@
 const SERVERS_SETTLE_MS: u64 = 1_500;
 
 fn take_configuration(gateway: &Gateway, step: Step) {
+    let mut drained_domains = BTreeSet::new();
     for record in step.records {
         match record {
             Record::Configuration(configuration) => {
@@ -40,28 +42,19 @@
                 forget_waits(gateway, &configuration);
                 *gateway.lookup.borrow_mut() = Some(Rc::new(Lookup::new(configuration)));
             }
-            Record::Drain { failure_domain, drained } => {
-                take_drain(gateway, &failure_domain, drained);
+            Record::Drain { failure_domain, drained: true } => {
+                drains::begin(gateway, &failure_domain);
+                drained_domains.insert(failure_domain);
+            }
+            Record::Drain { failure_domain, drained: false } => {
+                drains::end(gateway, &failure_domain);
             }
             Record::Unknown(why) => warn!("configuration: {why}"),
             _ => {}
         }
     }
-}
-
-/// The operators drain a failure domain, or do so no more.
-fn take_drain(gateway: &Gateway, failure_domain: &str, drained: bool) {
-    let now = gateway.now();
-    let mut drains = gateway.drains.borrow_mut();
-    if drained {
-        if drains.begin(now, failure_domain) {
-            Event::new("drain_begins").with("failure_domain", failure_domain).write();
-        }
-    } else if let Some(lasted_ms) = drains.end(now, failure_domain) {
-        Event::new("drain_ends")
-            .with("failure_domain", failure_domain)
-            .with("known_for_ms", lasted_ms)
-            .write();
+    if step.snapshot {
+        drains::read_anew(gateway, &drained_domains);
     }
 }
 
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -240,6 +240,7 @@
                     self.gateway.count(match none {
                         NoTarget::None => "refused_without_group",
                         NoTarget::Full => "refused_full",
+                        NoTarget::Drained => "refused_drained",
                     });
                     let verdict = self.attempts.verdict(self.gateway.now());
                     return self.give_up(connection, verdict, COME_BACK_MS).await;
--- a/crates/oliveworks-gateway/src/relay/attempt.rs
+++ b/crates/oliveworks-gateway/src/relay/attempt.rs
@@ -91,7 +91,8 @@
                 };
             }
         };
-        if !self.may_send() {
+        // Keys may have been taken away, or a drain begun, while the connection came up.
+        if !self.may_send() || !self.may_go_to(place) {
             return Tried::Failed { failure: Failure::NotSent, gone: false };
         }
         let Some(request) = self.outgoing(place) else {
--- a/crates/oliveworks-gateway/src/relay/placing.rs
+++ b/crates/oliveworks-gateway/src/relay/placing.rs
@@ -28,8 +28,8 @@
     }
 
     /// Whether a request may go to a place at all, however busy that is.
-    fn may_go_to(&self, place: &Place) -> bool {
-        !self.gateway.drains.borrow().holds(&place.failure_domain)
+    pub(super) fn may_go_to(&self, place: &Place) -> bool {
+        !self.gateway.is_drained(&place.failure_domain)
     }
 
     /// This gateway's part of the callers of its model, 0 to 1.
@@ -82,6 +82,10 @@
         let until = (began + patience_ms).min(self.deadline);
         loop {
             let places = self.places();
+            if places.is_empty() && self.gateway.is_all_drained(&self.service) {
+                // Drains last: what goes on after an attempt does not wait for their end either.
+                return Err(NoTarget::Drained);
+            }
             if places.is_empty() && !goes_on {
                 // No group is formed, and nobody joins the list, within a part of a goal.
                 return Err(NoTarget::None);
--- a/crates/oliveworks-gateway/src/settings.rs
+++ b/crates/oliveworks-gateway/src/settings.rs
@@ -73,7 +73,7 @@
     /// Its address.
     pub address: SocketAddr,
     /// The longest that it holds a call back when the configuration has not changed; by default
-    /// 65 in 100 of `bounds.apply_ms`.
+    /// 65 in 100 of `bounds.apply_ms`, or of `bounds.domain_drain_ms` if that is less.
     #[serde(default)]
     pub configuration_wait_ms: Option<u64>,
     /// The time between two reads of backend servers' records; by default 65 in 100 of
@@ -157,10 +157,12 @@
 const READ_PERCENT: u64 = 65;
 
 impl Settings {
-    /// The longest that the store holds a read of the configuration back. It may miss to answer one
-    /// that comes with a change, so that only the next read brings it: well within the bound.
+    /// The longest that the store holds a read of the configuration and of drains back. It may miss to
+    /// answer one that comes with a change, so that only the next read brings it: well within both bounds.
     pub fn configuration_wait_ms(&self) -> u64 {
-        self.store.configuration_wait_ms.unwrap_or(self.bounds.apply_ms * READ_PERCENT / 100)
+        let Bounds { apply_ms, domain_drain_ms, .. } = self.bounds;
+        let bound = domain_drain_ms.map_or(apply_ms, |drain_ms| drain_ms.min(apply_ms));
+        self.store.configuration_wait_ms.unwrap_or(bound * READ_PERCENT / 100)
     }
 
     /// The time between two reads of backend servers' records: one that leaves is seen by the next,
