Cold backend servers get no more than this gateway's part of their bound

Summed over 15 gateways a head that came back cold got 48 to 56 requests in one second where 47 were allowed: no gateway knew which hosts are cold, nor what others sent. Each now knows by records, drains and losses, and keeps to an equal part.

--- a/crates/oliveworks-gateway-core/src/balance.rs
+++ b/crates/oliveworks-gateway-core/src/balance.rs
@@ -120,6 +120,8 @@
     None,
     /// All are full.
     Full,
+    /// All are cold, and this gateway has taken its part of them.
+    Cold,
 }
 
 impl Balance {
--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`planner`] | which hosts form each replica group, and every order |
 //! | [`demand`] | how many requests for a model find a place |
 //! | [`quota`] | how many groups of each model every domain should hold |
+//! | [`slow_start`] | how much of what a cold backend server bears this gateway may send it |
 //! | [`speed`] | which replica groups run much slower than others |
 //! | [`election`] | which gateway gives orders |
 //! | [`fan_out`] | which gateways a heartbeat goes to |
@@ -45,6 +46,7 @@
 pub mod planner;
 pub mod quota;
 pub mod returning;
+pub mod slow_start;
 pub mod sources;
 pub mod speed;
 pub mod timeliness;
--- /dev/null
+++ b/crates/oliveworks-gateway-core/src/slow_start/cold.rs
@@ -0,0 +1,149 @@
+//! Until when a backend server counts as cold.
+//!
+//! Its record says how much longer it was cold when the record was written, which is a moment ago: counted
+//! from when it is taken in, it is never too short. What happens after a record was written is not in it,
+//! so a backend server that may have come back cold is doubted until a record that was written later, or
+//! until the time is over that it is cold at the longest.
+
+use std::collections::HashMap;
+
+use crate::Millis;
+use crate::balance::Target;
+use crate::configuration::SlowStart;
+
+/// Why a backend server counts as cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// Its record says so.
+    Record,
+    /// It is listed for the first time, and callers are being served.
+    NewlyListed,
+    /// Its failure domain's drain has ended.
+    DrainEnded,
+    /// It was not reached, and may have come back cold.
+    Lost,
+}
+
+/// How a record came to be in the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listed {
+    /// It replaces another, or is the first that this process has read, or callers have not come yet.
+    Known,
+    /// Its backend server was not listed before, while callers are being served.
+    Newly,
+    /// Its backend server was missing from the list: the record was written after that.
+    Again,
+}
+
+/// What is known of a cold backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Known {
+    /// Until when it counts as cold; none until something is heard of it.
+    pub until: Option<Millis>,
+    /// By what.
+    pub evidence: Evidence,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Doubt {
+    since: Millis,
+    /// None until something is heard from it.
+    until: Option<Millis>,
+    evidence: Evidence,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Host {
+    /// Until when it is cold by its newest record.
+    until: Millis,
+    doubt: Option<Doubt>,
+}
+
+impl Host {
+    fn known(&self, now: Millis) -> Option<Known> {
+        let doubt = self.doubt.filter(|doubt| doubt.until.is_none_or(|until| now < until));
+        match doubt {
+            Some(doubt) => Some(Known { until: doubt.until, evidence: doubt.evidence }),
+            None if now < self.until => {
+                Some(Known { until: Some(self.until), evidence: Evidence::Record })
+            }
+            None => None,
+        }
+    }
+}
+
+/// Backend servers and until when they are cold.
+#[derive(Clone, Debug)]
+pub struct ColdHosts {
+    record_lag_ms: u64,
+    hosts: HashMap<Target, Host>,
+}
+
+impl ColdHosts {
+    /// None is known. `record_lag_ms` is how long before it is taken in a record may have been written.
+    pub fn new(record_lag_ms: u64) -> ColdHosts {
+        ColdHosts { record_lag_ms, hosts: HashMap::new() }
+    }
+
+    /// Takes a record in, of a backend server that is cold for `lasts_ms` from its start; tells what is known now if that makes a warm backend server cold.
+    pub fn record(
+        &mut self,
+        now: Millis,
+        target: Target,
+        lasts_ms: u64,
+        cold_ms: u64,
+        listed: Listed,
+    ) -> Option<Known> {
+        let was_cold = self.hosts.get(&target).is_some_and(|host| host.known(now).is_some());
+        let host = self.hosts.entry(target).or_default();
+        host.until = if cold_ms > 0 { now + cold_ms } else { 0 };
+        match listed {
+            // One that says how long it is cold is believed; one that says that it is warm has just started.
+            Listed::Newly if cold_ms == 0 => {
+                let until = Some(now + lasts_ms);
+                let evidence = Evidence::NewlyListed;
+                host.doubt = Some(Doubt { since: now, until, evidence });
+            }
+            Listed::Newly => {}
+            Listed::Again => host.doubt = None,
+            Listed::Known => {
+                let lag_ms = self.record_lag_ms;
+                host.doubt = host.doubt.filter(|doubt| now < doubt.since + lag_ms);
+            }
+        }
+        host.known(now).filter(|_| !was_cold)
+    }
+
+    /// A backend server may be cold, whatever its records said until now; tells what is known now if it
+    /// was not doubted before.
+    pub fn doubt(
+        &mut self,
+        now: Millis,
+        target: Target,
+        until: Option<Millis>,
+        evidence: Evidence,
+    ) -> Option<Known> {
+        let host = self.hosts.get_mut(&target)?;
+        let was_cold = host.known(now).is_some();
+        host.doubt = Some(Doubt { since: now, until, evidence });
+        host.known(now).filter(|_| !was_cold)
+    }
+
+    /// Something came from a backend server: if it came back cold, then not later than now.
+    pub fn heard(&mut self, now: Millis, target: Target, terms: SlowStart) {
+        let Some(host) = self.hosts.get_mut(&target) else { return };
+        if let Some(doubt) = host.doubt.as_mut().filter(|doubt| doubt.until.is_none()) {
+            doubt.until = Some(now + terms.lasts_ms);
+        }
+    }
+
+    /// Whether a backend server counts as cold; one that no record was read of does.
+    pub fn is_cold(&self, now: Millis, target: Target) -> bool {
+        self.hosts.get(&target).is_none_or(|host| host.known(now).is_some())
+    }
+
+    /// Forgets backend servers that are gone.
+    pub fn retain(&mut self, keep: impl Fn(Target) -> bool) {
+        self.hosts.retain(|target, _| keep(*target));
+    }
+}
--- /dev/null
+++ b/crates/oliveworks-gateway-core/src/slow_start/parts.rs
@@ -0,0 +1,118 @@
+//! Which part of the bound on a cold backend server is this gateway's.
+//!
+//! Each gateway has an equal part, in whole requests. What is left of the division goes to the gateways that
+//! come first for this backend server, by a hash of both names: another few for each. Where there are more
+//! gateways than requests, so many of them have one, and the others send to other backend servers.
+//!
+//! The bound holds as long as each gateway that sends counts all others that send: a part never grows when
+//! more are counted. So others are remembered for long after they fall silent and told to new ones, a gateway
+//! that hears few of them forgets nobody, and one that has just started, or was paused, sends nothing to
+//! cold backend servers until all others have heard of it. What remains are gateways that are cut off and
+//! do not count those that start meanwhile: for them a margin is kept.
+//!
+//! Rejected, by a replay of callers who return all at once: parts in proportion to callers (what gateways
+//! know of each other's callers is some 100 ms old, and their parts sum up to more than the bound), and few
+//! gateways for each cold backend server where there are enough requests for all (most callers come to a
+//! gateway that has no part, and are refused beside what others do not need). Rejected too: a part of less
+//! than one request, taken once in several seconds (nobody keeps all gateways from taking it in the same
+//! one).
+
+use std::collections::HashMap;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::Millis;
+use crate::balance::Target;
+
+/// How long a gateway that is not heard may still send, in ms: one that is cut off serves what its callers
+/// send it, and one that is gone costs the others its part for no longer.
+const MEMBER_MS: u64 = 60_000;
+/// The silence after which a gateway may be cut off, in ms: thirty heartbeats.
+const SILENT_MS: u64 = 3_000;
+/// The time in which all gateways hear of one that has started, in ms: twenty heartbeats, each of which
+/// names some gateways.
+const LEARN_MS: u64 = 2_000;
+/// The part of the bound that is shared out, in hundredths. With a third of all gateways cut off and as
+/// many new ones, the parts of those that are cut off are a twelfth of the bound too large.
+const SHARED_PERCENT: f64 = 87.5;
+
+/// The gateways that may send to cold backend servers.
+#[derive(Clone, Debug)]
+pub struct Members {
+    own: u64,
+    /// Others, and when each was last heard.
+    others: HashMap<u64, Millis>,
+    /// Until when it sends nothing, since not all have heard of it.
+    learns_until: Millis,
+    /// When it last heard few of the others.
+    cut_off_at: Option<Millis>,
+}
+
+impl Members {
+    /// A gateway that has heard of no other yet; `alone` if there is none.
+    pub fn new(own: u64, alone: bool, now: Millis) -> Members {
+        let learns_until = if alone { now } else { now + LEARN_MS };
+        Members { own, others: HashMap::new(), learns_until, cut_off_at: None }
+    }
+
+    /// Another gateway was heard at a time, here or by one that tells so.
+    pub fn heard(&mut self, gateway: u64, at: Millis) {
+        if gateway == self.own {
+            return;
+        }
+        let heard_at = self.others.entry(gateway).or_insert(at);
+        *heard_at = at.max(*heard_at);
+    }
+
+    /// This process was paused for so long: gateways that have started meanwhile may not know of it.
+    pub fn paused(&mut self, now: Millis, paused_ms: u64) {
+        if !self.others.is_empty() && paused_ms > SILENT_MS {
+            self.learns_until = now + LEARN_MS;
+        }
+    }
+
+    /// Others that have fallen silent and may still send, and when each was last heard.
+    pub fn silent(&self, now: Millis) -> impl Iterator<Item = (u64, Millis)> {
+        let silent = self.others.iter().filter(move |(_, at)| now > **at + SILENT_MS);
+        silent.map(|(gateway, at)| (*gateway, *at))
+    }
+
+    /// Whether this gateway hears no more than half of all, itself among them: it is cut off, and not they.
+    pub fn is_cut_off(&self, now: Millis) -> bool {
+        let heard = self.others.len() - self.silent(now).count() + 1;
+        !self.others.is_empty() && heard * 2 <= self.others.len() + 1
+    }
+
+    /// All gateways, this one among them.
+    pub fn count(&self) -> usize {
+        self.others.len() + 1
+    }
+
+    /// Forgets gateways that were not heard for long, unless this one is cut off, or just was.
+    pub fn retain(&mut self, now: Millis) {
+        if self.is_cut_off(now) {
+            self.cut_off_at = Some(now);
+        }
+        if self.cut_off_at.is_none_or(|at| now > at + LEARN_MS) {
+            self.others.retain(|_, heard_at| now < *heard_at + MEMBER_MS);
+        }
+    }
+
+    /// The requests of `bound` that are this gateway's.
+    pub fn part(&self, now: Millis, bound: f64, target: Target) -> u32 {
+        if now < self.learns_until {
+            return 0;
+        }
+        let shared = (bound * SHARED_PERCENT / 100.0) as u32;
+        let all = self.others.len() as u32 + 1;
+        let (each, left) = (shared / all, shared % all);
+        let own = place(self.own, target);
+        let before = self.others.keys().filter(|other| place(**other, target) < own).count();
+        each + u32::from((before as u32) < left)
+    }
+}
+
+/// Where a gateway comes among others for a backend server.
+fn place(gateway: u64, target: Target) -> (u64, u64) {
+    (xxh3_64_with_seed(&gateway.to_le_bytes(), target.0), gateway)
+}
--- a/crates/oliveworks-gateway/src/lib.rs
+++ b/crates/oliveworks-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 //! | `records`, `missing` | take in what the topics tell |
 //! | `passing` | passes the store's records on to other gateways |
 //! | `table`, `places` | groups that serve, and where requests can be sent |
+//! | `slow_start` | cold backend servers, and what they are sent |
 //! | `suspicions` | groups that stand still or run slowly |
 //! | `leader` | gives the planner's orders |
 //! | `peers` | tells the other gateways, and hears them |
@@ -35,6 +36,7 @@
 mod records;
 mod relay;
 pub mod settings;
+mod slow_start;
 mod sources;
 mod state;
 mod store;
--- a/crates/oliveworks-gateway/src/missing.rs
+++ b/crates/oliveworks-gateway/src/missing.rs
@@ -26,9 +26,9 @@
         self.0.contains_key(id)
     }
 
-    /// A backend server is listed.
-    pub fn found(&mut self, id: &str) {
-        self.0.remove(id);
+    /// A backend server is listed; tells whether it was missing.
+    pub fn found(&mut self, id: &str) -> bool {
+        self.0.remove(id).is_some()
     }
 
     /// A backend server is no longer listed.
--- a/crates/oliveworks-gateway/src/peers.rs
+++ b/crates/oliveworks-gateway/src/peers.rs
@@ -21,6 +21,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::events::Event;
+use crate::slow_start;
 use crate::state::{Gateway, Peer};
 use crate::table::Table;
 
@@ -86,6 +87,9 @@
     traffic: bool,
     /// Other gateways.
     peers: Vec<PeerTold>,
+    /// Gateways that have fallen silent and may still send to cold backend servers, by their names' hashes,
+    /// and how many ms ago each was heard.
+    silent: Vec<(u64, u64)>,
 }
 
 /// A leader's heartbeat that is passed on.
@@ -130,6 +134,7 @@
         heard: gateway.balance.borrow().heard_since(now.saturating_sub(HEARD_MS)).collect(),
         traffic: gateway.traffic.get(),
         peers: peers_told(gateway, now),
+        silent: gateway.silent_gateways(),
     }
 }
 
@@ -257,6 +262,7 @@
         return;
     }
     know_peers(gateway, now, from, &beat);
+    know_sharers(gateway, now, &beat);
     if beat.traffic {
         gateway.traffic.set(true);
     }
@@ -285,6 +291,16 @@
     }
 }
 
+/// Notes who shares what cold backend servers may be sent.
+fn know_sharers(gateway: &Gateway, now: Millis, beat: &Beat) {
+    let sender = std::iter::once((slow_start::hash(&beat.node), now));
+    let told = beat.peers.iter().map(|told| {
+        (slow_start::hash(&told.node), now.saturating_sub(told.heard_ms_ago))
+    });
+    let silent = beat.silent.iter().map(|(node, ago)| (*node, now.saturating_sub(*ago)));
+    gateway.shares_cold_with(sender.chain(told).chain(silent));
+}
+
 fn know_peers(gateway: &Gateway, now: Millis, from: SocketAddr, beat: &Beat) {
     let mut peers = gateway.peers.borrow_mut();
     let sender = Peer {
--- a/crates/oliveworks-gateway/src/records.rs
+++ b/crates/oliveworks-gateway/src/records.rs
@@ -9,6 +9,7 @@
 use oliveworks_gateway_core::configuration::{Configuration, Lookup};
 use oliveworks_gateway_core::election::Claim;
 use oliveworks_gateway_core::listing::{Listing, ListingConfig};
+use oliveworks_gateway_core::slow_start::cold::Listed;
 use tokio::time::sleep;
 
 use crate::dialect::{Record, Topic};
@@ -62,6 +63,7 @@
             .with("failure_domain", failure_domain)
             .with("known_for_ms", lasted_ms)
             .write();
+        gateway.drain_leaves_cold(failure_domain);
     }
 }
 
@@ -117,6 +119,18 @@
     }
 }
 
+/// How a record of a backend server came to be in the list.
+fn how_listed(gateway: &Gateway, id: &str, is_back: bool) -> Listed {
+    let is_new = gateway.directory.borrow().get(id).is_none();
+    if is_back {
+        Listed::Again
+    } else if is_new && gateway.directory_read.get() && gateway.traffic.get() {
+        Listed::Newly
+    } else {
+        Listed::Known
+    }
+}
+
 /// Takes records in; tells whether one was of a backend server that was not listed before.
 fn take_servers(gateway: &Gateway, step: Step) -> bool {
     let mut missing = gateway.missing.borrow_mut();
@@ -126,8 +140,9 @@
     for record in step.records {
         match record {
             Record::BackendServer(server) => {
-                missing.found(&server.id);
-                gateway.gone.borrow_mut().remove(&server.id);
+                let was_missing = missing.found(&server.id);
+                let was_gone = gateway.gone.borrow_mut().remove(&server.id).is_some();
+                let is_back = was_missing || was_gone;
                 listed.insert(server.id.clone());
                 if let Some(planner) = gateway.planners.borrow_mut().get_mut(&server.service) {
                     planner.listed(now, &server);
@@ -142,6 +157,7 @@
                         .with("domain", domain)
                         .write();
                 }
+                gateway.take_cold(&server, how_listed(gateway, &id, is_back));
                 gateway.directory.borrow_mut().put(server);
             }
             Record::BackendServerGone(id) => {
@@ -161,6 +177,9 @@
     }
     missing.sweep(gateway);
     gateway.forget_gone();
+    if let Some(slow_starts) = gateway.slow_starts.borrow_mut().as_mut() {
+        slow_starts.records_read(step.sent);
+    }
     new
 }
 
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -240,6 +240,7 @@
                     self.gateway.count(match none {
                         NoTarget::None => "refused_without_group",
                         NoTarget::Full => "refused_full",
+                        NoTarget::Cold => "refused_cold",
                     });
                     let verdict = self.attempts.verdict(self.gateway.now());
                     return self.give_up(connection, verdict, COME_BACK_MS).await;
@@ -276,7 +277,8 @@
                 began: Cell::new(false),
                 failed: false,
             };
-            let tried = self.attempt(connection, &place, &open.began).await;
+            let choice = self.gateway.cold_choice(target);
+            let tried = self.attempt(connection, &place, choice, &open.began).await;
             open.failed =
                 matches!(tried, Tried::Failed { failure, .. } if failure != Failure::Refused);
             drop(open);
--- a/crates/oliveworks-gateway/src/relay/attempt.rs
+++ b/crates/oliveworks-gateway/src/relay/attempt.rs
@@ -20,6 +20,7 @@
 use crate::events::Event;
 use crate::exchange::{Exchange, NoConnection, headers_of};
 use crate::places::Place;
+use crate::slow_start::ColdChoice;
 
 /// The silence after which a plain request that may be repeated goes elsewhere.
 const PLAIN_SILENCE_MS: u64 = 400;
@@ -77,6 +78,7 @@
         &mut self,
         connection: &mut Connection,
         place: &Place,
+        mut choice: ColdChoice<'_>,
         began: &Cell<bool>,
     ) -> Tried {
         self.attempts.connecting();
@@ -98,6 +100,7 @@
             return Tried::Failed { failure: Failure::NotSent, gone: false };
         };
         self.attempts.sending();
+        choice.sent();
         let sent = self.gateway.now();
         let response = match self.head(&mut exchange, request, place, sent).await {
             Ok(response) => response,
@@ -124,6 +127,7 @@
     fn no_connection(&self, place: &Place, why: NoConnection) {
         let now = self.gateway.now();
         self.gateway.balance.borrow_mut().suspend(now, place.candidate.target);
+        self.gateway.lose(&place.server);
         if let Some(epoch) = place.epoch {
             Event::new("head_unreachable")
                 .with("host", &*place.server)
@@ -224,6 +228,7 @@
                 balance.suspend(now, place.candidate.target);
             }
             drop(balance);
+            self.gateway.lose(&place.server);
             self.gateway.suspect(epoch);
         }
     }
@@ -231,6 +236,7 @@
     fn heard(&self, place: &Place) -> Millis {
         let now = self.gateway.now();
         self.gateway.balance.borrow_mut().progress(now, place.candidate.target);
+        self.gateway.reached(&self.service, place.candidate.target);
         now
     }
 
--- a/crates/oliveworks-gateway/src/relay/placing.rs
+++ b/crates/oliveworks-gateway/src/relay/placing.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use oliveworks_gateway_core::Millis;
 use oliveworks_gateway_core::admission::Asking;
 use oliveworks_gateway_core::balance::{Candidate, NoTarget, Target};
 use oliveworks_gateway_core::demand::ModelKey;
@@ -17,6 +18,24 @@
 /// The time between two looks for a place.
 const LOOK_MS: u64 = 15;
 
+/// No place was found.
+struct NoPlace {
+    none: NoTarget,
+    /// When there may be one, if that is known; it is not where all are full.
+    free_at: Option<Millis>,
+}
+
+impl NoPlace {
+    fn of(none: NoTarget) -> NoPlace {
+        NoPlace { none, free_at: None }
+    }
+
+    /// Whether there is certainly none until a time.
+    fn lasts_until(&self, until: Millis) -> bool {
+        self.none == NoTarget::Cold && self.free_at.is_none_or(|at| at > until)
+    }
+}
+
 impl Job<'_> {
     fn places(&self) -> Vec<Place> {
         let mut places = match &self.model {
@@ -54,7 +73,7 @@
 
     /// Chooses among places, if one takes it now. A request that goes on after an attempt is not held
     /// up by admission: its caller has waited for it already.
-    fn choose(&self, places: &[Place], goes_on: bool) -> Result<Target, NoTarget> {
+    fn choose(&self, places: &[Place], goes_on: bool) -> Result<Target, NoPlace> {
         let full_at = self.gateway.settings.requests.full_at;
         let came_back = self.served.came_back && !goes_on;
         let full_at = self.gateway.admission.borrow().full_at(full_at, came_back);
@@ -63,15 +82,20 @@
             self.admit(full_at, &mut candidates);
         }
         if candidates.is_empty() && !places.is_empty() {
-            return Err(NoTarget::Full);
+            return Err(NoPlace::of(NoTarget::Full));
+        }
+        let free_at = self.gateway.leave_out_cold(&self.service, &mut candidates);
+        if candidates.is_empty() && !places.is_empty() {
+            return Err(NoPlace { none: NoTarget::Cold, free_at });
         }
         let now = self.gateway.now();
         let balance = self.gateway.balance.borrow();
-        balance.choose(now, &candidates, &self.tried, full_at, rand::random())
+        let chosen = balance.choose(now, &candidates, &self.tried, full_at, rand::random());
+        chosen.map_err(NoPlace::of)
     }
 
-    /// Chooses where to send it; waits a little if all places are taken, and not at all for a first one
-    /// where there is none.
+    /// Chooses where to send it; waits a little if all places are taken, and not at all where it is known
+    /// that none comes free, or for a first one where there is none.
     pub(super) async fn place(&mut self) -> Result<Place, NoTarget> {
         let goes_on = self.begun || self.attempts.sent() > 0;
         let patience_ms = match goes_on {
@@ -93,10 +117,10 @@
                 }
                 Err(none) => none,
             };
-            if self.gateway.now() >= until {
+            if self.gateway.now() >= until || none.lasts_until(until) {
                 let part = self.own_part();
                 self.log.push(format!("{} places, part of callers {part:.2}", places.len()));
-                return Err(none);
+                return Err(none.none);
             }
             sleep(Duration::from_millis(LOOK_MS)).await;
         }
--- a/crates/oliveworks-gateway/src/settings.rs
+++ b/crates/oliveworks-gateway/src/settings.rs
@@ -80,6 +80,9 @@
     /// `bounds.drain_ms`.
     #[serde(default)]
     pub servers_every_ms: Option<u64>,
+    /// The time between two records of a backend server.
+    #[serde(default = "default_heartbeat_ms")]
+    pub heartbeat_ms: u64,
     /// The longest that a call may take beyond its waiting.
     #[serde(default = "default_call_ms")]
     pub call_ms: u64,
@@ -149,6 +152,10 @@
     }
 }
 
+fn default_heartbeat_ms() -> u64 {
+    1_500
+}
+
 fn default_call_ms() -> u64 {
     1_000
 }
@@ -168,6 +175,12 @@
     pub fn servers_every_ms(&self) -> u64 {
         self.store.servers_every_ms.unwrap_or(self.bounds.drain_ms * READ_PERCENT / 100)
     }
+
+    /// How long before it is taken in a record of a backend server may have been written: it is written
+    /// with a heartbeat, and taken in with the next read of the list.
+    pub fn record_lag_ms(&self) -> u64 {
+        self.store.heartbeat_ms + self.servers_every_ms() + self.store.call_ms
+    }
 }
 
 impl Check for Settings {
@@ -176,6 +189,7 @@
             ("store.configuration_wait_ms", self.configuration_wait_ms()),
             ("store.servers_every_ms", self.servers_every_ms()),
             ("store.call_ms", self.store.call_ms),
+            ("store.heartbeat_ms", self.store.heartbeat_ms),
             ("bounds.drain_ms", self.bounds.drain_ms),
             ("bounds.apply_ms", self.bounds.apply_ms),
             ("bounds.grace_ms", self.bounds.grace_ms),
--- /dev/null
+++ b/crates/oliveworks-gateway/src/slow_start.rs
@@ -0,0 +1,207 @@
+//! Cold backend servers: takes in what tells of them, and leaves out those of which this gateway's part is
+//! taken.
+
+use oliveworks_gateway_core::Millis;
+use oliveworks_gateway_core::backend_servers::{BackendServer, BackendServerId};
+use oliveworks_gateway_core::balance::{Candidate, Target};
+use oliveworks_gateway_core::configuration::SlowStart;
+use oliveworks_gateway_core::slow_start::cold::{Known, Listed};
+use oliveworks_gateway_core::slow_start::{SlowStartConfig, SlowStarts};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::events::Event;
+use crate::settings::Settings;
+use crate::state::Gateway;
+
+/// The time between two lines that a part is taken, in ms: refusals come by the hundred.
+const TELL_MS: u64 = 1_000;
+
+/// Nothing is known yet; none if what cold backend servers are sent is not bound.
+pub fn slow_starts(settings: &Settings, now: Millis) -> Option<SlowStarts> {
+    let bound = settings.bounds.slow_start?;
+    let config = SlowStartConfig {
+        excess: bound.excess,
+        extra: bound.extra,
+        record_lag_ms: settings.record_lag_ms(),
+    };
+    let own = settings.listen.peers.ip();
+    let alone = settings.seeds.iter().all(|seed| seed.ip() == own);
+    Some(SlowStarts::new(config, hash(&settings.node), alone, now))
+}
+
+/// How a gateway's name stands in what cold backend servers are shared out by.
+pub fn hash(node: &str) -> u64 {
+    xxh3_64(node.as_bytes())
+}
+
+/// A line for a backend server that turns cold.
+fn tell(server: &BackendServerId, now: Millis, known: Known) {
+    Event::new("host_is_cold")
+        .with("host", &**server)
+        .with("for_ms", known.until.map(|until| until.saturating_sub(now)))
+        .debug("evidence", known.evidence)
+        .write();
+}
+
+impl Gateway {
+    /// How the backend servers of a service begin, if that is bound.
+    fn slow_start_of(&self, service: &str) -> Option<SlowStart> {
+        self.lookup()?.service(service)?.slow_start
+    }
+
+    /// Takes in what a record says of how cold its backend server is.
+    pub fn take_cold(&self, server: &BackendServer, listed: Listed) {
+        let now = self.now();
+        let mut slow_starts = self.slow_starts.borrow_mut();
+        let Some(slow_starts) = slow_starts.as_mut() else { return };
+        // The first records may come before the first configuration, which says whose figures matter.
+        let lasts_ms = self.slow_start_of(&server.service).map_or(0, |terms| terms.lasts_ms);
+        let target = Target::of(&server.id);
+        if let Some(known) = slow_starts.record(now, target, lasts_ms, server.cold_ms, listed) {
+            self.count("hosts_turned_cold");
+            tell(&server.id, now, known);
+        }
+    }
+
+    /// A failure domain is drained no more: its backend servers may be cold.
+    pub fn drain_leaves_cold(&self, failure_domain: &str) {
+        let directory = self.directory.borrow();
+        for server in directory.iter().filter(|s| s.failure_domain == failure_domain) {
+            let Some(terms) = self.slow_start_of(&server.service) else { continue };
+            self.doubt(&server.id, |slow_starts, now, target| {
+                slow_starts.drain_ended(now, target, terms)
+            });
+        }
+    }
+
+    /// A backend server is not reached: it may come back cold.
+    pub fn lose(&self, server: &str) {
+        let directory = self.directory.borrow();
+        let Some(server) = directory.get(server) else { return };
+        if self.slow_start_of(&server.service).is_some() {
+            self.doubt(&server.id, SlowStarts::lost);
+        }
+    }
+
+    fn doubt(
+        &self,
+        server: &BackendServerId,
+        doubt: impl FnOnce(&mut SlowStarts, Millis, Target) -> Option<Known>,
+    ) {
+        let now = self.now();
+        let mut slow_starts = self.slow_starts.borrow_mut();
+        let Some(slow_starts) = slow_starts.as_mut() else { return };
+        if let Some(known) = doubt(slow_starts, now, Target::of(server)) {
+            self.count("hosts_turned_cold");
+            tell(server, now, known);
+        }
+    }
+
+    /// Something came from a backend server of a service.
+    pub fn reached(&self, service: &str, target: Target) {
+        let Some(terms) = self.slow_start_of(service) else { return };
+        if let Some(slow_starts) = self.slow_starts.borrow_mut().as_mut() {
+            slow_starts.heard(self.now(), target, terms);
+        }
+    }
+
+    /// Leaves out the cold backend servers of which this gateway has taken its part; tells when the first
+    /// of them is free again, if one is. Those that stay are compared by what they bear.
+    pub fn leave_out_cold(
+        &self,
+        service: &str,
+        candidates: &mut Vec<Candidate>,
+    ) -> Option<Millis> {
+        let terms = self.slow_start_of(service)?;
+        let mut slow_starts = self.slow_starts.borrow_mut();
+        let slow_starts = slow_starts.as_mut()?;
+        let now = self.now();
+        slow_starts.store_heard(self.store_heard_at.get());
+        let mut first: Option<Millis> = None;
+        candidates.retain_mut(|candidate| {
+            if !slow_starts.is_cold(now, candidate.target, terms) {
+                return true;
+            }
+            *candidate = SlowStarts::compared(*candidate, terms);
+            let free_at = slow_starts.free_at(now, candidate.target, terms);
+            if free_at.is_some_and(|at| at <= now) {
+                return true;
+            }
+            first = first.into_iter().chain(free_at).min();
+            self.part_is_taken(slow_starts, candidate.target, terms);
+            false
+        });
+        first
+    }
+
+    fn part_is_taken(&self, slow_starts: &SlowStarts, target: Target, terms: SlowStart) {
+        self.count("cold_parts_taken");
+        let now = self.now();
+        if now < self.cold_told_at.get() + TELL_MS {
+            return;
+        }
+        self.cold_told_at.set(now);
+        let directory = self.directory.borrow();
+        let host = directory.iter().find(|server| Target::of(&server.id) == target);
+        Event::new("cold_part_taken")
+            .with("host", host.map(|server| &*server.id))
+            .with("part_per_s", slow_starts.part(now, target, terms))
+            .with("gateways", slow_starts.gateways())
+            .write();
+    }
+
+    /// Notes gateways that were heard, and when, for the parts of cold backend servers.
+    pub fn shares_cold_with(&self, gateways: impl IntoIterator<Item = (u64, Millis)>) {
+        if let Some(slow_starts) = self.slow_starts.borrow_mut().as_mut() {
+            for (gateway, at) in gateways {
+                slow_starts.gateway_heard(gateway, at);
+            }
+        }
+    }
+
+    /// Gateways that have fallen silent and may still send to cold backend servers, and how long ago each
+    /// was heard.
+    pub fn silent_gateways(&self) -> Vec<(u64, u64)> {
+        let now = self.now();
+        let slow_starts = self.slow_starts.borrow();
+        let Some(slow_starts) = slow_starts.as_ref() else { return Vec::new() };
+        slow_starts.silent_gateways(now).map(|(gateway, at)| (gateway, now - at)).collect()
+    }
+
+    /// Counts a request as on its way to a backend server.
+    pub fn cold_choice(&self, target: Target) -> ColdChoice<'_> {
+        if let Some(slow_starts) = self.slow_starts.borrow_mut().as_mut() {
+            slow_starts.chosen(target);
+        }
+        ColdChoice { gateway: self, target, sent: false }
+    }
+}
+
+/// A request that was given to a backend server: counts against this gateway's part until it is known not
+/// to be sent, and for a second once it is.
+pub struct ColdChoice<'a> {
+    gateway: &'a Gateway,
+    target: Target,
+    sent: bool,
+}
+
+impl ColdChoice<'_> {
+    /// It is sent now.
+    pub fn sent(&mut self) {
+        self.sent = true;
+        if let Some(slow_starts) = self.gateway.slow_starts.borrow_mut().as_mut() {
+            slow_starts.sent(self.gateway.now(), self.target);
+        }
+    }
+}
+
+impl Drop for ColdChoice<'_> {
+    fn drop(&mut self) {
+        if self.sent {
+            return;
+        }
+        if let Some(slow_starts) = self.gateway.slow_starts.borrow_mut().as_mut() {
+            slow_starts.not_sent(self.target);
+        }
+    }
+}
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -18,6 +18,7 @@
 use oliveworks_gateway_core::passing::Passing;
 use oliveworks_gateway_core::planner::Planner;
 use oliveworks_gateway_core::returning::Waits;
+use oliveworks_gateway_core::slow_start::SlowStarts;
 use oliveworks_gateway_core::speed::Speeds;
 use oliveworks_runtime::clock::Clock;
 use tokio::sync::{Notify, watch};
@@ -27,6 +28,7 @@
 use crate::missing::Missing;
 use crate::relay::STOP_NOTICE_MS;
 use crate::settings::Settings;
+use crate::slow_start;
 use crate::table::Table;
 
 /// Another gateway.
@@ -88,6 +90,10 @@
     pub balance: RefCell<Balance>,
     /// How long callers of each route still wait.
     pub waits: RefCell<Waits>,
+    /// Cold backend servers, if what they are sent is bound.
+    pub slow_starts: RefCell<Option<SlowStarts>>,
+    /// When a line last said that this gateway's part of a cold backend server is taken.
+    pub cold_told_at: Cell<Millis>,
     /// What this gateway took of each group lately.
     pub admission: RefCell<Admission>,
     /// How many requests for models find a place.
@@ -165,6 +171,8 @@
             store_heard_at: Cell::new(now),
             balance: RefCell::default(),
             waits: RefCell::default(),
+            slow_starts: RefCell::new(slow_start::slow_starts(&settings, now)),
+            cold_told_at: Cell::new(0),
             admission: RefCell::new(Admission::new(settings.policy.admission, life)),
             demand: RefCell::default(),
             speeds: RefCell::default(),
@@ -209,6 +217,9 @@
         let now = self.now();
         if now > self.ticked_at.get() + ASLEEP_MS {
             self.woke_at.set(now);
+            if let Some(slow_starts) = self.slow_starts.borrow_mut().as_mut() {
+                slow_starts.paused(now, now - self.ticked_at.get());
+            }
         }
         self.ticked_at.set(now);
     }
@@ -315,5 +326,8 @@
         self.balance.borrow_mut().retain(|target| listed.contains(&target));
         self.admission.borrow_mut().retain(|target| listed.contains(&target));
         self.speeds.borrow_mut().retain(|target| listed.contains(&target));
+        if let Some(slow_starts) = self.slow_starts.borrow_mut().as_mut() {
+            slow_starts.retain(self.now(), |target| listed.contains(&target));
+        }
     }
 }
