--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -13,6 +13,7 @@
 mod allot;
 mod domain;
 mod group;
+mod heads;
 mod host;
 mod order;
 mod parts;
@@ -444,7 +445,8 @@
             }
         }
         let phase = Phase::Joining;
-        let (model, members) = (plan.model, plan.members);
+        let (model, mut members) = (plan.model, plan.members);
+        heads::put_warmest_first(now, self, &mut members);
         let whole = self.model(&model).is_some_and(|model| model.size == members.len());
         let name = group::name(epoch, whole);
         let group = Group {
--- a/crates/oliveworks-gateway-core/src/planner/host.rs
+++ b/crates/oliveworks-gateway-core/src/planner/host.rs
@@ -38,6 +38,8 @@
     pub(super) server: BackendServer,
     pub(super) holding: Holding,
     pub(super) heard_at: Millis,
+    /// Until when it is cold by its newest record.
+    pub(super) cold_until: Millis,
     /// The group that it is to belong to.
     pub(super) group: Option<u64>,
     /// The newest epochs for which it took each order.
@@ -87,6 +89,7 @@
         Host {
             holding: server.holding.clone(),
             heard_at: now,
+            cold_until: now + server.cold_ms,
             server: server.clone(),
             group: None,
             joined: None,
@@ -122,6 +125,7 @@
     pub(super) fn listed(&mut self, now: Millis, server: &BackendServer) {
         self.unlisted = false;
         self.server = server.clone();
+        self.cold_until = now + server.cold_ms;
         // A record may be older than the order that was taken last; a question tells for sure.
         if now >= self.taken_at + RECORD_LAG_MS {
             self.heard(now, &server.holding);
--- /dev/null
+++ b/crates/oliveworks-gateway-core/tests/planner/heads.rs
@@ -0,0 +1,49 @@
+//! Which member heads a new group.
+
+use std::net::SocketAddr;
+
+use oliveworks_gateway_core::backend_servers::{BackendServer, Holding};
+use oliveworks_gateway_core::planner::{Command, Order, Planner, PlannerConfig};
+use test_case::test_case;
+
+use crate::world::engine;
+
+/// A host that holds the small model.
+fn host(id: &str, cold_ms: u64) -> BackendServer {
+    BackendServer {
+        id: id.into(),
+        service: "lm".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+        failure_domain: "a".into(),
+        domain: "a".into(),
+        slots: 34,
+        draining: false,
+        cold_ms,
+        holding: Holding { models: vec!["small".into()], ..Holding::default() },
+    }
+}
+
+/// The members of the first group that hosts form which are listed at 0 and planned for at a time.
+fn members(hosts: &[BackendServer], now: u64) -> Vec<String> {
+    let mut planner = Planner::new(PlannerConfig::default(), engine(), 1, 0);
+    hosts.iter().for_each(|host| planner.listed(0, host));
+    let joins = planner.tick(now).into_iter().find_map(|command| match command {
+        Command::Order { order: Order::Join { members, .. }, .. } => Some(members),
+        _ => None,
+    });
+    joins.expect("a group").iter().map(|id| id.to_string()).collect()
+}
+
+#[test_case(2_000, 900, &["b", "a"]; "the second is warm sooner")]
+#[test_case(900, 2_000, &["a", "b"]; "the first is")]
+#[test_case(700, 600, &["a", "b"]; "both are warm by now")]
+fn the_warmest_member_heads_a_new_group(first: u64, second: u64, expected: &[&str]) {
+    assert_eq!(members(&[host("a", first), host("b", second)], 800), expected);
+}
+
+/// A newer record counts.
+#[test]
+fn a_member_that_has_turned_cold_does_not_head() {
+    let (warm, cold) = (host("a", 0), host("a", 2_000));
+    assert_eq!(members(&[warm, cold, host("b", 0)], 800), ["b", "a"]);
+}
--- a/crates/oliveworks-gateway-core/tests/planner/main.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/main.rs
@@ -1,6 +1,7 @@
 //! The planner against a simulated pool of hosts.
 
 mod follow;
+mod heads;
 mod handover;
 mod policy;
 mod safety;
