--- a/crates/oliveworks-gateway-core/src/balance.rs
+++ b/crates/oliveworks-gateway-core/src/balance.rs
@@ -122,6 +122,8 @@
     Full,
     /// All are in drained failure domains.
     Drained,
+    /// All are cold, and this gateway has taken its part of them.
+    Cold,
 }
 
 impl Balance {
--- a/crates/oliveworks-gateway-core/tests/planner/main.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/main.rs
@@ -2,6 +2,7 @@
 
 mod follow;
 mod handover;
+mod heads;
 mod policy;
 mod safety;
 mod spread;
--- a/crates/oliveworks-gateway/src/drains.rs
+++ b/crates/oliveworks-gateway/src/drains.rs
@@ -36,16 +36,18 @@
 /// A drain has ended, as its own record says.
 pub fn end(gateway: &Gateway, failure_domain: &str) {
     let ended = gateway.drains.borrow_mut().end(gateway.now(), failure_domain);
-    ended.iter().for_each(|ended| tell_end(gateway, ended, "its record is gone"));
+    ended.iter().for_each(|ended| take_end(gateway, ended, "its record is gone"));
 }
 
 /// All newest records were read, with these drains among them.
 pub fn read_anew(gateway: &Gateway, drained: &BTreeSet<String>) {
     let ended = gateway.drains.borrow_mut().read_anew(gateway.now(), drained);
-    ended.iter().for_each(|ended| tell_end(gateway, ended, "not among the newest records"));
+    ended.iter().for_each(|ended| take_end(gateway, ended, "not among the newest records"));
 }
 
-fn tell_end(gateway: &Gateway, ended: &Ended, why: &str) {
+/// A drain has ended: what was drained may have turned cold meanwhile.
+fn take_end(gateway: &Gateway, ended: &Ended, why: &str) {
+    gateway.drain_leaves_cold(&ended.failure_domain);
     gateway.count("drains_ended");
     Event::new("drain_ends")
         .with("failure_domain", ended.failure_domain.as_str())
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -241,6 +241,7 @@
                         NoTarget::None => "refused_without_group",
                         NoTarget::Full => "refused_full",
                         NoTarget::Drained => "refused_drained",
+                        NoTarget::Cold => "refused_cold",
                     });
                     let verdict = self.attempts.verdict(self.gateway.now());
                     return self.give_up(connection, verdict, COME_BACK_MS).await;
@@ -277,7 +278,8 @@
                 began: Cell::new(false),
                 failed: false,
             };
-            let tried = self.attempt(connection, &place, &open.began).await;
+            let choice = self.gateway.cold_choice(target);
+            let tried = self.attempt(connection, &place, choice, &open.began).await;
             open.failed =
                 matches!(tried, Tried::Failed { failure, .. } if failure != Failure::Refused);
             drop(open);
