--- /dev/null
+++ b/crates/oliveworks-gateway-core/tests/drains.rs
@@ -0,0 +1,62 @@
+//! Drains of failure domains as one gateway knows them.
+
+use std::collections::BTreeSet;
+
+use oliveworks_gateway_core::drains::{Drains, Ended};
+use oliveworks_gateway_core::passing::Passing;
+
+fn names(names: &[&str]) -> BTreeSet<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
+fn ended(failure_domain: &str, known_for_ms: u64) -> Ended {
+    Ended { failure_domain: failure_domain.into(), known_for_ms }
+}
+
+#[test]
+fn a_drain_ends_by_its_own_record() {
+    let mut drains = Drains::default();
+    assert!(drains.begin(100, "west"));
+    assert!(!drains.begin(200, "west"), "known since before");
+    assert!(drains.holds("west") && !drains.holds("east"));
+    assert_eq!(drains.end(500, "west"), Some(ended("west", 400)));
+    assert_eq!(drains.end(600, "west"), None);
+    assert!(drains.is_empty());
+}
+
+/// The record that ended one was forgotten; the other drain is among the newest records, and goes on with
+/// the time for which it was known.
+#[test]
+fn a_drain_that_is_not_among_the_newest_records_has_ended() {
+    let mut drains = Drains::default();
+    drains.begin(100, "west");
+    drains.begin(200, "east");
+    assert_eq!(drains.read_anew(900, &names(&["east"])), [ended("west", 800)]);
+    assert_eq!(drains.failure_domains(), names(&["east"]));
+    assert_eq!(drains.known_for(900).collect::<Vec<_>>(), [("east", 700)]);
+}
+
+/// Pages are no snapshot: a drain was taken back and begun again while they were read. The records since
+/// the first page follow, and say so.
+#[test]
+fn what_changed_between_pages_is_put_right() {
+    let mut drains = Drains::default();
+    drains.begin(100, "west");
+    drains.read_anew(200, &names(&[]));
+    drains.end(200, "west");
+    drains.begin(200, "west");
+    assert!(drains.holds("west"));
+}
+
+/// A gateway that has read further than the one it asks does not take a drain for ended that the other
+/// has not heard of.
+#[test]
+fn newest_records_of_a_gateway_that_is_behind_are_told_apart() {
+    let mut passing = Passing::default();
+    assert!(!passing.is_ahead_of(0), "nothing was read");
+    passing.followed(vec!["drain"], 8);
+    assert!(passing.is_ahead_of(7));
+    assert!(!passing.is_ahead_of(8));
+    passing.read_anew(9);
+    assert!(!passing.is_ahead_of(9));
+}
--- a/crates/oliveworks-gateway-core/tests/planner/main.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/main.rs
@@ -1,5 +1,6 @@
 //! The planner against a simulated pool of hosts.
 
+mod drain;
 mod follow;
 mod handover;
 mod policy;
--- a/crates/oliveworks-gateway-core/tests/planner/safety.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/safety.rs
@@ -1,6 +1,8 @@
 //! Seeded runs of the planner against all that its hosts and an earlier leader may do. No rule is broken
 //! in any, and groups come back.
 
+use std::collections::BTreeSet;
+
 use rand::RngExt;
 use test_case::test_case;
 
@@ -8,6 +10,15 @@
 
 /// Runs a seed: 10 s to form, 60 s of trouble, 40 s of quiet. Returns breaches and groups at the end.
 fn run(seed: u64, broken: Broken) -> (Vec<String>, usize, usize) {
+    run_with(seed, broken, |_, _| BTreeSet::new())
+}
+
+/// The same while domains are drained, by seed and time.
+fn run_with(
+    seed: u64,
+    broken: Broken,
+    drained: impl Fn(u64, u64) -> BTreeSet<String>,
+) -> (Vec<String>, usize, usize) {
     let mut world = World::new(seed, broken);
     for _ in 0..10 {
         DOMAINS.iter().for_each(|domain| world.add_host(domain));
@@ -26,6 +37,7 @@
             if now.is_multiple_of(1_000) && now >= leader.paused_until {
                 leader.read_list(&world);
             }
+            leader.planner.set_drained(&drained(seed, now));
             leader.tick(&mut world, now > 10_000);
         }
     }
@@ -93,6 +105,23 @@
     }
 }
 
+/// Domains that are drained, each for six seconds of seventeen, so that two are now and then; none once
+/// it is quiet.
+fn drained(seed: u64, now: u64) -> BTreeSet<String> {
+    let drains = |index: u64| now < 80_000 && (now / 1_000 + seed * 3 + index * 5) % 17 < 6;
+    let names = (0..).zip(DOMAINS).filter(|(index, _)| drains(*index));
+    names.map(|(_, name)| name.to_owned()).collect()
+}
+
+#[test]
+fn no_rule_is_broken_while_domains_are_drained() {
+    for seed in 0..seeds() {
+        let (breaches, large, small) = run_with(seed, Broken::default(), drained);
+        assert!(breaches.is_empty(), "seed {seed}: {:?}", &breaches[..breaches.len().min(3)]);
+        assert!(large >= 1 && small >= 2, "seed {seed}: {large} large, {small} small at the end");
+    }
+}
+
 /// Hosts that check nothing let an old leader's orders through: the run must see it.
 #[test_case(Broken { ignore_fences: true, ..Broken::default() }, "TWO"; "fences are ignored")]
 fn a_broken_host_is_seen(broken: Broken, rule: &str) {
--- a/crates/oliveworks-gateway/src/drains.rs
+++ b/crates/oliveworks-gateway/src/drains.rs
@@ -25,6 +25,7 @@
         return;
     }
     gateway.count("drains_begun");
+    gateway.plan_now.notify_one();
     Event::new("drain_begins")
         .with("failure_domain", failure_domain)
         // The store may have taken the record at any moment since this proof.
@@ -47,6 +48,7 @@
 
 fn tell_end(gateway: &Gateway, ended: &Ended, why: &str) {
     gateway.count("drains_ended");
+    gateway.plan_now.notify_one();
     Event::new("drain_ends")
         .with("failure_domain", ended.failure_domain.as_str())
         .with("why", why)
