--- a/crates/oliveworks-gateway-core/tests/planner/main.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/main.rs
@@ -1,8 +1,8 @@
 //! The planner against a simulated pool of hosts.
 
 mod follow;
-mod heads;
 mod handover;
+mod heads;
 mod policy;
 mod safety;
 mod starved;
--- a/crates/oliveworks-gateway-core/tests/slow_start/main.rs
+++ b/crates/oliveworks-gateway-core/tests/slow_start/main.rs
@@ -17,6 +17,7 @@
 pub const BOUND: usize = 47;
 /// How old its records may be.
 pub const LAG_MS: u64 = 4_000;
+/// What all gateways may send.
 pub const CONFIG: SlowStartConfig =
     SlowStartConfig { excess: 1.5, extra: 5.0, record_lag_ms: LAG_MS };
 
--- a/crates/oliveworks-gateway-core/tests/slow_start/replay.rs
+++ b/crates/oliveworks-gateway-core/tests/slow_start/replay.rs
@@ -118,11 +118,7 @@
                 self.caller(now);
             }
         }
-        Found {
-            most: most_in_a_second(&self.sent),
-            sent: self.sent.len(),
-            callers: self.callers,
-        }
+        Found { most: most_in_a_second(&self.sent), sent: self.sent.len(), callers: self.callers }
     }
 
     fn beat(&mut self, now: u64) {
@@ -220,8 +216,7 @@
 }
 
 fn replay(way: Way, fleet: Fleet, load: Load) -> Found {
-    let runs: Vec<Found> =
-        (0..3).map(|seed| Replay::new(way, fleet, seed).run(load)).collect();
+    let runs: Vec<Found> = (0..3).map(|seed| Replay::new(way, fleet, seed).run(load)).collect();
     Found {
         most: runs.iter().map(|found| found.most).max().unwrap_or(0),
         sent: runs.iter().map(|found| found.sent).sum(),
@@ -246,12 +241,19 @@
     assert!(found.sent * 100 >= all * 75, "{} of {all} sent", found.sent);
 }
 
-#[test]
-fn print_ways() {
-    for way in [Way::Built, Way::Few(4), Way::Few(8), Way::ByCallers, Way::Unbound] {
-        for fleet in [fleet(15, 0, 0), fleet(15, 3, 2), fleet(53, 0, 0)] {
-            let (crowd, calm) = (replay(way, fleet, CROWD), replay(way, fleet, CALM));
-            println!("{way:?} {fleet:?}: crowd: most {} sent {}; calm: {} of 100", crowd.most, crowd.sent, calm.sent_percent());
-        }
-    }
+/// Why parts are equal: each other way either breaks the bound or leaves callers out that it has room for.
+#[test_case(Way::Unbound, fleet(15, 0, 0); "nothing binds")]
+#[test_case(Way::ByCallers, fleet(15, 0, 0); "parts in proportion to callers")]
+#[test_case(Way::ByCallers, fleet(53, 0, 0); "the same with more gateways than requests")]
+fn other_ways_break_the_bound(way: Way, fleet: Fleet) {
+    let found = replay(way, fleet, CROWD);
+    assert!(found.most > BOUND, "{} in a second", found.most);
+}
+
+#[test_case(4; "four")]
+#[test_case(8; "eight")]
+fn few_gateways_leave_out_callers_of_the_others(few: u32) {
+    let [built, few] =
+        [Way::Built, Way::Few(few)].map(|way| replay(way, fleet(15, 0, 0), CALM).sent_percent());
+    assert!(built >= few + 10, "{built} of 100 sent, {few} by few gateways");
 }
--- a/crates/oliveworks-gateway/src/peers.rs
+++ b/crates/oliveworks-gateway/src/peers.rs
@@ -294,9 +294,10 @@
 /// Notes who shares what cold backend servers may be sent.
 fn know_sharers(gateway: &Gateway, now: Millis, beat: &Beat) {
     let sender = std::iter::once((slow_start::hash(&beat.node), now));
-    let told = beat.peers.iter().map(|told| {
-        (slow_start::hash(&told.node), now.saturating_sub(told.heard_ms_ago))
-    });
+    let told = beat
+        .peers
+        .iter()
+        .map(|told| (slow_start::hash(&told.node), now.saturating_sub(told.heard_ms_ago)));
     let silent = beat.silent.iter().map(|(node, ago)| (*node, now.saturating_sub(*ago)));
     gateway.shares_cold_with(sender.chain(told).chain(silent));
 }
--- a/crates/oliveworks-gateway/src/slow_start.rs
+++ b/crates/oliveworks-gateway/src/slow_start.rs
@@ -107,11 +107,7 @@
 
     /// Leaves out the cold backend servers of which this gateway has taken its part; tells when the first
     /// of them is free again, if one is. Those that stay are compared by what they bear.
-    pub fn leave_out_cold(
-        &self,
-        service: &str,
-        candidates: &mut Vec<Candidate>,
-    ) -> Option<Millis> {
+    pub fn leave_out_cold(&self, service: &str, candidates: &mut Vec<Candidate>) -> Option<Millis> {
         let terms = self.slow_start_of(service)?;
         let mut slow_starts = self.slow_starts.borrow_mut();
         let slow_starts = slow_starts.as_mut()?;
