--- a/crates/oliveworks-gateway-core/src/balance.rs
+++ b/crates/oliveworks-gateway-core/src/balance.rs
@@ -120,6 +120,10 @@
     None,
     /// All are full.
     Full,
+    /// All are in drained failure domains.
+    Drained,
+    /// All are cold, and this gateway has taken its part of them.
+    Cold,
 }
 
 impl Balance {
--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -12,13 +12,16 @@
 mod advance;
 mod allot;
 mod domain;
+mod drain;
 mod group;
+mod heads;
 mod host;
 mod order;
 mod parts;
 mod pressure;
 mod shortage;
 mod spares;
+mod spread;
 mod stage;
 mod yielding;
 
@@ -80,6 +83,8 @@
     quotas: Quotas,
     /// When that last changed.
     quotas_at: Millis,
+    /// How many failure domains may be lost at once.
+    tolerance: usize,
     /// Whether callers have been served, from which time on loads are slow and counted.
     traffic: bool,
 }
@@ -105,6 +110,7 @@
             rooms: BTreeMap::new(),
             quotas: Quotas::new(),
             quotas_at: now,
+            tolerance: 0,
             traffic: true,
         }
     }
@@ -164,7 +170,7 @@
     fn update_quotas(&mut self, now: Millis) {
         let rooms = domain::rooms(self);
         if rooms != self.rooms {
-            self.quotas = quota::serving_all(&self.engine.models, &rooms);
+            self.quotas = quota::spread_out(&self.engine.models, &rooms, &self.spread());
             self.quotas_at = now;
             self.rooms = rooms;
         }
@@ -329,7 +335,7 @@
     /// Groups that serve.
     pub fn serving(&self, now: Millis) -> Vec<Serving> {
         let open = self.groups.values().filter(|group| group.serves(now));
-        let whole = open.filter(|group| !self.is_hurt(group));
+        let whole = open.filter(|group| !self.is_hurt(group) && !self.is_drained(group));
         whole
             .map(|group| Serving {
                 epoch: group.epoch,
@@ -444,7 +450,8 @@
             }
         }
         let phase = Phase::Joining;
-        let (model, members) = (plan.model, plan.members);
+        let (model, mut members) = (plan.model, plan.members);
+        heads::put_warmest_first(now, self, &mut members);
         let whole = self.model(&model).is_some_and(|model| model.size == members.len());
         let name = group::name(epoch, whole);
         let group = Group {
@@ -594,6 +601,10 @@
                 _ if host.is_lost() => "lost".to_owned(),
                 _ if host.server.draining || host.unlisted => "leaving".to_owned(),
                 _ if host.is_slow() => "slow".to_owned(),
+                Some(group) if host.drained => {
+                    format!("drained:{}:{}", group.model, group.phase.name())
+                }
+                None if host.drained => "drained:free".to_owned(),
                 Some(group) => format!("{}:{}{}", group.model, group.phase.name(), host.beside()),
                 None => format!("free:{}{}", host.last_model(), host.beside()),
             };
--- a/crates/oliveworks-gateway-core/src/planner/host.rs
+++ b/crates/oliveworks-gateway-core/src/planner/host.rs
@@ -38,6 +38,8 @@
     pub(super) server: BackendServer,
     pub(super) holding: Holding,
     pub(super) heard_at: Millis,
+    /// Until when it is cold by its newest record.
+    pub(super) cold_until: Millis,
     /// The group that it is to belong to.
     pub(super) group: Option<u64>,
     /// The newest epochs for which it took each order.
@@ -49,6 +51,8 @@
     pub(super) closed_at: Millis,
     pub(super) left: Option<u64>,
     pub(super) unlisted: bool,
+    /// Its failure domain is drained.
+    pub(super) drained: bool,
     /// Whether it has taken an order of this leader's, or never had one of another's.
     pub(super) knows_fence: bool,
     /// Another backend server answers at its address: this one has ended.
@@ -87,6 +91,7 @@
         Host {
             holding: server.holding.clone(),
             heard_at: now,
+            cold_until: now + server.cold_ms,
             server: server.clone(),
             group: None,
             joined: None,
@@ -97,6 +102,7 @@
             closed_at: 0,
             left: None,
             unlisted: false,
+            drained: false,
             knows_fence: true,
             replaced: false,
             unanswered: None,
@@ -122,6 +128,7 @@
     pub(super) fn listed(&mut self, now: Millis, server: &BackendServer) {
         self.unlisted = false;
         self.server = server.clone();
+        self.cold_until = now + server.cold_ms;
         // A record may be older than the order that was taken last; a question tells for sure.
         if now >= self.taken_at + RECORD_LAG_MS {
             self.heard(now, &server.holding);
@@ -167,9 +174,9 @@
         !self.is_lost() && !self.unlisted && !self.server.draining
     }
 
-    /// Whether it may belong to a group.
+    /// Whether it may come to belong to a group, or load something.
     pub(super) fn is_fit(&self) -> bool {
-        self.stays() && !self.slow
+        self.stays() && !self.slow && !self.drained
     }
 
     /// Whether it said that it is slow.
--- a/crates/oliveworks-gateway-core/tests/planner/main.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/main.rs
@@ -1,8 +1,11 @@
 //! The planner against a simulated pool of hosts.
 
+mod drain;
 mod follow;
 mod handover;
+mod heads;
 mod policy;
 mod safety;
+mod spread;
 mod starved;
 mod world;
--- a/crates/oliveworks-gateway/src/lib.rs
+++ b/crates/oliveworks-gateway/src/lib.rs
@@ -16,8 +16,10 @@
 //! | `store` | calls to the platform's store |
 //! | `follow`, `sources` | follow a topic of the store, through it or another gateway |
 //! | `records`, `missing` | take in what the topics tell |
+//! | `drains` | drains of failure domains |
 //! | `passing` | passes the store's records on to other gateways |
 //! | `table`, `places` | groups that serve, and where requests can be sent |
+//! | `slow_start` | cold backend servers, and what they are sent |
 //! | `suspicions` | groups that stand still or run slowly |
 //! | `leader` | gives the planner's orders |
 //! | `peers` | tells the other gateways, and hears them |
@@ -25,6 +27,7 @@
 mod callers;
 mod connection;
 pub mod dialect;
+mod drains;
 mod events;
 mod exchange;
 mod follow;
@@ -39,6 +42,7 @@
 mod relay;
 pub mod reload;
 pub mod settings;
+mod slow_start;
 mod sources;
 mod state;
 mod store;
--- a/crates/oliveworks-gateway/src/process.rs
+++ b/crates/oliveworks-gateway/src/process.rs
@@ -13,7 +13,7 @@
 use crate::events::Event;
 use crate::settings::Settings;
 use crate::state::{Gateway, STOP_NOTICE_MS};
-use crate::{leader, passing, peers, records, reload};
+use crate::{drains, leader, passing, peers, records, reload};
 
 /// Time of the grace that is left unused.
 const GRACE_MARGIN_MS: u64 = 700;
@@ -68,6 +68,7 @@
     ntex::rt::spawn(peers::receive(gateway.clone(), socket.clone()));
     ntex::rt::spawn(peers::send(gateway.clone(), socket));
     ntex::rt::spawn(leader::run(gateway.clone()));
+    ntex::rt::spawn(drains::tell(gateway.clone()));
     ntex::rt::spawn(callers::accept(gateway.clone(), ready, Audience::Platform));
     ntex::rt::spawn(callers::accept(gateway.clone(), callers, Audience::Callers));
     told.await;
--- a/crates/oliveworks-gateway/src/readiness.rs
+++ b/crates/oliveworks-gateway/src/readiness.rs
@@ -42,6 +42,12 @@
 
 fn figures(gateway: &Gateway) -> String {
     let counters = gateway.counters.borrow();
-    let lines = counters.iter().map(|(name, count)| format!("{FIGURES_PREFIX}_{name} {count}\n"));
-    lines.collect::<String>() + &gateway.latencies.borrow().text(FIGURES_PREFIX)
+    let drains = gateway.drains.borrow().failure_domains();
+    let open: u32 = drains.iter().map(|name| gateway.open_there(name)).sum();
+    let now = [("drained_failure_domains", drains.len()), ("drained_open_requests", open as usize)];
+    let counts = counters.iter().map(|(name, count)| format!("{FIGURES_PREFIX}_{name} {count}
+"));
+    let states = now.map(|(name, count)| format!("{FIGURES_PREFIX}_{name} {count}
+"));
+    counts.chain(states).collect::<String>() + &gateway.latencies.borrow().text(FIGURES_PREFIX)
 }
--- a/crates/oliveworks-gateway/src/records.rs
+++ b/crates/oliveworks-gateway/src/records.rs
@@ -9,9 +9,11 @@
 use oliveworks_gateway_core::configuration::{Configuration, Lookup};
 use oliveworks_gateway_core::election::Claim;
 use oliveworks_gateway_core::listing::{Listing, ListingConfig};
+use oliveworks_gateway_core::slow_start::cold::Listed;
 use tokio::time::sleep;
 
 use crate::dialect::{Record, Topic};
+use crate::drains;
 use crate::events::Event;
 use crate::follow::{Follower, Step, ToldBy};
 use crate::state::Gateway;
@@ -24,6 +26,7 @@
 const SERVERS_SETTLE_MS: u64 = 1_500;
 
 fn take_configuration(gateway: &Gateway, step: Step) {
+    let mut drained_domains = BTreeSet::new();
     for record in step.records {
         match record {
             Record::Configuration(configuration) => {
@@ -40,28 +43,19 @@
                 forget_waits(gateway, &configuration);
                 *gateway.lookup.borrow_mut() = Some(Rc::new(Lookup::new(configuration)));
             }
-            Record::Drain { failure_domain, drained } => {
-                take_drain(gateway, &failure_domain, drained);
+            Record::Drain { failure_domain, drained: true } => {
+                drains::begin(gateway, &failure_domain);
+                drained_domains.insert(failure_domain);
+            }
+            Record::Drain { failure_domain, drained: false } => {
+                drains::end(gateway, &failure_domain);
             }
             Record::Unknown(why) => warn!("configuration: {why}"),
             _ => {}
         }
     }
-}
-
-/// The operators drain a failure domain, or do so no more.
-fn take_drain(gateway: &Gateway, failure_domain: &str, drained: bool) {
-    let now = gateway.now();
-    let mut drains = gateway.drains.borrow_mut();
-    if drained {
-        if drains.begin(now, failure_domain) {
-            Event::new("drain_begins").with("failure_domain", failure_domain).write();
-        }
-    } else if let Some(lasted_ms) = drains.end(now, failure_domain) {
-        Event::new("drain_ends")
-            .with("failure_domain", failure_domain)
-            .with("known_for_ms", lasted_ms)
-            .write();
+    if step.snapshot {
+        drains::read_anew(gateway, &drained_domains);
     }
 }
 
@@ -117,6 +111,18 @@
     }
 }
 
+/// How a record of a backend server came to be in the list.
+fn how_listed(gateway: &Gateway, id: &str, is_back: bool) -> Listed {
+    let is_new = gateway.directory.borrow().get(id).is_none();
+    if is_back {
+        Listed::Again
+    } else if is_new && gateway.directory_read.get() && gateway.traffic.get() {
+        Listed::Newly
+    } else {
+        Listed::Known
+    }
+}
+
 /// Takes records in; tells whether one was of a backend server that was not listed before.
 fn take_servers(gateway: &Gateway, step: Step) -> bool {
     let mut missing = gateway.missing.borrow_mut();
@@ -126,8 +132,9 @@
     for record in step.records {
         match record {
             Record::BackendServer(server) => {
-                missing.found(&server.id);
-                gateway.gone.borrow_mut().remove(&server.id);
+                let was_missing = missing.found(&server.id);
+                let was_gone = gateway.gone.borrow_mut().remove(&server.id).is_some();
+                let is_back = was_missing || was_gone;
                 listed.insert(server.id.clone());
                 if let Some(planner) = gateway.planners.borrow_mut().get_mut(&server.service) {
                     planner.listed(now, &server);
@@ -142,6 +149,7 @@
                         .with("domain", domain)
                         .write();
                 }
+                gateway.take_cold(&server, how_listed(gateway, &id, is_back));
                 gateway.directory.borrow_mut().put(server);
             }
             Record::BackendServerGone(id) => {
@@ -161,6 +169,9 @@
     }
     missing.sweep(gateway);
     gateway.forget_gone();
+    if let Some(slow_starts) = gateway.slow_starts.borrow_mut().as_mut() {
+        slow_starts.records_read(step.sent);
+    }
     new
 }
 
--- a/crates/oliveworks-gateway/src/settings.rs
+++ b/crates/oliveworks-gateway/src/settings.rs
@@ -73,13 +73,16 @@
     /// Its address.
     pub address: SocketAddr,
     /// The longest that it holds a call back when the configuration has not changed; by default
-    /// 65 in 100 of `bounds.apply_ms`.
+    /// 65 in 100 of `bounds.apply_ms`, or of `bounds.domain_drain_ms` if that is less.
     #[serde(default)]
     pub configuration_wait_ms: Option<u64>,
     /// The time between two reads of backend servers' records; by default 65 in 100 of
     /// `bounds.drain_ms`.
     #[serde(default)]
     pub servers_every_ms: Option<u64>,
+    /// The time between two records of a backend server.
+    #[serde(default = "default_heartbeat_ms")]
+    pub heartbeat_ms: u64,
     /// The longest that a call may take beyond its waiting.
     #[serde(default = "default_call_ms")]
     pub call_ms: u64,
@@ -149,6 +152,10 @@
     }
 }
 
+fn default_heartbeat_ms() -> u64 {
+    1_500
+}
+
 fn default_call_ms() -> u64 {
     1_000
 }
@@ -157,10 +164,12 @@
 const READ_PERCENT: u64 = 65;
 
 impl Settings {
-    /// The longest that the store holds a read of the configuration back. It may miss to answer one
-    /// that comes with a change, so that only the next read brings it: well within the bound.
+    /// The longest that the store holds a read of the configuration and of drains back. It may miss to
+    /// answer one that comes with a change, so that only the next read brings it: well within both bounds.
     pub fn configuration_wait_ms(&self) -> u64 {
-        self.store.configuration_wait_ms.unwrap_or(self.bounds.apply_ms * READ_PERCENT / 100)
+        let Bounds { apply_ms, domain_drain_ms, .. } = self.bounds;
+        let bound = domain_drain_ms.map_or(apply_ms, |drain_ms| drain_ms.min(apply_ms));
+        self.store.configuration_wait_ms.unwrap_or(bound * READ_PERCENT / 100)
     }
 
     /// The time between two reads of backend servers' records: one that leaves is seen by the next,
@@ -168,6 +177,12 @@
     pub fn servers_every_ms(&self) -> u64 {
         self.store.servers_every_ms.unwrap_or(self.bounds.drain_ms * READ_PERCENT / 100)
     }
+
+    /// How long before it is taken in a record of a backend server may have been written: it is written
+    /// with a heartbeat, and taken in with the next read of the list.
+    pub fn record_lag_ms(&self) -> u64 {
+        self.store.heartbeat_ms + self.servers_every_ms() + self.store.call_ms
+    }
 }
 
 impl Check for Settings {
@@ -176,6 +191,7 @@
             ("store.configuration_wait_ms", self.configuration_wait_ms()),
             ("store.servers_every_ms", self.servers_every_ms()),
             ("store.call_ms", self.store.call_ms),
+            ("store.heartbeat_ms", self.store.heartbeat_ms),
             ("bounds.drain_ms", self.bounds.drain_ms),
             ("bounds.apply_ms", self.bounds.apply_ms),
             ("bounds.grace_ms", self.bounds.grace_ms),
