--- a/crates/oliveworks-gateway-core/src/quota/packing.rs
+++ b/crates/oliveworks-gateway-core/src/quota/packing.rs
@@ -121,6 +121,7 @@
             left: self.hosts.clone(),
             spares: self.spares.clone(),
             packed: vec![vec![0; self.models.len()]; self.hosts.len()],
+            together: vec![vec![0; self.models.len()]; self.hosts.len()],
         };
         for model in self.largest_first.iter().copied() {
             for _ in 0..apart[model] {
@@ -153,20 +154,17 @@
     /// Spares that have not given way.
     spares: Vec<usize>,
     packed: Packed,
+    /// Groups by failure domain and model.
+    together: Packed,
 }
 
 impl Packing<'_> {
-    /// Places a group of a model where its failure domain has none, if there is room.
+    /// Places a group of a model in a failure domain without one, if there is room: where one exists, where
+    /// no spare gives way, where most hosts hold the model, where most hosts are left.
     fn place_apart(&mut self, model: usize) -> Option<()> {
         let size = self.pool.models[model].size;
-        let taken: BTreeSet<usize> = (0..self.packed.len())
-            .filter(|domain| self.packed[*domain][model] > 0)
-            .map(|domain| self.pool.failure_domains[domain])
-            .collect();
-        let all = 0..self.left.len();
-        let fitting = all.filter(|domain| {
-            !taken.contains(&self.pool.failure_domains[*domain])
-                && self.left[*domain] + self.spares[*domain] >= size
+        let fitting = (0..self.left.len()).filter(|domain| {
+            self.beside(*domain)[model] == 0 && self.left[*domain] + self.spares[*domain] >= size
         });
         let most = std::cmp::Reverse;
         let domain = fitting.min_by_key(|domain| {
@@ -178,14 +176,16 @@
         let spares = size.saturating_sub(self.left[domain]);
         self.spares[domain] -= spares;
         self.left[domain] -= size - spares;
-        self.packed[domain][model] += 1;
+        self.count(domain, model);
         Some(())
     }
 
     /// Places a group of a model, if there is room: where one exists, where most hosts hold the model, where
-    /// there are fewest of it, where most hosts are left.
+    /// there are fewest of it (for a model that is spread, in the whole failure domain), where most hosts are
+    /// left.
     fn place(&mut self, model: usize) -> Option<()> {
         let size = self.pool.models[model].size;
+        let spreads = self.pool.apart[model] > 0;
         let fitting = (0..self.left.len()).filter(|domain| self.left[*domain] >= size);
         let most = std::cmp::Reverse;
         let domain = fitting.min_by_key(|domain| {
@@ -194,21 +194,21 @@
             let new = placed.saturating_sub(groups) * size;
             let hot = self.pool.hot[*domain][model].saturating_sub(new);
             let exists = placed < groups;
-            let beside = self.in_failure_domain(*domain, model);
+            let beside = if spreads { self.beside(*domain)[model] } else { 0 };
             (!exists, most(hot.min(size)), beside, placed, most(self.left[*domain]))
         })?;
         self.left[domain] -= size;
-        self.packed[domain][model] += 1;
+        self.count(domain, model);
         Some(())
     }
 
-    /// Groups of a model in the failure domain of a domain, where one may be lost.
-    fn in_failure_domain(&self, domain: usize, model: usize) -> usize {
-        if self.pool.apart[model] == 0 {
-            return 0;
-        }
-        let own = self.pool.failure_domains[domain];
-        let domains = self.pool.failure_domains.iter().zip(&self.packed);
-        domains.filter(|(other, _)| **other == own).map(|(_, packed)| packed[model]).sum()
+    /// Groups in the failure domain of a domain, by model.
+    fn beside(&self, domain: usize) -> &[usize] {
+        &self.together[self.pool.failure_domains[domain]]
+    }
+
+    fn count(&mut self, domain: usize, model: usize) {
+        self.packed[domain][model] += 1;
+        self.together[self.pool.failure_domains[domain]][model] += 1;
     }
 }
