--- a/crates/oliveworks-gateway-core/tests/quota/spread.rs
+++ b/crates/oliveworks-gateway-core/tests/quota/spread.rs
@@ -158,3 +158,49 @@
         assert!(held(&found) >= held(&before), "{models:?} {rooms:?} {before:?} {found:?}");
     }
 }
+
+/// All ways to place groups of two models in domains of so many hosts.
+fn layouts(hosts: &[usize], sizes: [usize; 2]) -> Vec<Vec<[usize; 2]>> {
+    let Some((first, rest)) = hosts.split_first() else { return vec![vec![]] };
+    let mut all = Vec::new();
+    for large in 0..=first / sizes[0] {
+        for small in 0..=(first - large * sizes[0]) / sizes[1] {
+            for mut rest in layouts(rest, sizes) {
+                rest.insert(0, [large, small]);
+                all.push(rest);
+            }
+        }
+    }
+    all
+}
+
+/// Models that are still served after the worst loss of one domain.
+fn left(layout: &[[usize; 2]]) -> usize {
+    let models_without = |lost: usize| {
+        let serves = |model: &usize| {
+            let mut rest = layout.iter().enumerate().filter(|(domain, _)| *domain != lost);
+            rest.any(|(_, groups)| groups[*model] > 0)
+        };
+        (0..2).filter(serves).count()
+    };
+    (0..layout.len()).map(models_without).min().unwrap_or_default()
+}
+
+/// No other layout that serves the same models has more of them left after the worst loss.
+#[test]
+fn as_many_models_as_possible_are_left() {
+    let mut rng = ChaCha8Rng::seed_from_u64(9);
+    for _ in 0..300 {
+        let sizes = [rng.random_range(4..9), rng.random_range(1..5)];
+        let models = [model("large", sizes[0], 0.5), model("small", sizes[1], 0.5)];
+        let domains = rng.random_range(2..4);
+        let hosts: Vec<usize> = (0..domains).map(|_| rng.random_range(2..16)).collect();
+        let rooms = named(hosts.iter().map(|hosts| empty(*hosts, 0)));
+        let found = spread_out(&models, &rooms, &each_its_own(&rooms, 1));
+        let found: Vec<[usize; 2]> = by_domain(&found).into_iter().map(Into::into).collect();
+        let served = |layout: &[[usize; 2]]| [0, 1].map(|m| layout.iter().any(|g| g[m] > 0));
+        let same = layouts(&hosts, sizes).into_iter().filter(|all| served(all) == served(&found));
+        let best = same.map(|layout| left(&layout)).max();
+        assert_eq!(Some(left(&found)), best, "{sizes:?} {hosts:?} {found:?}");
+    }
+}
