--- a/crates/oliveworks-gateway-core/src/slow_start.rs
+++ b/crates/oliveworks-gateway-core/src/slow_start.rs
@@ -166,12 +166,13 @@
         self.sends.free_at(now, target, self.part(now, target, terms))
     }
 
-    /// A cold backend server as it is compared with others: it takes as many at once as it bears in a
-    /// second, as long as answers take, so that it does not draw everybody for being empty.
+    /// A cold backend server as it is compared with others: its load counts as if it had as many slots as it
+    /// bears requests in a second, about as long as answers take. What it may have open stays: its rate
+    /// alone is bound.
     pub fn compared(candidate: Candidate, terms: SlowStart) -> Candidate {
-        let bears = (terms.requests_per_s.ceil() as u32).clamp(1, candidate.slots.max(1));
-        let open_ms = candidate.open_ms * f64::from(candidate.slots.max(1)) / f64::from(bears);
-        Candidate { slots: bears, open_ms, ..candidate }
+        let slots = f64::from(candidate.slots.max(1));
+        let bears = terms.requests_per_s.clamp(1.0, slots);
+        Candidate { open_ms: candidate.open_ms * slots / bears, ..candidate }
     }
 
     /// A request was given to a backend server, and will be sent soon.
