--- a/crates/oliveworks-gateway-core/src/slow_start.rs
+++ b/crates/oliveworks-gateway-core/src/slow_start.rs
@@ -44,8 +44,8 @@
     }
 }
 
-/// How long the store may be silent before this gateway may have missed something, in ms. Shorter than a
-/// usual read of the records takes to come again, but told by others too.
+/// The silence of the store, here and by what others tell, after which this gateway may have missed
+/// something, in ms: longer than the time between two reads.
 const STORE_SILENT_MS: u64 = 3_000;
 /// A pause of this process that is as long as what records lag by anyway, in ms.
 const PAUSE_MS: u64 = 1_000;
--- a/crates/oliveworks-gateway-core/src/slow_start/sends.rs
+++ b/crates/oliveworks-gateway-core/src/slow_start/sends.rs
@@ -30,8 +30,15 @@
 impl Sends {
     /// When a backend server may be sent another request, of `part` in a window; none if never.
     pub fn free_at(&self, now: Millis, target: Target, part: u32) -> Option<Millis> {
-        let Some(sent) = self.0.get(&target) else { return (part > 0).then_some(now) };
-        let part = part.checked_sub(sent.chosen).filter(|part| *part > 0)? as usize;
+        if part == 0 {
+            return None;
+        }
+        let Some(sent) = self.0.get(&target) else { return Some(now) };
+        let part = part.saturating_sub(sent.chosen) as usize;
+        if part == 0 {
+            // All of it is on its way.
+            return Some(now + WINDOW_MS);
+        }
         let lately = sent.since(now.saturating_sub(WINDOW_MS)).count();
         if lately < part {
             return Some(now);
--- a/crates/oliveworks-gateway-core/tests/slow_start/main.rs
+++ b/crates/oliveworks-gateway-core/tests/slow_start/main.rs
@@ -4,6 +4,7 @@
 mod cold;
 mod parts;
 mod replay;
+mod sends;
 
 use oliveworks_gateway_core::balance::Target;
 use oliveworks_gateway_core::configuration::SlowStart;
--- /dev/null
+++ b/crates/oliveworks-gateway-core/tests/slow_start/sends.rs
@@ -0,0 +1,38 @@
+//! When a gateway's part is free.
+
+use oliveworks_gateway_core::slow_start::sends::Sends;
+
+use crate::HEAD;
+
+fn sent_at(times: &[u64]) -> Sends {
+    let mut sends = Sends::default();
+    for at in times {
+        sends.chosen(HEAD);
+        sends.sent(*at, HEAD);
+    }
+    sends
+}
+
+#[test]
+fn a_part_is_free_again_after_more_than_a_second() {
+    let sends = sent_at(&[1_000, 1_400]);
+    assert_eq!(sends.free_at(1_500, HEAD, 3), Some(1_500));
+    assert_eq!(sends.free_at(1_500, HEAD, 2), Some(2_100));
+    assert_eq!(sends.free_at(1_500, HEAD, 1), Some(2_500));
+    assert_eq!(sends.free_at(2_100, HEAD, 2), Some(2_100));
+}
+
+#[test]
+fn no_part_is_never_free() {
+    assert_eq!(Sends::default().free_at(1_000, HEAD, 0), None);
+}
+
+/// It is sent later, perhaps at the end of the second that is counted.
+#[test]
+fn what_is_on_its_way_takes_the_part() {
+    let mut sends = sent_at(&[1_000]);
+    sends.chosen(HEAD);
+    assert!(sends.free_at(1_500, HEAD, 2) > Some(1_500));
+    sends.not_sent(HEAD);
+    assert_eq!(sends.free_at(1_500, HEAD, 2), Some(1_500));
+}
--- a/crates/oliveworks-gateway/src/relay/placing.rs
+++ b/crates/oliveworks-gateway/src/relay/placing.rs
@@ -94,8 +94,8 @@
         chosen.map_err(NoPlace::of)
     }
 
-    /// Chooses where to send it; waits a little if all places are taken, and not at all where it is known
-    /// that none comes free, or for a first one where there is none.
+    /// Chooses where to send it; waits a little if all places are taken, and for a first one not at all where
+    /// there is none or it is known that none comes free.
     pub(super) async fn place(&mut self) -> Result<Place, NoTarget> {
         let goes_on = self.begun || self.attempts.sent() > 0;
         let patience_ms = match goes_on {
@@ -117,7 +117,7 @@
                 }
                 Err(none) => none,
             };
-            if self.gateway.now() >= until || none.lasts_until(until) {
+            if self.gateway.now() >= until || (!goes_on && none.lasts_until(until)) {
                 let part = self.own_part();
                 self.log.push(format!("{} places, part of callers {part:.2}", places.len()));
                 return Err(none.none);
