Planner: a domain that returns is planned with what it had, not host by host

Cause: while the hosts of a domain were listed a part at a time, the groups wanted of it were worked out anew for each number of hosts (simulated pool of 3 x 27: small 1, small 3, small 4, then large 1 and small 2), and hosts that hold nothing loaded for what was wanted halfway. A group's place was chosen by free hosts that had joined with the model, not by those that keep it in memory, which is all that a host has after its return.

Hosts that keep a model count as a place for it. Hosts that answer again after a silence count as those listed anew.

Not kept over a change of leader: what was wanted of a whole domain; the most hosts of each are (in the table).

--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -13,6 +13,7 @@
 mod allot;
 mod domain;
 mod group;
+mod growth;
 mod host;
 mod order;
 mod parts;
@@ -29,6 +30,7 @@
 use crate::configuration::{Engine, Model};
 use crate::quota::{self, Quotas, Room};
 use group::{Group, Phase};
+use growth::Growth;
 use host::Host;
 pub use order::{Command, ModelLoad, Order, Outcome, PlannerConfig, Serving};
 use parts::Parts;
@@ -71,14 +73,16 @@
     load_tokens_at: Millis,
     /// The most hosts that each domain had.
     most_hosts: BTreeMap<String, usize>,
-    /// When each domain last got a host.
-    grown_at: BTreeMap<String, Millis>,
+    /// The hosts that each domain got last.
+    growth: BTreeMap<String, Growth>,
     /// How many full groups each model's callers would fill.
     demand: BTreeMap<String, Demand>,
     /// What the domains can hold, and the groups that they should hold for it.
     rooms: BTreeMap<String, Room>,
     quotas: Quotas,
-    /// When that last changed.
+    /// The same of each domain when it last had all its hosts.
+    quotas_when_whole: Quotas,
+    /// When the quotas last changed.
     quotas_at: Millis,
     /// Whether callers have been served, from which time on loads are slow and counted.
     traffic: bool,
@@ -100,10 +104,11 @@
             load_tokens: 0.0,
             load_tokens_at: now,
             most_hosts: BTreeMap::new(),
-            grown_at: BTreeMap::new(),
+            growth: BTreeMap::new(),
             demand: BTreeMap::new(),
             rooms: BTreeMap::new(),
             quotas: Quotas::new(),
+            quotas_when_whole: Quotas::new(),
             quotas_at: now,
             traffic: true,
         }
@@ -143,7 +148,14 @@
 
     /// Whether a domain has had the same hosts for a while, so that its cold ones may be dealt out.
     fn is_settled(&self, now: Millis, domain: &str) -> bool {
-        self.grown_at.get(domain).is_none_or(|at| now >= at + self.config.settle_ms)
+        let growth = self.growth.get(domain);
+        growth.is_none_or(|growth| growth.is_settled(now, self.config.settle_ms))
+    }
+
+    /// Whether a domain with so many living hosts is coming back from a loss, with more to be listed.
+    fn is_returning(&self, now: Millis, domain: &str, living: usize) -> bool {
+        let most = self.most_hosts.get(domain).copied().unwrap_or_default();
+        living < most && self.growth.get(domain).is_some_and(|growth| growth.is_return(now))
     }
 
     /// The fence under which its orders go out.
@@ -162,13 +174,25 @@
 
     /// Works out how many groups each domain should hold, if anything has changed.
     fn update_quotas(&mut self, now: Millis) {
-        let rooms = domain::rooms(self);
+        let rooms = domain::rooms(now, self);
         if rooms != self.rooms {
             self.quotas = quota::serving_all(&self.engine.models, &rooms);
             self.quotas_at = now;
             self.rooms = rooms;
         }
         self.follow_callers(now);
+        self.keep_quotas_of_whole_domains();
+    }
+
+    /// Keeps what is wanted of each domain while it has as many hosts as it ever had.
+    fn keep_quotas_of_whole_domains(&mut self) {
+        for (domain, groups) in &self.quotas {
+            let room = self.rooms.get(domain).map_or(0, |room| room.hosts + room.spares);
+            let most = self.most_hosts.get(domain).copied().unwrap_or_default();
+            if room >= most && self.quotas_when_whole.get(domain) != Some(groups) {
+                self.quotas_when_whole.insert(domain.clone(), groups.clone());
+            }
+        }
     }
 
     /// Epochs of groups that have ended for certain, the newest ones.
@@ -270,7 +294,7 @@
             }
             None => {
                 self.hosts.insert(server.id.clone(), Host::new(now, server));
-                self.grown_at.insert(server.domain.clone(), now);
+                grow(&mut self.growth, now, &server.domain);
             }
         }
     }
@@ -286,6 +310,9 @@
     pub fn reported(&mut self, now: Millis, id: &str, holding: &Holding) {
         let may_be_slow = self.may_be_slow();
         if let Some(host) = self.hosts.get_mut(id) {
+            if host.is_lost() {
+                grow(&mut self.growth, now, &host.server.domain);
+            }
             host.answers();
             if let Some(pace) = holding.pace {
                 host.paced(pace, may_be_slow);
@@ -614,3 +641,8 @@
         members.filter(|id| !seen.insert((*id).clone())).cloned().collect()
     }
 }
+
+/// One more host of a domain is listed, or answers again.
+fn grow(growth: &mut BTreeMap<String, Growth>, now: Millis, domain: &str) {
+    growth.entry(domain.to_owned()).or_insert_with(|| Growth::new(now)).add(now);
+}
--- a/crates/oliveworks-gateway-core/src/planner/domain.rs
+++ b/crates/oliveworks-gateway-core/src/planner/domain.rs
@@ -43,6 +43,8 @@
     pub(super) groups: BTreeMap<&'a str, usize>,
     /// Whether it has had the same hosts for a while.
     pub(super) steady: bool,
+    /// Whether it is coming back from a loss, with more hosts to be listed.
+    pub(super) returning: bool,
     /// Whether a group of it is being formed or taken apart.
     pub(super) moving: bool,
     /// The model for which groups here are being ended.
@@ -78,15 +80,21 @@
     planner.quotas.get(domain).and_then(|groups| groups.get(&model.name)).copied().unwrap_or(0)
 }
 
-/// How many hosts of a domain are kept as spares: a part of the most that it had, less those that
+/// The hosts that a domain is planned with.
+fn known_hosts(planner: &Planner, domain: &Domain<'_>) -> usize {
+    let most = planner.most_hosts.get(domain.name).copied().unwrap_or_default();
+    if domain.returning { most.max(domain.living) } else { domain.living }
+}
+
+/// How many of so many hosts of a domain are kept as spares: a part of the most that it had, less those that
 /// it has lost since, for whose groups spares are. Where none of the hosts beside them could form a
 /// group, there is nothing to repair, and none is kept.
-pub(super) fn reserve(planner: &Planner, domain: &Domain<'_>) -> usize {
+fn reserve(planner: &Planner, domain: &Domain<'_>, hosts: usize) -> usize {
     let sizes = planner.engine.models.iter().map(|model| model.size).filter(|size| *size > 1);
-    let most = planner.most_hosts.get(domain.name).copied().unwrap_or(domain.living);
+    let most = planner.most_hosts.get(domain.name).copied().unwrap_or(hosts);
     let spares = sizes.clone().count().min((most * planner.config.spare_percent).div_ceil(100));
-    let spares = spares.saturating_sub(most.saturating_sub(domain.living));
-    let forms_one = sizes.min().is_some_and(|least| domain.living >= least + spares);
+    let spares = spares.saturating_sub(most.saturating_sub(hosts));
+    let forms_one = sizes.min().is_some_and(|least| hosts >= least + spares);
     if forms_one { spares } else { 0 }
 }
 
@@ -112,7 +120,8 @@
         }
     }
     for (name, domain) in &mut domains {
-        domain.steady = planner.is_settled(now, name);
+        domain.returning = planner.is_returning(now, name, domain.living);
+        domain.steady = !domain.returning && planner.is_settled(now, name);
     }
     for group in planner.groups.values() {
         let head = planner.hosts.get(&group.members[0]);
@@ -135,19 +144,26 @@
     domains
 }
 
-/// What each domain can hold, and holds.
-pub(super) fn rooms(planner: &Planner) -> BTreeMap<String, Room> {
-    let domains = domains(0, planner);
-    let rooms = domains.values().map(|domain| {
-        let groups = domain.groups.iter().map(|(model, count)| ((*model).to_owned(), *count));
-        let spares = reserve(planner, domain).min(domain.living);
-        let hosts = domain.living - spares;
-        let mut hot = BTreeMap::new();
-        for model in &planner.engine.models {
-            let free = domain.free.iter().filter(|host| host.held_last(&model.name)).count();
-            hot.insert(model.name.clone(), free);
-        }
-        (domain.name.to_owned(), Room { hosts, spares, groups: groups.collect(), hot })
-    });
+/// What each domain can hold, and holds. One that is coming back can hold what it could before, and is taken
+/// to hold what was wanted of it then: the plan does not change with each host that is listed.
+pub(super) fn rooms(now: Millis, planner: &Planner) -> BTreeMap<String, Room> {
+    let domains = domains(now, planner);
+    let rooms = domains.values().map(|domain| (domain.name.to_owned(), room(planner, domain)));
     rooms.collect()
 }
+
+fn room(planner: &Planner, domain: &Domain<'_>) -> Room {
+    let hosts = known_hosts(planner, domain);
+    let spares = reserve(planner, domain, hosts).min(hosts);
+    let mut groups: BTreeMap<String, usize> =
+        domain.groups.iter().map(|(model, count)| ((*model).to_owned(), *count)).collect();
+    if domain.returning {
+        for (model, count) in planner.quotas_when_whole.get(domain.name).into_iter().flatten() {
+            let held = groups.entry(model.clone()).or_default();
+            *held = (*held).max(*count);
+        }
+    }
+    let models = planner.engine.models.iter();
+    let hot = models.map(|model| (model.name.clone(), domain.warm(model))).collect();
+    Room { hosts: hosts - spares, spares, groups, hot }
+}
--- a/crates/oliveworks-gateway-core/tests/planner/main.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/main.rs
@@ -1,5 +1,6 @@
 //! The planner against a simulated pool of hosts.
 
+mod domain_return;
 mod follow;
 mod handover;
 mod policy;
--- a/crates/oliveworks-gateway-core/tests/planner/world.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/world.rs
@@ -47,6 +47,16 @@
     }
 }
 
+/// Domains of 27 hosts, of which a group of the larger model takes 12 and one of the smaller 6.
+pub fn wide_engine() -> Engine {
+    let mut engine = engine();
+    engine.models[0].size = 12;
+    engine.models[1].size = 6;
+    engine.loads_per_s = 6.8;
+    engine.loads_at_once = 10;
+    engine
+}
+
 /// What the hosts of a run do not do, to see that a check can fail.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Broken {
@@ -66,12 +76,15 @@
     pub last_model: Option<String>,
     pub staging: Vec<String>,
     pub staged_at: Option<(u64, String)>,
+    /// The model that a join loads: it takes the place of what is staged once the load ends.
+    pub join_loads: Option<String>,
     pub group: Option<(Membership, Vec<BackendServerId>, String)>,
     pub ready_at: u64,
     pub open_at: Option<u64>,
 }
 
 pub struct World {
+    pub engine: Engine,
     pub rng: ChaCha8Rng,
     pub now: u64,
     pub broken: Broken,
@@ -88,6 +101,7 @@
 impl World {
     pub fn new(seed: u64, broken: Broken) -> World {
         World {
+            engine: engine(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             now: 0,
             broken,
@@ -125,6 +139,7 @@
             last_model: None,
             staging: vec![],
             staged_at: None,
+            join_loads: None,
             group: None,
             ready_at: 0,
             open_at: None,
@@ -161,7 +176,7 @@
                 self.breaches.push(format!("{now}: TWO: {id} joins {epoch} while {old} serves"));
             }
         }
-        let engine = engine();
+        let engine = self.engine.clone();
         let Some(host) = self.hosts.get_mut(id) else { return Outcome::Unanswered };
         host.fence = host.fence.max(fence);
         match order {
@@ -181,8 +196,11 @@
                     self.loads.push(now);
                     host.staged_at = None;
                 }
-                // A host keeps one model in memory, and that is the one it joined with last.
-                host.staging = vec![model.clone()];
+                // A host keeps one model in memory: the one it joined with last, once that is loaded.
+                host.join_loads = (!hot && !warm).then(|| model.clone());
+                if host.join_loads.is_none() {
+                    host.staging = vec![model.clone()];
+                }
                 let rank = members.iter().position(|member| member == id).expect("a member");
                 host.epoch = *epoch;
                 host.last_model = Some(model.clone());
@@ -220,6 +238,7 @@
                 if host.group.as_ref().is_some_and(|(member, _, _)| member.epoch == *epoch) {
                     host.group = None;
                     host.open_at = None;
+                    host.join_loads = None;
                 }
                 Outcome::Taken
             }
@@ -248,6 +267,9 @@
             let Some((member, members, model)) = &mut host.group else { continue };
             if member.state == MemberState::Joining && now >= host.ready_at {
                 member.state = MemberState::Ready;
+                if let Some(loaded) = host.join_loads.take() {
+                    host.staging = vec![loaded];
+                }
             }
             if member.state == MemberState::Ready {
                 self.ready.insert((member.epoch, id.clone()));
@@ -258,7 +280,7 @@
             }
         }
         for (epoch, members, model) in opened {
-            let size = engine().model(&model).expect("a model").size;
+            let size = self.engine.model(&model).expect("a model").size;
             let never = members.iter().find(|id| !self.ready.contains(&(epoch, (*id).clone())));
             if members.len() != size || never.is_some() {
                 self.breaches.push(format!("{now}: PARTIAL: {epoch} opens without {never:?}"));
@@ -331,7 +353,7 @@
         ended: Vec<u64>,
         config: PlannerConfig,
     ) -> Leader {
-        let mut planner = Planner::new(config, engine(), fence, world.now);
+        let mut planner = Planner::new(config, world.engine.clone(), fence, world.now);
         let mut known = BTreeSet::new();
         for server in world.listed() {
             planner.listed(world.now, &server);
@@ -416,7 +438,11 @@
 
 /// The same, planned by other weights.
 pub fn formed_with(hosts: usize, config: PlannerConfig) -> (World, Leader) {
-    let mut world = World::new(1, Broken::default());
+    formed_of(World::new(1, Broken::default()), hosts, config)
+}
+
+/// The same of a world whose engine is set.
+pub fn formed_of(mut world: World, hosts: usize, config: PlannerConfig) -> (World, Leader) {
     for _ in 0..hosts {
         DOMAINS.iter().for_each(|domain| world.add_host(domain));
     }
