Planner: free hosts serve what they keep, loads that last longer are given up, one host short comes first

A join that loads was seen through whatever became sooner possible. The load that completes a group of n-1 free hosts waited behind loads for the next loss: as many ran as run at full speed.

Change (sooner.rs): a whole group of hosts that keep a model which refuses callers is formed beside what is wanted, where none that is wanted could be formed without a load. A join that loads is given up if its hosts form such a group over 5 s before the load's end; not the load of a model that no group serves, nor of a whole group that an earlier leader formed. Of the groups that lack hosts the one that lacks the fewest is loaded first, and its hosts load nothing else. Loads that complete a group whose callers are refused begin beside those for the next loss.

--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -19,6 +19,7 @@
 mod parts;
 mod pressure;
 mod shortage;
+mod sooner;
 mod spares;
 mod stage;
 mod yielding;
@@ -463,11 +464,15 @@
         let epoch = self.fence * EPOCHS_OF_FENCE + self.epochs;
         for member in &plan.members {
             let Some(host) = self.hosts.get_mut(member) else { continue };
-            let spare_group = host.group.replace(epoch);
             host.joined = None;
-            if let Some(old) = spare_group {
-                self.groups.remove(&old);
-                self.end(old);
+            // The spare that it was, or the group that gives up its loads.
+            if let Some(old) = host.group {
+                self.dissolve(old);
+            }
+        }
+        for member in &plan.members {
+            if let Some(host) = self.hosts.get_mut(member) {
+                host.group = Some(epoch);
             }
         }
         let phase = Phase::Joining;
@@ -546,15 +551,19 @@
 
     /// Stages models with what the joins of this tick left of the loads.
     fn stage(&mut self, now: Millis, commands: &mut Vec<Command>) {
-        let most = self.engine.loads_at_once as usize * self.config.staging_percent / 100;
-        if self.waits_for_joins() || self.is_starting() || (self.traffic && self.loading() >= most)
-        {
+        if self.waits_for_joins() || self.is_starting() {
             return;
         }
+        let most = self.engine.loads_at_once as usize * self.config.staging_percent / 100;
+        // What one more load costs the others is little beside callers who are refused until it ends.
+        let only_urgent = self.traffic && self.loading() >= most;
         for staging in stage::stage(now, self) {
             if self.load_tokens < 1.0 {
                 return;
             }
+            if only_urgent && !staging.urgent {
+                continue;
+            }
             let Some(host) = self.hosts.get_mut(&staging.host) else { continue };
             if host.may_order(now) {
                 self.load_tokens -= 1.0;
--- a/crates/oliveworks-gateway-core/src/planner/allot.rs
+++ b/crates/oliveworks-gateway-core/src/planner/allot.rs
@@ -9,6 +9,7 @@
 use super::domain::{Domain, Warmth, domains, warmth};
 use super::host::Host;
 use super::shortage::Shortage;
+use super::sooner::{self, Loader, loaders};
 use super::spares::load_spares;
 use crate::Millis;
 use crate::backend_servers::BackendServerId;
@@ -34,6 +35,9 @@
     // Hosts are still being listed, in one domain longer than in another.
     let listing = !planner.traffic && domains.values().any(|domain| !domain.steady);
     let mut plans = form(planner, &mut domains, listing);
+    if plans.is_empty() {
+        plans.extend(give_up_loads(now, planner, &domains));
+    }
     if !listing {
         load_spares(planner, &domains, &mut plans);
     }
@@ -71,6 +75,25 @@
     plans
 }
 
+/// A group for which some hosts give up their loads of another model, if one serves so much sooner.
+fn give_up_loads(
+    now: Millis,
+    planner: &Planner,
+    domains: &BTreeMap<&str, Domain<'_>>,
+) -> Option<NewGroup> {
+    let short = Shortage::of(planner, domains);
+    let loaders = loaders(now, planner);
+    let mut models: Vec<&Model> = planner.engine.models.iter().filter(|m| m.size > 1).collect();
+    models.sort_by(|a, b| short.pressure(b).total_cmp(&short.pressure(a)));
+    let of = |name: &str| -> &[Loader<'_>] { loaders.get(name).map_or(&[], Vec::as_slice) };
+    models.into_iter().find_map(|model| {
+        let mut given_up = domains
+            .values()
+            .filter_map(|domain| sooner::given_up(&short, domain, of(domain.name), model));
+        given_up.next().map(|hosts| new_group(model, &hosts))
+    })
+}
+
 /// The hosts that a model has for its share.
 pub(super) fn need(model: &Model, domains: &BTreeMap<&str, Domain<'_>>) -> f64 {
     let groups: usize = domains.values().map(|domain| domain.count(model)).sum();
@@ -102,7 +125,10 @@
         // Hosts that would wait for others serve a crowded model meanwhile; they yield when the group
         // that they wait for can be formed.
         Warmth::Staged => {
-            lacks || (planner.config.waiting_serve && short.comes_first(domain, model))
+            lacks
+                || (planner.config.waiting_serve
+                    && (short.comes_first(domain, model)
+                        || sooner::serves_first(short, domain, model)))
         }
         // Hosts that hold the model do not wait for one that loads it: that one loads as a spare.
         Warmth::Cold => {
--- a/crates/oliveworks-gateway-core/src/planner/host.rs
+++ b/crates/oliveworks-gateway-core/src/planner/host.rs
@@ -206,6 +206,19 @@
         self.pending || (joins && self.join_loads) || self.stages()
     }
 
+    /// Whether it loads a model for the group of this epoch, or will.
+    pub(super) fn loads_for(&self, epoch: u64, model: &str) -> bool {
+        let ready =
+            self.holding.group.as_ref().is_some_and(|member| {
+                member.epoch == epoch && member.state != MemberState::Joining
+            });
+        let loads = match self.joined == Some(epoch) {
+            true => self.join_loads,
+            false => !self.has(model),
+        };
+        loads && !ready
+    }
+
     /// It belongs to a group that an earlier leader formed, and may load for it.
     pub(super) fn adopted(&mut self, epoch: u64) {
         self.group = Some(epoch);
@@ -250,8 +263,12 @@
 
     /// Whether it need not load the model from the weight store.
     pub(super) fn has(&self, model: &str) -> bool {
-        self.last_model.as_deref() == Some(model)
-            || self.holding.staging.iter().any(|staged| staged == model)
+        self.held_last(model) || self.keeps(model)
+    }
+
+    /// Whether it keeps the model in memory.
+    pub(super) fn keeps(&self, model: &str) -> bool {
+        self.holding.staging.iter().any(|staged| staged == model)
     }
 
     /// The model of its last join, for people.
--- a/crates/oliveworks-gateway-core/src/planner/pressure.rs
+++ b/crates/oliveworks-gateway-core/src/planner/pressure.rs
@@ -1,5 +1,6 @@
 //! How much each model's callers ask of its groups.
 
+use super::group::Phase;
 use super::{ModelLoad, Planner};
 use crate::Millis;
 use crate::configuration::Model;
@@ -62,6 +63,12 @@
         of_model.filter(|group| group.counts() && group.members.len() == model.size).count()
     }
 
+    /// Whether any group of a model serves.
+    pub(super) fn serves_anywhere(&self, model: &Model) -> bool {
+        let mut of_model = self.groups.values().filter(|group| group.model == model.name);
+        of_model.any(|group| matches!(group.phase, Phase::Open { .. }))
+    }
+
     /// Whether ending so many groups of `giver` for one of `needy` serves more callers, beyond what
     /// the quotas say: always for a model without any group, else for one that stays busier. The last
     /// group of a model never ends for another's.
--- a/crates/oliveworks-gateway-core/src/planner/shortage.rs
+++ b/crates/oliveworks-gateway-core/src/planner/shortage.rs
@@ -12,6 +12,9 @@
 /// one. A small group that lost a member is a small part of its model; the next large one waits long.
 pub(super) const SPARE_RATIO: f64 = 1.3;
 
+/// The demand for each group above which callers are refused.
+const FULL: f64 = 1.0;
+
 /// What each model lacks, counting the groups that are planned already.
 pub(super) struct Shortage<'a> {
     pub(super) planner: &'a Planner,
@@ -35,10 +38,15 @@
         }
     }
 
-    fn pressure(&self, model: &Model) -> f64 {
+    pub(super) fn pressure(&self, model: &Model) -> f64 {
         self.pressures.get(model.name.as_str()).copied().unwrap_or(0.0)
     }
 
+    /// Whether a model refuses callers, also once the groups that are being formed serve.
+    pub(super) fn refuses(&self, model: &Model) -> bool {
+        self.pressure(model) > FULL
+    }
+
     /// Whether a model is about to refuse callers, and lacks groups more than another.
     fn outbids(&self, model: &Model, other: &Model) -> bool {
         let config = &self.planner.config;
--- /dev/null
+++ b/crates/oliveworks-gateway-core/src/planner/sooner.rs
@@ -0,0 +1,127 @@
+//! What free hosts can serve sooner than what is wanted of them.
+//!
+//! The load that this answers: hosts come back under twice the usual callers and keep one model in memory, while
+//! their domain should have groups of another. A load takes 12 s and more, longer if many run; a group
+//! of what they keep serves after 2 s. So hosts that can form a whole group of a model that refuses callers
+//! form it, whatever the domain should have, and a join that loads is given up for it while most of the
+//! load is still ahead. Of several groups that lack hosts, the one that lacks the fewest gets its loads
+//! first, and those that wait for it load nothing else. Rejected: shares first (thirteen hosts loaded for
+//! 20 s beside callers of the model that they kept).
+
+use std::collections::BTreeMap;
+
+use super::Planner;
+use super::domain::{Domain, Warmth, warmth};
+use super::group::Phase;
+use super::host::Host;
+use super::shortage::Shortage;
+use crate::Millis;
+use crate::configuration::Model;
+
+/// How much sooner than the end of a load a group must serve for the load to be given up, in ms: what was
+/// loaded is lost, so the gain has to be some times the 2 s that the change itself takes.
+const SOONER_MS: u64 = 5_000;
+
+/// A host that loads a model for a group which does not serve yet.
+#[derive(Clone, Copy)]
+pub(super) struct Loader<'a> {
+    pub(super) host: &'a Host,
+    /// How long the load still takes, in ms.
+    left_ms: u64,
+}
+
+/// The hosts of each domain whose loads may be given up.
+pub(super) fn loaders(now: Millis, planner: &Planner) -> BTreeMap<&str, Vec<Loader<'_>>> {
+    let mut found: BTreeMap<&str, Vec<Loader<'_>>> = BTreeMap::new();
+    let at_once = f64::from(planner.engine.loads_at_once.max(1));
+    let queue = (planner.loading() as f64 / at_once).max(1.0);
+    for group in planner.groups.values().filter(|group| group.phase == Phase::Joining) {
+        let Some(model) = planner.model(&group.model) else { continue };
+        // An earlier leader may have told the head of a whole group to open.
+        let may_open = group.adopted && group.members.len() == model.size;
+        if may_open || !planner.serves_anywhere(model) {
+            continue;
+        }
+        let load_ms = (model.load_ms as f64 * queue) as u64;
+        let hosts = group.members.iter().filter_map(|id| planner.hosts.get(id));
+        for host in hosts.filter(|host| host.is_fit() && host.loads_for(group.epoch, &model.name)) {
+            let begun_at = if host.joined == Some(group.epoch) { host.joined_at } else { now };
+            let left_ms = (begun_at + load_ms).saturating_sub(now);
+            let here = found.entry(&host.server.domain).or_default();
+            here.push(Loader { host, left_ms });
+        }
+    }
+    found
+}
+
+/// Whether the free hosts of a domain serve a model before they could serve any that the domain lacks.
+pub(super) fn serves_first(short: &Shortage<'_>, domain: &Domain<'_>, model: &Model) -> bool {
+    let planner = short.planner;
+    let others = planner.engine.models.iter().filter(|other| other.name != model.name);
+    let mut lacking = others.filter(|other| domain.lacks(planner, other) > 0);
+    planner.traffic && short.refuses(model) && lacking.all(|other| domain.warm(other) < other.size)
+}
+
+/// The hosts that form a group of a model which refuses callers, if some of them give up their loads of
+/// another.
+pub(super) fn given_up<'a>(
+    short: &Shortage<'a>,
+    domain: &Domain<'a>,
+    loaders: &[Loader<'a>],
+    model: &Model,
+) -> Option<Vec<&'a Host>> {
+    if !short.planner.traffic || !short.refuses(model) {
+        return None;
+    }
+    let warm = |host: &&Host| warmth(host, model) != Warmth::Cold;
+    let mut hosts: Vec<&Host> = domain.free.iter().copied().filter(warm).collect();
+    hosts.retain(|host| !short.is_kept(domain, host, model));
+    if hosts.len() >= model.size {
+        return None;
+    }
+    let change_ms = model.warm_ms + short.planner.engine.form_ms + SOONER_MS;
+    let worth = loaders.iter().filter(|loader| loader.left_ms > change_ms);
+    let able = worth.filter(|loader| loader.host.keeps(&model.name));
+    hosts.extend(able.map(|loader| loader.host).take(model.size - hosts.len()));
+    (hosts.len() == model.size).then_some(hosts)
+}
+
+/// A group of a model that refuses callers, of which most hosts are there.
+#[derive(Clone, Copy)]
+pub(super) struct Nearest<'a> {
+    pub(super) model: &'a Model,
+    /// Hosts that must load the model, beside those that do already.
+    pub(super) missing: usize,
+}
+
+impl<'a> Nearest<'a> {
+    /// The model, if a host that holds none takes it up for the group: it keeps the model, or one that loads
+    /// it is still missing.
+    pub(super) fn takes(&mut self, host: &Host) -> Option<&'a Model> {
+        if host.has(&self.model.name) {
+            return Some(self.model);
+        }
+        let missing = self.missing > 0;
+        self.missing = self.missing.saturating_sub(1);
+        missing.then_some(self.model)
+    }
+}
+
+/// The group that the free hosts of a domain come to form with the fewest loads.
+pub(super) fn nearest<'a>(short: &Shortage<'a>, domain: &Domain<'_>) -> Option<Nearest<'a>> {
+    let planner = short.planner;
+    if !planner.traffic {
+        return None;
+    }
+    let models = planner.engine.models.iter().filter(|model| model.size > 1);
+    let refusing = models.filter(|model| short.refuses(model));
+    let near = refusing.filter_map(|model| {
+        let warm = domain.warm(model);
+        let staging = domain.free.iter().filter(|host| host.is_staging(&model.name)).count();
+        let missing = model.size.saturating_sub(warm + staging + domain.loads(model));
+        let most_are_there = warm < model.size && warm * 2 > model.size;
+        let enough = domain.free.len() >= warm + staging + missing;
+        (most_are_there && enough).then_some(Nearest { model, missing })
+    });
+    near.min_by_key(|near| near.missing)
+}
--- a/crates/oliveworks-gateway-core/src/planner/spares.rs
+++ b/crates/oliveworks-gateway-core/src/planner/spares.rs
@@ -13,6 +13,8 @@
 use super::allot::{NewGroup, new_group};
 use super::domain::{Domain, fits};
 use super::host::Host;
+use super::shortage::Shortage;
+use super::sooner::nearest;
 use crate::configuration::Model;
 
 /// Groups of the smallest model of which one is not missed.
@@ -44,8 +46,10 @@
     if !planner.traffic && (!plans.is_empty() || planner.waits_for_joins()) {
         return;
     }
+    let short = Shortage::of(planner, domains);
     for domain in domains.values().filter(|domain| domain.steady) {
         let grouped = of_domain(planner, domain);
+        let mut near = nearest(&short, domain);
         let Some(held) = model_of_spares(planner, &grouped) else { continue };
         let mut loading: BTreeMap<&str, usize> =
             grouped.iter().map(|model| (model.name.as_str(), domain.loads(model))).collect();
@@ -54,7 +58,9 @@
                 continue;
             }
             let spare = first_spare(planner, domain, &grouped, &loading, held);
-            let model = to_load(planner, domain, &grouped, &loading, host, spare);
+            let for_near = near.as_mut().and_then(|near| near.takes(host));
+            let model = for_near
+                .unwrap_or_else(|| to_load(planner, domain, &grouped, &loading, host, spare));
             *loading.entry(&model.name).or_default() += 1;
             plans.push(new_group(model, &[host]));
         }
--- a/crates/oliveworks-gateway-core/src/planner/stage.rs
+++ b/crates/oliveworks-gateway-core/src/planner/stage.rs
@@ -15,7 +15,8 @@
 use super::domain::{Domain, domains, fits, quota};
 use super::group::Phase;
 use super::host::Host;
-use super::shortage::SPARE_RATIO;
+use super::shortage::{SPARE_RATIO, Shortage};
+use super::sooner;
 use crate::Millis;
 use crate::backend_servers::BackendServerId;
 use crate::configuration::Model;
@@ -25,6 +26,8 @@
 pub(super) struct Staging {
     pub(super) host: BackendServerId,
     pub(super) model: String,
+    /// Whether callers are refused who would be served once it is done, and not only after the next loss.
+    pub(super) urgent: bool,
 }
 
 /// A host that could stage a model, with what decides its turn.
@@ -37,6 +40,8 @@
     turn: usize,
     /// Whether it would complete a group that its domain lacks.
     completes: bool,
+    /// Whether that group's model refuses callers.
+    urgent: bool,
 }
 
 /// Hosts that should stage a model that they do not hold, the most urgent first.
@@ -73,6 +78,7 @@
     let staging = candidates.into_iter().map(|candidate| Staging {
         host: candidate.host.server.id.clone(),
         model: candidate.model.name.clone(),
+        urgent: candidate.urgent,
     });
     staging.collect()
 }
@@ -82,7 +88,7 @@
     let still = group.is_none_or(|g| matches!(g.phase, Phase::Spare | Phase::Open { .. }));
     let serving = group.filter(|group| group.phase != Phase::Spare);
     let epoch = serving.map(|group| group.epoch);
-    still.then_some(Candidate { host, model, epoch, turn: 0, completes: false })
+    still.then_some(Candidate { host, model, epoch, turn: 0, completes: false, urgent: false })
 }
 
 /// Hosts that can serve a model without a load, or will soon, for the part that it should have.
@@ -122,12 +128,15 @@
     domains: &BTreeMap<&str, Domain<'_>>,
     candidates: &mut [Candidate<'_>],
 ) {
+    let short_of = Shortage::of(planner, domains);
     let mut missing: BTreeMap<(&str, &str), usize> = BTreeMap::new();
     for domain in domains.values() {
         for model in planner.engine.models.iter().filter(|model| model.size > 1) {
             let staging = domain.free.iter().filter(|host| host.is_staging(&model.name)).count();
             let comes = domain.warm(model) + staging + domain.loads(model);
-            let short = (model.size * domain.lacks(planner, model)).saturating_sub(comes);
+            let lacks = (model.size * domain.lacks(planner, model)).saturating_sub(comes);
+            let near = sooner::nearest(&short_of, domain).filter(|near| near.model == model);
+            let short = lacks.max(near.map_or(0, |near| near.missing));
             missing.insert((domain.name, &model.name), short);
         }
     }
@@ -141,6 +150,7 @@
         if let Some(short) = missing.get_mut(&key).filter(|short| **short > 0) {
             *short -= 1;
             candidate.completes = true;
+            candidate.urgent = candidate.epoch.is_none() && short_of.refuses(candidate.model);
         }
     }
 }
--- a/crates/oliveworks-gateway-core/tests/planner/domain_return.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/domain_return.rs
@@ -5,6 +5,8 @@
 
 use std::collections::BTreeSet;
 
+use oliveworks_gateway_core::backend_servers::BackendServerId;
+
 use crate::world::*;
 
 /// Hosts of a domain.
@@ -22,6 +24,17 @@
     formed_of(world, HOSTS, Default::default())
 }
 
+/// The larger model has so small a share that a domain has no group of it: that one.
+fn without_large() -> (World, Leader, &'static str) {
+    let mut world = World::new(1, Broken::default());
+    world.engine = wide_engine();
+    world.engine.models[0].share = 0.1;
+    let (world, leader) = formed_of(world, HOSTS, Default::default());
+    let without = |domain: &&str| serving(&world, &leader, "large", domain) == 0;
+    let domain = DOMAINS.into_iter().find(without).expect("a domain without the larger model");
+    (world, leader, domain)
+}
+
 /// All hosts of a domain die, and gateways see its groups standing still.
 fn lose(world: &mut World, leader: &mut Leader, domain: &str) {
     let here: Vec<_> = world
@@ -93,3 +106,61 @@
     seen.insert(wanted(&leader, domain));
     assert_eq!(seen.len(), 1, "{seen:?}");
 }
+
+/// Thirteen hosts keep the larger model, of which by its share the domain should have no group. It refuses
+/// callers, though fewer than the smaller one: they serve it, and do not load the smaller one for 12 s.
+#[test]
+fn hosts_serve_the_model_that_they_keep_beside_a_load() {
+    let (mut world, mut leader, domain) = without_large();
+    let mostly_small = [("large", 1.5), ("small", 30.0)];
+    lose(&mut world, &mut leader, domain);
+    run_with_demand(&mut world, &mut leader, AWAY_MS, &mostly_small);
+    bring(&mut world, domain, 13, "large");
+    (0..14).for_each(|_| world.add_host(domain));
+    run_with_demand(&mut world, &mut leader, SOON_MS, &mostly_small);
+    assert_eq!(serving(&world, &leader, "large", domain), 1, "{:?}", lines(&leader));
+}
+
+/// Hosts load the smaller model and keep the larger one, whose callers are refused from then on: they give the
+/// loads up, 9 s before these would end.
+#[test]
+fn a_load_is_given_up_for_a_group_that_serves_much_sooner() {
+    let (mut world, mut leader, domain) = without_large();
+    lose(&mut world, &mut leader, domain);
+    let few_large = [("large", 0.3), DOUBLED[1]];
+    run_with_demand(&mut world, &mut leader, AWAY_MS, &few_large);
+    bring(&mut world, domain, 27, "large");
+    run_with_demand(&mut world, &mut leader, 4_000, &few_large);
+    let loading = world.hosts.values().filter(|host| host.join_loads.is_some()).count();
+    assert!(loading >= 12, "{loading} load: {:?}", lines(&leader));
+    run_with_demand(&mut world, &mut leader, SOON_MS, &DOUBLED);
+    assert!(serving(&world, &leader, "large", domain) > 0, "{:?}", lines(&leader));
+}
+
+/// A group of twelve loses a member and its domain has no spare of its model, while hosts everywhere load what the next
+/// loss may need: a spare of the other model loads the twelfth place at once, beside these.
+#[test]
+fn the_last_of_twelve_hosts_is_loaded_before_what_may_be_needed() {
+    let (mut world, mut leader) = wide();
+    let domain = DOMAINS[0];
+    kill_spares(&mut world, &leader, domain);
+    run_with_demand(&mut world, &mut leader, 3_000, &DOUBLED);
+    bring(&mut world, domain, 1, "small");
+    run_with_demand(&mut world, &mut leader, 2_000, &DOUBLED);
+    let alive = |world: &World| -> Vec<BackendServerId> {
+        world.listed().into_iter().map(|server| server.id).collect()
+    };
+    let stages = |id: &&BackendServerId| world.hosts[*id].staged_at.is_some();
+    let staging = alive(&world).iter().filter(stages).count();
+    assert!(staging >= world.engine.loads_at_once as usize, "{staging} stage");
+    kill_member(&mut world, &mut leader, "large", domain);
+    run_with_demand(&mut world, &mut leader, 1_000, &DOUBLED);
+    let loads_large = |id: &&BackendServerId| {
+        let host = &world.hosts[*id];
+        let staged = host.staged_at.as_ref().is_some_and(|(_, model)| model == "large");
+        let spare = host.group.as_ref().is_some_and(|(_, members, _)| members.len() == 1);
+        host.server.domain == domain && spare && staged
+    };
+    let loading = alive(&world).iter().filter(loads_large).count();
+    assert_eq!(loading, 1, "{:?}", lines(&leader));
+}
--- a/crates/oliveworks-gateway-core/tests/planner/world.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/world.rs
@@ -187,7 +187,9 @@
                 let figures = engine.model(model).expect("a model of the engine");
                 let hot = host.last_model.as_deref() == Some(model);
                 let warm = host.staging.contains(model);
+                let loads_on = host.join_loads.as_deref() == Some(model);
                 let time_ms = match (hot, warm) {
+                    _ if loads_on => host.ready_at.saturating_sub(now),
                     (true, _) => HOT_JOIN_MS,
                     (false, true) => figures.warm_ms,
                     (false, false) => figures.load_ms,
@@ -197,7 +199,7 @@
                     host.staged_at = None;
                 }
                 // A host keeps one model in memory: the one it joined with last, once that is loaded.
-                host.join_loads = (!hot && !warm).then(|| model.clone());
+                host.join_loads = (loads_on || (!hot && !warm)).then(|| model.clone());
                 if host.join_loads.is_none() {
                     host.staging = vec![model.clone()];
                 }
@@ -238,7 +240,6 @@
                 if host.group.as_ref().is_some_and(|(member, _, _)| member.epoch == *epoch) {
                     host.group = None;
                     host.open_at = None;
-                    host.join_loads = None;
                 }
                 Outcome::Taken
             }
