Planner: a dark domain is seen as a whole

Change (outage.rs): once three hosts of a domain, of groups that gateways saw standing still, are silent within a heartbeat, all others there are asked at once and one silence tells. Silences that no gateway saw do not count: a leader that is cut off from a domain would take apart what serves others. Not built: holding groups back from the table until the answer; a lost one is out after one question.

Test: domain_return.rs, two more; the dark domain fails on the code before, the one that loses three hosts is the check that it serves on.

--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -16,6 +16,7 @@
 mod growth;
 mod host;
 mod order;
+mod outage;
 mod parts;
 mod pressure;
 mod shortage;
@@ -34,6 +35,7 @@
 use growth::Growth;
 use host::Host;
 pub use order::{Command, ModelLoad, Order, Outcome, PlannerConfig, Serving};
+use outage::Outages;
 use parts::Parts;
 use pressure::Demand;
 
@@ -76,6 +78,8 @@
     most_hosts: BTreeMap<String, usize>,
     /// The hosts that each domain got last.
     growth: BTreeMap<String, Growth>,
+    /// Hosts of each domain that fell silent together.
+    outages: Outages,
     /// How many full groups each model's callers would fill.
     demand: BTreeMap<String, Demand>,
     /// What the domains can hold, and the groups that they should hold for it.
@@ -106,6 +110,7 @@
             load_tokens_at: now,
             most_hosts: BTreeMap::new(),
             growth: BTreeMap::new(),
+            outages: Outages::default(),
             demand: BTreeMap::new(),
             rooms: BTreeMap::new(),
             quotas: Quotas::new(),
@@ -324,8 +329,11 @@
 
     /// A host did not answer. `refused` if its address answers that nothing listens there.
     pub fn silent(&mut self, now: Millis, id: &str, refused: bool) {
-        if let Some(host) = self.hosts.get_mut(id) {
-            host.silent(now, refused);
+        let Some(host) = self.hosts.get_mut(id) else { return };
+        let stood_still = host.suspected && !host.is_lost();
+        host.silent(now, refused);
+        if stood_still {
+            self.outages.add(now, &host.server.domain);
         }
     }
 
@@ -342,8 +350,7 @@
         let Some(group) = self.groups.get(&epoch) else { return };
         for member in &group.members {
             if let Some(host) = self.hosts.get_mut(member) {
-                host.wants_probe = true;
-                host.suspected = true;
+                host.suspect();
             }
         }
     }
@@ -441,6 +448,7 @@
             }
         }
         self.stage(now, &mut commands);
+        self.ask_dark_domains(now);
         self.probe(now, &mut commands);
         commands
     }
--- a/crates/oliveworks-gateway-core/src/planner/host.rs
+++ b/crates/oliveworks-gateway-core/src/planner/host.rs
@@ -157,6 +157,12 @@
         }
     }
 
+    /// It is asked at once, and one silence tells.
+    pub(super) fn suspect(&mut self) {
+        self.wants_probe = true;
+        self.suspected = true;
+    }
+
     /// Whether it does not answer.
     pub(super) fn is_lost(&self) -> bool {
         self.silences >= SILENCE_MAX
--- a/crates/oliveworks-gateway-core/tests/planner/domain_return.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/domain_return.rs
@@ -164,3 +164,38 @@
     let loading = alive(&world).iter().filter(loads_large).count();
     assert_eq!(loading, 1, "{:?}", lines(&leader));
 }
+
+/// Gateways see one group of a dark domain standing still, since no other gets requests: all hosts there are known to
+/// be lost at once, spares too.
+#[test]
+fn a_dark_domain_is_seen_as_a_whole() {
+    let (mut world, mut leader) = wide();
+    let domain = DOMAINS[0];
+    run_with_demand(&mut world, &mut leader, 2_000, &DOUBLED);
+    let here = world.hosts.values_mut().filter(|host| host.server.domain == domain);
+    here.for_each(|host| host.alive = false);
+    kill_member(&mut world, &mut leader, "large", domain);
+    run_for(&mut world, &mut leader, 100, true);
+    let line = lines(&leader).into_iter().find(|line| line.starts_with(domain));
+    assert!(line.as_ref().is_some_and(|line| line.contains("\"lost\": 27")), "{line:?}");
+}
+
+/// Three hosts of a group die: the others of the domain are asked, answer, and serve on.
+#[test]
+fn a_domain_that_loses_three_hosts_serves_on() {
+    let (mut world, mut leader) = wide();
+    let domain = DOMAINS[0];
+    run_with_demand(&mut world, &mut leader, 2_000, &DOUBLED);
+    let groups = leader.planner.serving(world.now);
+    let large = groups.iter().find(|group| {
+        group.model == "large" && world.hosts[&group.members[0]].server.domain == domain
+    });
+    for id in large.expect("a group").members.iter().rev().take(3) {
+        world.hosts.get_mut(id).expect("a host").alive = false;
+        suspect(&world, std::slice::from_mut(&mut leader), id);
+    }
+    run_for(&mut world, &mut leader, 100, true);
+    let line = lines(&leader).into_iter().find(|line| line.starts_with(domain));
+    assert!(line.as_ref().is_some_and(|line| line.contains("\"lost\": 3")), "{line:?}");
+    assert_eq!(serving(&world, &leader, "small", domain), 2, "{line:?}");
+}
