Leader: free hosts that wait beside a model which refuses callers are told

Cause: nothing in the logs said that most hosts of a group were free for seconds while its callers were refused; it took reading `domain` lines against `model` lines, second by second.

Change (waiting.rs): the line `free_hosts_wait` and a counter of that name, once for each set, after 3 s: domain, model, hosts, how many are missing, how many load.

Test: domain_return.rs, eleven of twelve are told once.

--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -23,6 +23,7 @@
 mod sooner;
 mod spares;
 mod stage;
+mod waiting;
 mod yielding;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -38,6 +39,8 @@
 use outage::Outages;
 use parts::Parts;
 use pressure::Demand;
+pub use waiting::WaitingHosts;
+use waiting::Waits;
 
 /// Epochs that one fence has room for.
 const EPOCHS_OF_FENCE: u64 = 1_000_000;
@@ -80,6 +83,8 @@
     growth: BTreeMap<String, Growth>,
     /// Hosts of each domain that fell silent together.
     outages: Outages,
+    /// Free hosts that wait beside a model which refuses callers.
+    waits: Waits,
     /// How many full groups each model's callers would fill.
     demand: BTreeMap<String, Demand>,
     /// What the domains can hold, and the groups that they should hold for it.
@@ -111,6 +116,7 @@
             most_hosts: BTreeMap::new(),
             growth: BTreeMap::new(),
             outages: Outages::default(),
+            waits: Waits::default(),
             demand: BTreeMap::new(),
             rooms: BTreeMap::new(),
             quotas: Quotas::new(),
--- a/crates/oliveworks-gateway-core/tests/planner/domain_return.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/domain_return.rs
@@ -199,3 +199,21 @@
     assert!(line.as_ref().is_some_and(|line| line.contains("\"lost\": 3")), "{line:?}");
     assert_eq!(serving(&world, &leader, "small", domain), 2, "{line:?}");
 }
+
+/// Eleven of twelve hosts are free and nothing can load the twelfth: that is told once, after three seconds.
+#[test]
+fn hosts_that_wait_are_told() {
+    let (mut world, mut leader) = wide();
+    let domain = DOMAINS[0];
+    kill_spares(&mut world, &leader, domain);
+    run_with_demand(&mut world, &mut leader, 2_000, &DOUBLED);
+    kill_member(&mut world, &mut leader, "large", domain);
+    let mut told = Vec::new();
+    for _ in 0..60 {
+        run_with_demand(&mut world, &mut leader, 100, &DOUBLED);
+        told.extend(leader.planner.waiting_hosts(world.now));
+    }
+    let here: Vec<_> = told.iter().filter(|waiting| waiting.domain == domain).collect();
+    assert_eq!(here.len(), 1, "{told:?}");
+    assert_eq!((here[0].hosts, here[0].missing), (11, 1));
+}
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -198,6 +198,7 @@
         let parts = planner.parts();
         commands.extend(planner.tick(now).into_iter().map(|command| (service.clone(), command)));
         tell_parts(planner, &parts);
+        tell_waiting(gateway, planner);
         groups.extend(table_groups(gateway, service, planner));
         ended.extend(planner.ended());
         most_hosts.insert(service.clone(), planner.most_hosts().clone());
@@ -223,6 +224,21 @@
     }
 }
 
+/// A line for free hosts that wait beside a model which refuses callers.
+fn tell_waiting(gateway: &Gateway, planner: &mut Planner) {
+    for waiting in planner.waiting_hosts(gateway.now()) {
+        gateway.count("free_hosts_wait");
+        Event::new("free_hosts_wait")
+            .with("domain", waiting.domain)
+            .with("model", waiting.model)
+            .with("hosts", waiting.hosts)
+            .with("missing", waiting.missing)
+            .with("loading", waiting.loading)
+            .with("waited_ms", waiting.waited_ms)
+            .write();
+    }
+}
+
 fn refresh(gateway: &Gateway, service: &str, planner: &mut Planner) {
     let Some(lookup) = gateway.lookup() else { return };
     if let Some(engine) = lookup.service(service).and_then(|service| service.engine.as_ref()) {
