Planner: less work a tick for free hosts that serve sooner

Cause: what may be given up was worked out each tick, also with no group that loads, the nearest group of a domain once for each model, and candidates to stage also while as many loads run as may and nobody is refused.

Change: these return early.

Ruled out: loads that take turns (a group begins to load only while fewer loads run than run at full speed, or once it has begun).

--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -571,6 +571,9 @@
         let most = self.engine.loads_at_once as usize * self.config.staging_percent / 100;
         // What one more load costs the others is little beside callers who are refused until it ends.
         let only_urgent = self.traffic && self.loading() >= most;
+        if only_urgent && !self.any_refuses() {
+            return;
+        }
         for staging in stage::stage(now, self) {
             if self.load_tokens < 1.0 {
                 return;
--- a/crates/oliveworks-gateway-core/src/planner/allot.rs
+++ b/crates/oliveworks-gateway-core/src/planner/allot.rs
@@ -81,8 +81,11 @@
     planner: &Planner,
     domains: &BTreeMap<&str, Domain<'_>>,
 ) -> Option<NewGroup> {
-    let short = Shortage::of(planner, domains);
     let loaders = loaders(now, planner);
+    if loaders.is_empty() {
+        return None;
+    }
+    let short = Shortage::of(planner, domains);
     let mut models: Vec<&Model> = planner.engine.models.iter().filter(|m| m.size > 1).collect();
     models.sort_by(|a, b| short.pressure(b).total_cmp(&short.pressure(a)));
     let of = |name: &str| -> &[Loader<'_>] { loaders.get(name).map_or(&[], Vec::as_slice) };
--- a/crates/oliveworks-gateway-core/src/planner/pressure.rs
+++ b/crates/oliveworks-gateway-core/src/planner/pressure.rs
@@ -11,6 +11,9 @@
 /// The largest part of refused requests that is believed: what comes back is counted again.
 const REFUSED_MAX: f64 = 0.8;
 
+/// The demand for each group above which callers are refused.
+pub(super) const FULL: f64 = 1.0;
+
 /// How many full groups a model's callers would fill.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Demand {
@@ -63,6 +66,11 @@
         of_model.filter(|group| group.counts() && group.members.len() == model.size).count()
     }
 
+    /// Whether any model refuses callers, also once the groups that are being formed serve.
+    pub(super) fn any_refuses(&self) -> bool {
+        self.engine.models.iter().any(|model| self.pressure_now(model) > FULL)
+    }
+
     /// Whether any group of a model serves.
     pub(super) fn serves_anywhere(&self, model: &Model) -> bool {
         let mut of_model = self.groups.values().filter(|group| group.model == model.name);
--- a/crates/oliveworks-gateway-core/src/planner/shortage.rs
+++ b/crates/oliveworks-gateway-core/src/planner/shortage.rs
@@ -6,15 +6,13 @@
 use super::allot::need;
 use super::domain::Domain;
 use super::host::Host;
+use super::pressure::FULL;
 use crate::configuration::Model;
 
 /// How many times the hosts for its share a larger model may have before its spares serve a smaller
 /// one. A small group that lost a member is a small part of its model; the next large one waits long.
 pub(super) const SPARE_RATIO: f64 = 1.3;
 
-/// The demand for each group above which callers are refused.
-const FULL: f64 = 1.0;
-
 /// What each model lacks, counting the groups that are planned already.
 pub(super) struct Shortage<'a> {
     pub(super) planner: &'a Planner,
--- a/crates/oliveworks-gateway-core/src/planner/sooner.rs
+++ b/crates/oliveworks-gateway-core/src/planner/sooner.rs
@@ -33,6 +33,10 @@
 /// The hosts of each domain whose loads may be given up.
 pub(super) fn loaders(now: Millis, planner: &Planner) -> BTreeMap<&str, Vec<Loader<'_>>> {
     let mut found: BTreeMap<&str, Vec<Loader<'_>>> = BTreeMap::new();
+    let mut joining = planner.groups.values().filter(|group| group.phase == Phase::Joining);
+    if !planner.traffic || joining.next().is_none() {
+        return found;
+    }
     let at_once = f64::from(planner.engine.loads_at_once.max(1));
     let queue = (planner.loading() as f64 / at_once).max(1.0);
     for group in planner.groups.values().filter(|group| group.phase == Phase::Joining) {
@@ -70,7 +74,7 @@
     loaders: &[Loader<'a>],
     model: &Model,
 ) -> Option<Vec<&'a Host>> {
-    if !short.planner.traffic || !short.refuses(model) {
+    if !short.refuses(model) {
         return None;
     }
     let warm = |host: &&Host| warmth(host, model) != Warmth::Cold;
--- a/crates/oliveworks-gateway-core/src/planner/stage.rs
+++ b/crates/oliveworks-gateway-core/src/planner/stage.rs
@@ -131,12 +131,13 @@
     let short_of = Shortage::of(planner, domains);
     let mut missing: BTreeMap<(&str, &str), usize> = BTreeMap::new();
     for domain in domains.values() {
+        let near = sooner::nearest(&short_of, domain);
         for model in planner.engine.models.iter().filter(|model| model.size > 1) {
             let staging = domain.free.iter().filter(|host| host.is_staging(&model.name)).count();
             let comes = domain.warm(model) + staging + domain.loads(model);
             let lacks = (model.size * domain.lacks(planner, model)).saturating_sub(comes);
-            let near = sooner::nearest(&short_of, domain).filter(|near| near.model == model);
-            let short = lacks.max(near.map_or(0, |near| near.missing));
+            let of_near = near.filter(|near| near.model == model).map_or(0, |near| near.missing);
+            let short = lacks.max(of_near);
             missing.insert((domain.name, &model.name), short);
         }
     }
