--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -14,15 +14,19 @@
 mod domain;
 mod drain;
 mod group;
+mod growth;
 mod heads;
 mod host;
 mod order;
+mod outage;
 mod parts;
 mod pressure;
 mod shortage;
+mod sooner;
 mod spares;
 mod spread;
 mod stage;
+mod waiting;
 mod yielding;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -32,10 +36,14 @@
 use crate::configuration::{Engine, Model};
 use crate::quota::{self, Quotas, Room};
 use group::{Group, Phase};
+use growth::Growth;
 use host::Host;
 pub use order::{Command, ModelLoad, Order, Outcome, PlannerConfig, Serving};
+use outage::Outages;
 use parts::Parts;
 use pressure::Demand;
+pub use waiting::WaitingHosts;
+use waiting::Waits;
 
 /// Epochs that one fence has room for.
 const EPOCHS_OF_FENCE: u64 = 1_000_000;
@@ -74,14 +82,20 @@
     load_tokens_at: Millis,
     /// The most hosts that each domain had.
     most_hosts: BTreeMap<String, usize>,
-    /// When each domain last got a host.
-    grown_at: BTreeMap<String, Millis>,
+    /// The hosts that each domain got last.
+    growth: BTreeMap<String, Growth>,
+    /// Hosts of each domain that fell silent together.
+    outages: Outages,
+    /// Free hosts that wait beside a model which refuses callers.
+    waits: Waits,
     /// How many full groups each model's callers would fill.
     demand: BTreeMap<String, Demand>,
     /// What the domains can hold, and the groups that they should hold for it.
     rooms: BTreeMap<String, Room>,
     quotas: Quotas,
-    /// When that last changed.
+    /// The same of each domain when it last had all its hosts.
+    quotas_when_whole: Quotas,
+    /// When the quotas last changed.
     quotas_at: Millis,
     /// How many failure domains may be lost at once.
     tolerance: usize,
@@ -105,10 +119,13 @@
             load_tokens: 0.0,
             load_tokens_at: now,
             most_hosts: BTreeMap::new(),
-            grown_at: BTreeMap::new(),
+            growth: BTreeMap::new(),
+            outages: Outages::default(),
+            waits: Waits::default(),
             demand: BTreeMap::new(),
             rooms: BTreeMap::new(),
             quotas: Quotas::new(),
+            quotas_when_whole: Quotas::new(),
             quotas_at: now,
             tolerance: 0,
             traffic: true,
@@ -149,7 +166,14 @@
 
     /// Whether a domain has had the same hosts for a while, so that its cold ones may be dealt out.
     fn is_settled(&self, now: Millis, domain: &str) -> bool {
-        self.grown_at.get(domain).is_none_or(|at| now >= at + self.config.settle_ms)
+        let growth = self.growth.get(domain);
+        growth.is_none_or(|growth| growth.is_settled(now, self.config.settle_ms))
+    }
+
+    /// Whether a domain with so many living hosts is coming back from a loss, with more to be listed.
+    fn is_returning(&self, now: Millis, domain: &str, living: usize) -> bool {
+        let most = self.most_hosts.get(domain).copied().unwrap_or_default();
+        living < most && self.growth.get(domain).is_some_and(|growth| growth.is_return(now))
     }
 
     /// The fence under which its orders go out.
@@ -168,13 +192,25 @@
 
     /// Works out how many groups each domain should hold, if anything has changed.
     fn update_quotas(&mut self, now: Millis) {
-        let rooms = domain::rooms(self);
+        let rooms = domain::rooms(now, self);
         if rooms != self.rooms {
             self.quotas = quota::spread_out(&self.engine.models, &rooms, &self.spread());
             self.quotas_at = now;
             self.rooms = rooms;
         }
         self.follow_callers(now);
+        self.keep_quotas_of_whole_domains();
+    }
+
+    /// Keeps what is wanted of each domain while it has as many hosts as it ever had.
+    fn keep_quotas_of_whole_domains(&mut self) {
+        for (domain, groups) in &self.quotas {
+            let room = self.rooms.get(domain).map_or(0, |room| room.hosts + room.spares);
+            let most = self.most_hosts.get(domain).copied().unwrap_or_default();
+            if room >= most && self.quotas_when_whole.get(domain) != Some(groups) {
+                self.quotas_when_whole.insert(domain.clone(), groups.clone());
+            }
+        }
     }
 
     /// Epochs of groups that have ended for certain, the newest ones.
@@ -276,7 +312,7 @@
             }
             None => {
                 self.hosts.insert(server.id.clone(), Host::new(now, server));
-                self.grown_at.insert(server.domain.clone(), now);
+                grow(&mut self.growth, now, &server.domain);
             }
         }
     }
@@ -292,6 +328,9 @@
     pub fn reported(&mut self, now: Millis, id: &str, holding: &Holding) {
         let may_be_slow = self.may_be_slow();
         if let Some(host) = self.hosts.get_mut(id) {
+            if host.is_lost() {
+                grow(&mut self.growth, now, &host.server.domain);
+            }
             host.answers();
             if let Some(pace) = holding.pace {
                 host.paced(pace, may_be_slow);
@@ -302,8 +341,11 @@
 
     /// A host did not answer. `refused` if its address answers that nothing listens there.
     pub fn silent(&mut self, now: Millis, id: &str, refused: bool) {
-        if let Some(host) = self.hosts.get_mut(id) {
-            host.silent(now, refused);
+        let Some(host) = self.hosts.get_mut(id) else { return };
+        let stood_still = host.suspected && !host.is_lost();
+        host.silent(now, refused);
+        if stood_still {
+            self.outages.add(now, &host.server.domain);
         }
     }
 
@@ -320,8 +362,7 @@
         let Some(group) = self.groups.get(&epoch) else { return };
         for member in &group.members {
             if let Some(host) = self.hosts.get_mut(member) {
-                host.wants_probe = true;
-                host.suspected = true;
+                host.suspect();
             }
         }
     }
@@ -419,6 +460,7 @@
             }
         }
         self.stage(now, &mut commands);
+        self.ask_dark_domains(now);
         self.probe(now, &mut commands);
         commands
     }
@@ -442,11 +484,15 @@
         let epoch = self.fence * EPOCHS_OF_FENCE + self.epochs;
         for member in &plan.members {
             let Some(host) = self.hosts.get_mut(member) else { continue };
-            let spare_group = host.group.replace(epoch);
             host.joined = None;
-            if let Some(old) = spare_group {
-                self.groups.remove(&old);
-                self.end(old);
+            // The spare that it was, or the group that gives up its loads.
+            if let Some(old) = host.group {
+                self.dissolve(old);
+            }
+        }
+        for member in &plan.members {
+            if let Some(host) = self.hosts.get_mut(member) {
+                host.group = Some(epoch);
             }
         }
         let phase = Phase::Joining;
@@ -526,15 +572,22 @@
 
     /// Stages models with what the joins of this tick left of the loads.
     fn stage(&mut self, now: Millis, commands: &mut Vec<Command>) {
+        if self.waits_for_joins() || self.is_starting() {
+            return;
+        }
         let most = self.engine.loads_at_once as usize * self.config.staging_percent / 100;
-        if self.waits_for_joins() || self.is_starting() || (self.traffic && self.loading() >= most)
-        {
+        // What one more load costs the others is little beside callers who are refused until it ends.
+        let only_urgent = self.traffic && self.loading() >= most;
+        if only_urgent && !self.any_refuses() {
             return;
         }
         for staging in stage::stage(now, self) {
             if self.load_tokens < 1.0 {
                 return;
             }
+            if only_urgent && !staging.urgent {
+                continue;
+            }
             let Some(host) = self.hosts.get_mut(&staging.host) else { continue };
             if host.may_order(now) {
                 self.load_tokens -= 1.0;
@@ -625,3 +678,8 @@
         members.filter(|id| !seen.insert((*id).clone())).cloned().collect()
     }
 }
+
+/// One more host of a domain is listed, or answers again.
+fn grow(growth: &mut BTreeMap<String, Growth>, now: Millis, domain: &str) {
+    growth.entry(domain.to_owned()).or_insert_with(|| Growth::new(now)).add(now);
+}
--- a/crates/oliveworks-gateway-core/src/planner/shortage.rs
+++ b/crates/oliveworks-gateway-core/src/planner/shortage.rs
@@ -6,6 +6,7 @@
 use super::allot::need;
 use super::domain::Domain;
 use super::host::Host;
+use super::pressure::FULL;
 use crate::configuration::Model;
 
 /// How many times the hosts for its share a larger model may have before its spares serve a smaller
@@ -35,10 +36,15 @@
         }
     }
 
-    fn pressure(&self, model: &Model) -> f64 {
+    pub(super) fn pressure(&self, model: &Model) -> f64 {
         self.pressures.get(model.name.as_str()).copied().unwrap_or(0.0)
     }
 
+    /// Whether a model refuses callers, also once the groups that are being formed serve.
+    pub(super) fn refuses(&self, model: &Model) -> bool {
+        self.pressure(model) > FULL
+    }
+
     /// Whether a model is about to refuse callers, and lacks groups more than another.
     fn outbids(&self, model: &Model, other: &Model) -> bool {
         let config = &self.planner.config;
--- a/crates/oliveworks-gateway-core/tests/planner/main.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/main.rs
@@ -1,5 +1,6 @@
 //! The planner against a simulated pool of hosts.
 
+mod domain_return;
 mod drain;
 mod follow;
 mod handover;
--- a/crates/oliveworks-gateway/src/readiness.rs
+++ b/crates/oliveworks-gateway/src/readiness.rs
@@ -45,9 +45,17 @@
     let drains = gateway.drains.borrow().failure_domains();
     let open: u32 = drains.iter().map(|name| gateway.open_there(name)).sum();
     let now = [("drained_failure_domains", drains.len()), ("drained_open_requests", open as usize)];
-    let counts = counters.iter().map(|(name, count)| format!("{FIGURES_PREFIX}_{name} {count}
-"));
-    let states = now.map(|(name, count)| format!("{FIGURES_PREFIX}_{name} {count}
-"));
+    let counts = counters.iter().map(|(name, count)| {
+        format!(
+            "{FIGURES_PREFIX}_{name} {count}
+"
+        )
+    });
+    let states = now.map(|(name, count)| {
+        format!(
+            "{FIGURES_PREFIX}_{name} {count}
+"
+        )
+    });
     counts.chain(states).collect::<String>() + &gateway.latencies.borrow().text(FIGURES_PREFIX)
 }
