--- a/crates/oliveworks-gateway-core/src/admission.rs
+++ b/crates/oliveworks-gateway-core/src/admission.rs
@@ -20,6 +20,7 @@
 
 use crate::Millis;
 use crate::balance::{Balance, Candidate, Target};
+use crate::locality::Parts;
 
 /// The weights of admission, each measured by replayed loads with 13 gateways: *many* has more than twice
 /// the callers that twelve groups serve, *long* has one and a half times the callers with
@@ -69,8 +70,14 @@
     pub full_at: f64,
     /// The time in which it should begin to be answered, in ms.
     pub goal_ms: u64,
-    /// This gateway's part of the callers of its model, 0 to 1.
-    pub part: f64,
+    /// This gateway's parts of what groups have free.
+    pub parts: Parts,
+}
+
+impl Asking {
+    fn part(&self, candidate: &Candidate) -> f64 {
+        if candidate.near { self.parts.near } else { self.parts.far }
+    }
 }
 
 /// What this gateway knows of a group beside the counts.
@@ -150,7 +157,7 @@
         }
         let group = self.groups.get(&candidate.target).copied().unwrap_or_default();
         let sent = group.sent_in(self.window(now));
-        sent + 1.0 <= (free + sent) * asking.part + self.lot(now, candidate.target)
+        sent + 1.0 <= (free + sent) * asking.part(candidate) + self.lot(now, candidate.target)
     }
 
     fn may_read(
@@ -168,9 +175,9 @@
         // Kept to already where half of that time was taken, 5 in 100 callers were refused that the groups
         // could all serve in time.
         if group.unread_ms < all_ms {
-            return own_ms == 0.0 || own_ms + prompt_ms <= all_ms * asking.part;
+            return own_ms == 0.0 || own_ms + prompt_ms <= all_ms * asking.part(candidate);
         }
-        let part_ms = (all_ms - unread_ms + own_ms).max(0.0) * asking.part;
+        let part_ms = (all_ms - unread_ms + own_ms).max(0.0) * asking.part(candidate);
         let lot = if own_ms > 0.0 { 0.0 } else { self.lot(now, candidate.target) };
         own_ms + prompt_ms <= part_ms + prompt_ms * lot
     }
--- a/crates/oliveworks-gateway-core/src/balance.rs
+++ b/crates/oliveworks-gateway-core/src/balance.rs
@@ -11,6 +11,7 @@
 
 use crate::Millis;
 use crate::fan_out::Source;
+use crate::locality::Sides;
 
 /// A backend server, or a replica group by its head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -81,6 +82,11 @@
 const FIRST_PASSES: u64 = 2;
 const FIRST_SLACK_MS: u64 = 100;
 
+/// How many targets are compared for a request.
+fn compared(candidates: &[Candidate]) -> usize {
+    if candidates.len() <= FEW { FEW } else { COMPARED }
+}
+
 #[derive(Clone, Debug, Default)]
 struct Own {
     open: u32,
@@ -210,39 +216,79 @@
         full_at: f64,
         draw: u64,
     ) -> Result<Target, NoTarget> {
-        let mut best: Option<(f64, Target)> = None;
-        let mut any = false;
-        let mut compared = 0;
-        let most = if candidates.len() <= FEW { FEW } else { COMPARED };
-        for turn in 0..candidates.len() {
-            // Starting anywhere spreads gateways that know the same over equal targets.
-            let index = (turn + (draw % candidates.len() as u64) as usize) % candidates.len();
-            let candidate = &candidates[index];
-            if tried.contains(&candidate.target) || self.suspended(now, candidate.target) {
-                continue;
-            }
-            any = true;
+        let open: Vec<&Candidate> =
+            candidates.iter().filter(|candidate| self.is_open_to(now, candidate, tried)).collect();
+        if open.is_empty() {
+            return Err(NoTarget::None);
+        }
+        let most = compared(candidates);
+        self.least_busy(now, &open, most, full_at, draw).ok_or(NoTarget::Full)
+    }
+
+    /// The same, but among the near targets alone as long as one of them takes one more.
+    ///
+    /// # Errors
+    /// If there is none, or all are full.
+    pub fn choose_near(
+        &self,
+        now: Millis,
+        candidates: &[Candidate],
+        tried: &[Target],
+        full_at: f64,
+        draw: u64,
+    ) -> Result<Target, NoTarget> {
+        let open = candidates.iter().filter(|candidate| self.is_open_to(now, candidate, tried));
+        let near: Vec<&Candidate> = open.filter(|candidate| candidate.near).collect();
+        let found = self.least_busy(now, &near, compared(candidates), full_at, draw);
+        found.map_or_else(|| self.choose(now, candidates, tried, full_at, draw), Ok)
+    }
+
+    fn is_open_to(&self, now: Millis, candidate: &Candidate, tried: &[Target]) -> bool {
+        !tried.contains(&candidate.target) && !self.suspended(now, candidate.target)
+    }
+
+    /// How busy targets are, near and elsewhere; without those that get nothing now.
+    pub fn sides(&self, now: Millis, candidates: &[Candidate]) -> Sides {
+        let mut sides = Sides::default();
+        for candidate in candidates.iter().filter(|c| !self.suspended(now, c.target)) {
             let load = self.load(now, candidate.target);
-            let slots = f64::from(candidate.slots.max(1));
-            if f64::from(load.requests) >= slots * full_at {
-                continue;
-            }
-            let far = if candidate.near { 0.0 } else { FAR_MS };
-            let failures = self.own.get(&candidate.target).map_or(0.0, |own| own.failures(now));
-            let cost = far
-                + failures * FAILURE_MS
-                + f64::from(load.requests) * candidate.open_ms
-                + f64::from(load.tokens) * candidate.token_ms;
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, candidate.target));
-            }
-            compared += 1;
-            if compared == most {
-                break;
-            }
+            let reading_ms = f64::from(load.tokens) * candidate.token_ms;
+            let side = if candidate.near { &mut sides.near } else { &mut sides.far };
+            side.add(f64::from(load.requests), f64::from(candidate.slots), reading_ms);
         }
-        let none = if any { NoTarget::Full } else { NoTarget::None };
-        best.map(|(_, target)| target).ok_or(none)
+        sides
+    }
+
+    /// The least busy of up to `most` targets that take one more.
+    fn least_busy(
+        &self,
+        now: Millis,
+        candidates: &[&Candidate],
+        most: usize,
+        full_at: f64,
+        draw: u64,
+    ) -> Option<Target> {
+        let count = candidates.len().max(1);
+        // Starting anywhere spreads gateways that know the same over equal targets.
+        let first = (draw % count as u64) as usize;
+        let turns = candidates.iter().cycle().skip(first).take(candidates.len());
+        let takes_one = |candidate: &&&Candidate| {
+            let slots = f64::from(candidate.slots.max(1));
+            f64::from(self.load(now, candidate.target).requests) < slots * full_at
+        };
+        let compared = turns.filter(takes_one).take(most);
+        let costs = compared.map(|candidate| (self.cost(now, candidate), candidate.target));
+        costs.min_by(|one, other| one.0.total_cmp(&other.0)).map(|(_, target)| target)
+    }
+
+    /// What one more request would wait at a target, in ms.
+    fn cost(&self, now: Millis, candidate: &Candidate) -> f64 {
+        let load = self.load(now, candidate.target);
+        let failures = self.own.get(&candidate.target).map_or(0.0, |own| own.failures(now));
+        let far = if candidate.near { 0.0 } else { FAR_MS };
+        far + failures * FAILURE_MS
+            + f64::from(load.requests) * candidate.open_ms
+            + f64::from(load.tokens) * candidate.token_ms
     }
 
     /// A request with a prompt of `tokens` goes to a target.
--- a/crates/oliveworks-gateway-core/src/demand.rs
+++ b/crates/oliveworks-gateway-core/src/demand.rs
@@ -12,6 +12,7 @@
 
 use crate::Millis;
 use crate::fan_out::Source;
+use crate::locality::CallersPart;
 
 /// A model of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -122,6 +123,22 @@
         if sum.all > 0.0 { self.own_looked(now, model).all / sum.all } else { 1.0 }
     }
 
+    /// This gateway's part of a model's requests that came lately, of all and of its failure domain's.
+    pub fn callers_part(&self, now: Millis, model: ModelKey) -> CallersPart {
+        let own = self.own_looked(now, model).all;
+        let everywhere = self.looked_everywhere(now, model);
+        let all = everywhere.all;
+        let domain = self.of_domain(now).get(&model).map_or(0.0, |looked| looked.all);
+        // Whoever has heard of no callers may be the only one who has some.
+        let part = |of: f64, whole: f64| if whole > 0.0 { of / whole } else { 1.0 };
+        CallersPart {
+            of_all: part(own, all),
+            of_domain: part(own, domain),
+            domain: Some(part(domain, all)),
+            refused: if all > 0.0 { everywhere.refused / all } else { 0.0 },
+        }
+    }
+
     /// Forgets other gateways that are no longer heard.
     pub fn retain(&mut self, now: Millis) {
         self.peers.retain(|_, (at, _)| now < *at + PEER_MS);
--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -24,6 +24,7 @@
 //! | [`fan_out`] | which gateways a heartbeat goes to |
 //! | [`telling`] | what a heartbeat tells of open requests |
 //! | [`balance`] | where a request goes |
+//! | [`locality`] | whether a request stays in its failure domain |
 //! | [`returning`] | whether a caller has come back after a refusal |
 //! | [`admission`] | how much of what a group has free this gateway may take |
 //! | [`budget`] | whether a request may be sent once more |
@@ -44,6 +45,7 @@
 pub mod fan_out;
 pub mod freshness;
 pub mod listing;
+pub mod locality;
 pub mod passing;
 pub mod planner;
 pub mod quota;
--- a/crates/oliveworks-gateway-core/tests/worst_load/world.rs
+++ b/crates/oliveworks-gateway-core/tests/worst_load/world.rs
@@ -248,13 +248,19 @@
         let now = self.now;
         let Caller { arrival, came_back, .. } = self.callers[caller];
         let mut candidates = self.candidates();
-        let draw = self.rng.random();
+        let draw: u64 = self.rng.random();
         let gateway = &mut self.gateways[index];
-        let part = gateway.demand.own_part(now, World::key());
+        let callers = gateway.demand.callers_part(now, World::key());
+        let sides = gateway.balance.sides(now, &candidates);
+        let parts = sides.parts(&callers);
+        let spills = sides.spills(&callers, draw);
         let full_at = gateway.admission.full_at(FULL_AT, came_back);
-        let asking = Asking { tokens: arrival.tokens, full_at, goal_ms: self.model.goal_ms, part };
+        let asking = Asking { tokens: arrival.tokens, full_at, goal_ms: self.model.goal_ms, parts };
         gateway.admission.admit(now, &gateway.balance, &asking, &mut candidates);
-        let chosen = gateway.balance.choose(now, &candidates, &[], full_at, draw);
+        let chosen = match spills {
+            true => gateway.balance.choose(now, &candidates, &[], full_at, draw),
+            false => gateway.balance.choose_near(now, &candidates, &[], full_at, draw),
+        };
         let Ok(target) = chosen else { return false };
         gateway.balance.started(now, target, arrival.tokens);
         gateway.admission.started(now, target);
--- a/crates/oliveworks-gateway/src/relay/placing.rs
+++ b/crates/oliveworks-gateway/src/relay/placing.rs
@@ -5,6 +5,7 @@
 use oliveworks_gateway_core::admission::Asking;
 use oliveworks_gateway_core::balance::{Candidate, NoTarget, Target};
 use oliveworks_gateway_core::demand::ModelKey;
+use oliveworks_gateway_core::locality::{CallersPart, Parts};
 use tokio::time::sleep;
 
 use super::Job;
@@ -32,20 +33,20 @@
         !self.gateway.drains.borrow().holds(&place.failure_domain)
     }
 
-    /// This gateway's part of the callers of its model, 0 to 1.
-    fn own_part(&self) -> f64 {
-        let Some(model) = &self.model else { return 1.0 };
+    /// This gateway's part of the callers of its model.
+    fn callers_part(&self) -> CallersPart {
+        let Some(model) = &self.model else { return CallersPart::UNKNOWN };
         let key = ModelKey::of(&self.service, model);
-        self.gateway.demand.borrow().own_part(self.gateway.now(), key)
+        self.gateway.demand.borrow().callers_part(self.gateway.now(), key)
     }
 
     /// Leaves out replica groups of which this gateway has taken its part.
-    fn admit(&self, full_at: f64, candidates: &mut Vec<Candidate>) {
+    fn admit(&self, full_at: f64, parts: Parts, candidates: &mut Vec<Candidate>) {
         let asking = Asking {
             tokens: self.asked.prompt_tokens,
             full_at,
             goal_ms: self.route.goal_ms,
-            part: self.own_part(),
+            parts,
         };
         let balance = self.gateway.balance.borrow();
         let mut admission = self.gateway.admission.borrow_mut();
@@ -59,15 +60,31 @@
         let came_back = self.served.came_back && !goes_on;
         let full_at = self.gateway.admission.borrow().full_at(full_at, came_back);
         let mut candidates: Vec<_> = places.iter().map(|place| place.candidate).collect();
+        let now = self.gateway.now();
+        let callers = self.callers_part();
+        let sides = self.gateway.balance.borrow().sides(now, &candidates);
         if self.model.is_some() && !goes_on {
-            self.admit(full_at, &mut candidates);
+            self.admit(full_at, sides.parts(&callers), &mut candidates);
         }
         if candidates.is_empty() && !places.is_empty() {
             return Err(NoTarget::Full);
         }
-        let now = self.gateway.now();
         let balance = self.gateway.balance.borrow();
-        balance.choose(now, &candidates, &self.tried, full_at, rand::random())
+        let draw = rand::random();
+        match sides.spills(&callers, draw) {
+            true => balance.choose(now, &candidates, &self.tried, full_at, draw),
+            false => balance.choose_near(now, &candidates, &self.tried, full_at, draw),
+        }
+    }
+
+    /// Counts whether a request stays in this failure domain; `near` is whether it could.
+    fn count_way(&self, place: &Place, near: bool) {
+        let way = match (place.candidate.near, near) {
+            (true, _) => "requests_near",
+            (false, true) => "requests_spilled",
+            (false, false) => "requests_far",
+        };
+        self.gateway.count(way);
     }
 
     /// Chooses where to send it; waits a little if all places are taken, and not at all for a first one
@@ -88,13 +105,16 @@
             }
             let none = match self.choose(&places, goes_on) {
                 Ok(target) => {
+                    let near = places.iter().any(|place| place.candidate.near);
                     let found = places.into_iter().find(|place| place.candidate.target == target);
-                    return found.ok_or(NoTarget::None);
+                    let place = found.ok_or(NoTarget::None)?;
+                    self.count_way(&place, near);
+                    return Ok(place);
                 }
                 Err(none) => none,
             };
             if self.gateway.now() >= until {
-                let part = self.own_part();
+                let part = self.callers_part().of_all;
                 self.log.push(format!("{} places, part of callers {part:.2}", places.len()));
                 return Err(none);
             }
