A request is served in the regions that its route and workspace name

Cause: regions of routes and workspaces were read and nothing went by them.

Change: residency.rs (pure) says whether a failure domain's region may serve a request; may_go_to leaves out places that may not, so that first attempts, retries and resumption are alike. Where that leaves none, the request is refused at once, with words of its own in the log and the counter refused_for_region.

Ruled out: falling back on other regions when the allowed ones are full.

--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -62,6 +62,8 @@
     /// The longest pass of a replica group of the model.
     pass_ms: u64,
     workspace: Option<String>,
+    /// Regions that the workspace's requests may be served in; empty if any may serve them.
+    workspace_regions: Vec<String>,
     priority: Option<u8>,
     received: Millis,
     deadline: Millis,
@@ -192,6 +194,7 @@
         pass_ms: pass_ms.unwrap_or(0),
         model: asked.model.clone().filter(|_| grouped),
         workspace: found.workspace.map(|workspace| workspace.name.clone()),
+        workspace_regions: found.workspace.map_or_else(Vec::new, |found| found.regions.clone()),
         priority: Some(workspace_rank.unwrap_or(found.route.priority)),
         progress: Progress::after(asked.last_event),
         attempts: Attempts::new(Terms { repeatable, max_attempts, deadline }),
@@ -237,6 +240,10 @@
                 Ok(place) => place,
                 Err(none) => {
                     self.log.push(format!("no place: {none:?}"));
+                    if none == NoTarget::None && self.is_kept_from_all_regions() {
+                        self.log.push("no place in a region that may serve it".into());
+                        self.gateway.count("refused_for_region");
+                    }
                     self.gateway.count(match none {
                         NoTarget::None => "refused_without_group",
                         NoTarget::Full => "refused_full",
--- a/crates/oliveworks-gateway/src/relay/placing.rs
+++ b/crates/oliveworks-gateway/src/relay/placing.rs
@@ -6,6 +6,7 @@
 use oliveworks_gateway_core::balance::{Candidate, NoTarget, Target};
 use oliveworks_gateway_core::demand::ModelKey;
 use oliveworks_gateway_core::locality::{CallersPart, Parts};
+use oliveworks_gateway_core::residency::Allowed;
 use tokio::time::sleep;
 
 use super::Job;
@@ -19,18 +20,38 @@
 const LOOK_MS: u64 = 15;
 
 impl Job<'_> {
-    fn places(&self) -> Vec<Place> {
-        let mut places = match &self.model {
+    fn all_places(&self) -> Vec<Place> {
+        match &self.model {
             Some(model) => self.gateway.group_places(&self.service, model),
             None => self.gateway.plain_places(&self.service),
-        };
+        }
+    }
+
+    fn places(&self) -> Vec<Place> {
+        let mut places = self.all_places();
         places.retain(|place| self.may_go_to(place));
         places
     }
 
     /// Whether a request may go to a place at all, however busy that is.
     fn may_go_to(&self, place: &Place) -> bool {
-        !self.gateway.drains.borrow().holds(&place.failure_domain)
+        !self.gateway.drains.borrow().holds(&place.failure_domain) && self.may_be_served_at(place)
+    }
+
+    /// Whether a place is in a region that may serve the request.
+    fn may_be_served_at(&self, place: &Place) -> bool {
+        let region = self.gateway.settings.regions.get(&place.failure_domain);
+        self.allowed().may_serve(region.map(String::as_str))
+    }
+
+    fn allowed(&self) -> Allowed<'_> {
+        Allowed { route: &self.route.regions, workspace: &self.workspace_regions }
+    }
+
+    /// Whether there are places, but none in a region that may serve the request.
+    pub(super) fn is_kept_from_all_regions(&self) -> bool {
+        let places = self.all_places();
+        !places.is_empty() && !places.iter().any(|place| self.may_be_served_at(place))
     }
 
     /// This gateway's part of the callers of its model.
