--- a/crates/oliveworks-gateway-core/tests/worst_load/world.rs
+++ b/crates/oliveworks-gateway-core/tests/worst_load/world.rs
@@ -86,6 +86,13 @@
     waiting: Vec<(usize, u64)>,
 }
 
+/// The failure domains of gateways and heads.
+#[derive(Clone, Debug)]
+pub struct Domains {
+    pub of_gateways: Vec<usize>,
+    pub of_heads: Vec<usize>,
+}
+
 /// Figures of a gateway on their way to another: when they are heard, by whom, from whom.
 type Told = (u64, usize, usize, HashMap<Target, Load>, HashMap<ModelKey, Looked>);
 
@@ -98,6 +105,10 @@
     gateways: Vec<Gateway>,
     heads: Vec<Head>,
     told: Vec<Told>,
+    domains: Domains,
+    /// Requests that were sent, and those among them that stayed in their failure domain.
+    pub sent: usize,
+    pub stayed: usize,
     pub fates: Vec<Option<Fate>>,
     /// The most tokens that a head read in one pass.
     pub most_read: u32,
@@ -141,12 +152,24 @@
             gateways: (0..gateways).map(gateway).collect(),
             heads: (0..model.heads).map(|_| Head::default()).collect(),
             told: Vec::new(),
+            domains: Domains {
+                of_gateways: vec![0; gateways],
+                of_heads: (0..model.heads).map(|head| head % 3).collect(),
+            },
+            sent: 0,
+            stayed: 0,
             fates: vec![None; arrivals.len()],
             most_read: 0,
             most_queued: 0,
         }
     }
 
+    /// Puts gateways and heads elsewhere than all gateways into a domain with a third of the heads.
+    pub fn within(mut self, domains: Domains) -> World {
+        self.domains = domains;
+        self
+    }
+
     /// Runs until every caller has its answer.
     pub fn run(&mut self) {
         while self.fates.iter().any(Option::is_none) {
@@ -178,11 +201,11 @@
         ModelKey::of("lm", "small")
     }
 
-    fn candidates(&self) -> Vec<Candidate> {
+    fn candidates(&self, gateway: usize) -> Vec<Candidate> {
         let candidate = |head: usize| Candidate {
             target: Target(head as u64),
             slots: SLOTS,
-            near: head.is_multiple_of(3),
+            near: self.domains.of_heads[head] == self.domains.of_gateways[gateway],
             open_ms: 1.0,
             token_ms: 1.0 / self.model.read_per_ms,
         };
@@ -208,7 +231,11 @@
         let now = self.now;
         for (_, to, from, open, looked) in self.told.extract_if(.., |(at, ..)| *at <= now) {
             let gateway = &mut self.gateways[to];
-            let source = Source::Gateway(from as u64);
+            // Figures of each gateway of another domain stand for those of a part of that domain.
+            let source = match self.domains.of_gateways[from] == self.domains.of_gateways[to] {
+                true => Source::Gateway(from as u64),
+                false => Source::FailureDomain(from as u64),
+            };
             gateway.balance.peer(now, source, open);
             gateway.demand.peer(now, source, looked);
         }
@@ -247,7 +274,7 @@
     fn place(&mut self, index: usize, caller: usize) -> bool {
         let now = self.now;
         let Caller { arrival, came_back, .. } = self.callers[caller];
-        let mut candidates = self.candidates();
+        let mut candidates = self.candidates(index);
         let draw: u64 = self.rng.random();
         let gateway = &mut self.gateways[index];
         let callers = gateway.demand.callers_part(now, World::key());
@@ -264,6 +291,9 @@
         let Ok(target) = chosen else { return false };
         gateway.balance.started(now, target, arrival.tokens);
         gateway.admission.started(now, target);
+        let near = self.domains.of_heads[target.0 as usize] == self.domains.of_gateways[index];
+        self.sent += 1;
+        self.stayed += usize::from(near);
         let head = &mut self.heads[target.0 as usize];
         let (unread, left) = (arrival.tokens, arrival.events);
         head.queue.push_back(Stream {
