--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`configuration`] | which service a request belongs to, and whose key it carries |
 //! | [`sources`] | which gateways read the store, and whom the others ask |
 //! | [`passing`] | what one gateway tells another of the store's records |
+//! | [`repeats`] | which records tell other gateways nothing new |
 //! | [`drains`] | which failure domains get no requests, by the operators' word |
 //! | [`residency`] | which regions may serve a request |
 //! | [`freshness`] | whether the configuration is young enough to honour keys |
@@ -49,6 +50,7 @@
 pub mod passing;
 pub mod planner;
 pub mod quota;
+pub mod repeats;
 pub mod residency;
 pub mod returning;
 pub mod sources;
--- a/crates/oliveworks-gateway-core/src/locality.rs
+++ b/crates/oliveworks-gateway-core/src/locality.rs
@@ -92,7 +92,8 @@
 
 impl CallersPart {
     /// Where callers are not counted, so that nothing is known of a domain's part.
-    pub const UNKNOWN: CallersPart = CallersPart { of_all: 1.0, of_domain: 1.0, domain: None, refused: 0.0 };
+    pub const UNKNOWN: CallersPart =
+        CallersPart { of_all: 1.0, of_domain: 1.0, domain: None, refused: 0.0 };
 }
 
 /// The parts of what targets have free that a gateway may take, 0 to 1.
--- a/crates/oliveworks-gateway-core/src/passing.rs
+++ b/crates/oliveworks-gateway-core/src/passing.rs
@@ -27,7 +27,6 @@
     pub is_repeat: bool,
 }
 
-
 #[derive(Clone, Debug)]
 struct Step<R> {
     end: u64,
--- a/crates/oliveworks-gateway-core/src/table.rs
+++ b/crates/oliveworks-gateway-core/src/table.rs
@@ -49,8 +49,8 @@
         f64::from(self.pace_percent.max(100)) / 100.0
     }
 
-    fn key(&self) -> GroupKey {
-        GroupKey { service: self.service.clone(), epoch: self.epoch }
+    fn key(&self) -> (&str, u64) {
+        (&self.service, self.epoch)
     }
 
     /// What it takes in a datagram, roughly, in bytes.
@@ -69,6 +69,16 @@
     pub epoch: u64,
 }
 
+impl GroupKey {
+    fn of((service, epoch): (&str, u64)) -> GroupKey {
+        GroupKey { service: service.to_owned(), epoch }
+    }
+
+    fn key(&self) -> (&str, u64) {
+        (&self.service, self.epoch)
+    }
+}
+
 /// Which table: a later leader's is newer, and of one leader's the one with the higher number.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -147,7 +157,11 @@
         let first = Change {
             from: self.version(),
             to: Version { fence: new.fence, number: self.number + 1 },
-            gone: old_groups.keys().filter(|key| !kept.contains(key)).cloned().collect(),
+            gone: old_groups
+                .into_keys()
+                .filter(|key| !kept.contains(key))
+                .map(GroupKey::of)
+                .collect(),
             groups: steps.next().unwrap_or_default(),
             forgotten: without(&self.ended, &new.ended),
             ended: without(&new.ended, &self.ended),
@@ -171,9 +185,9 @@
         }
         self.fence = change.to.fence;
         self.number = change.to.number;
-        let replaced: BTreeSet<GroupKey> = change.groups.iter().map(TableGroup::key).collect();
-        let over = |key: &GroupKey| replaced.contains(key) || change.gone.contains(key);
-        self.groups.retain(|group| !over(&group.key()));
+        let replaced = change.groups.iter().map(TableGroup::key);
+        let over: BTreeSet<_> = replaced.chain(change.gone.iter().map(GroupKey::key)).collect();
+        self.groups.retain(|group| !over.contains(&group.key()));
         self.groups.extend(change.groups.iter().cloned());
         self.ended.retain(|epoch| !change.forgotten.contains(epoch));
         self.ended.extend(&change.ended);
@@ -187,7 +201,7 @@
     /// it up alike, in whatever order they heard of its groups.
     pub fn parts(&self) -> Vec<Part> {
         let mut groups: Vec<_> = self.groups.iter().collect();
-        groups.sort_by_key(|group| group.key());
+        groups.sort_by(|one, other| one.key().cmp(&other.key()));
         let mut steps = in_steps(groups.into_iter());
         if steps.is_empty() {
             steps.push(Vec::new());
--- a/crates/oliveworks-gateway-core/src/telling.rs
+++ b/crates/oliveworks-gateway-core/src/telling.rs
@@ -53,7 +53,8 @@
 
 /// What a gateway tells those of its own failure domain; `since` is when a target must have been heard.
 pub fn near(balance: &Balance, since: Millis) -> Telling {
-    let count = |(target, load)| Count { target, load, heard: balance.is_heard_since(target, since) };
+    let count =
+        |(target, load)| Count { target, load, heard: balance.is_heard_since(target, since) };
     let open: Vec<Count> = balance.own_open().map(count).collect();
     let told: HashSet<Target> = open.iter().map(|count| count.target).collect();
     let heard = balance.heard_since(since).filter(|target| !told.contains(target)).collect();
--- a/crates/oliveworks-gateway/src/records.rs
+++ b/crates/oliveworks-gateway/src/records.rs
@@ -1,16 +1,16 @@
 //! Takes in what the followed topics tell: configuration, backend servers, leaders.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use log::warn;
 use oliveworks_gateway_core::Millis;
-use oliveworks_gateway_core::backend_servers::{BackendServer, BackendServerId};
 use oliveworks_gateway_core::configuration::{Configuration, Lookup};
 use oliveworks_gateway_core::election::Claim;
 use oliveworks_gateway_core::listing::{Listing, ListingConfig};
 use oliveworks_gateway_core::passing::Kept;
+use oliveworks_gateway_core::repeats::Repeats;
 use tokio::time::sleep;
 
 use crate::dialect::{Record, Topic};
@@ -22,9 +22,6 @@
 const LEADERS_WAIT_MS: u64 = 15_000;
 /// The time between two reads of backend servers' records while new ones come.
 const SERVERS_QUICK_MS: u64 = 300;
-/// How long a backend server's record counts as told to those who ask this gateway, in ms: then it is
-/// told once more though it is as it was, for whoever lost it in a way that nobody here saw.
-const TOLD_MS: u64 = 15_000;
 /// How long after the last new one the list counts as complete.
 const SERVERS_SETTLE_MS: u64 = 1_500;
 
@@ -122,92 +119,51 @@
     }
 }
 
-/// When records of backend servers were last told as news.
-type ToldAt = HashMap<BackendServerId, Millis>;
-
-/// Tells which of a step's records repeat what is held; looked at before they are taken in.
-fn marked(gateway: &Gateway, told_at: &mut ToldAt, records: &[Record]) -> Vec<Kept<Record>> {
-    let now = gateway.now();
-    let directory = gateway.directory.borrow();
-    let missing = gateway.missing.borrow();
-    let mut changed: HashMap<&BackendServerId, Option<&BackendServer>> = HashMap::new();
-    let mut marked = Vec::with_capacity(records.len());
-    told_at.retain(|_, at| now < *at + TOLD_MS);
-    for record in records {
-        let is_repeat = match record {
-            Record::BackendServer(server) => {
-                let held = || directory.get(&server.id).filter(|held| !missing.holds(&held.id));
-                let before = changed.insert(&server.id, Some(server)).unwrap_or_else(held);
-                before == Some(server) && told_at.contains_key(&server.id)
-            }
-            Record::BackendServerGone(id) => {
-                changed.insert(id, None);
-                false
-            }
-            _ => false,
-        };
-        if let Record::BackendServer(server) = record
-            && !is_repeat
-        {
-            told_at.insert(server.id.clone(), now);
-        }
-        marked.push(Kept { record: record.clone(), is_repeat });
-    }
-    marked
-}
-
-/// Keeps what a step of the list brought for gateways that ask this one; tells whether there is news for
-/// them.
-fn keep_servers(
-    gateway: &Gateway,
-    told_at: &mut ToldAt,
-    step: &Step,
-    next: Option<u64>,
-) -> bool {
-    let Some(next) = next.filter(|_| !step.snapshot) else {
-        keep(gateway, Topic::BackendServers, step, next);
-        return true;
-    };
-    let marked = marked(gateway, told_at, &step.records);
-    let news = marked.iter().any(|kept| !kept.is_repeat);
-    let passing = gateway.passing(Topic::BackendServers);
-    passing.borrow_mut().followed_with_repeats(marked, next);
-    news
+/// What taking records of backend servers in brought.
+#[derive(Default)]
+struct Taken {
+    /// Whether one was not listed before.
+    new: bool,
+    /// The records, for gateways that ask this one.
+    kept: Vec<Kept<Record>>,
 }
 
-/// Takes records in; tells whether one was of a backend server that was not listed before.
-fn take_servers(gateway: &Gateway, step: Step) -> bool {
+/// Takes records in.
+fn take_servers(gateway: &Gateway, repeats: &mut Repeats, step: Step) -> Taken {
     let mut missing = gateway.missing.borrow_mut();
-    let mut new = false;
+    let mut taken = Taken::default();
     let now = gateway.now();
     let mut listed = BTreeSet::new();
     for record in step.records {
-        match record {
+        let mut is_repeat = false;
+        match &record {
             Record::BackendServer(server) => {
+                let was_missing = missing.holds(&server.id);
                 missing.found(&server.id);
                 gateway.gone.borrow_mut().remove(&server.id);
                 listed.insert(server.id.clone());
                 if let Some(planner) = gateway.planners.borrow_mut().get_mut(&server.service) {
-                    planner.listed(now, &server);
+                    planner.listed(now, server);
                 }
-                let id = server.id.clone();
-                let (service, domain) = (server.service.clone(), server.domain.clone());
-                if gateway.directory.borrow().get(&id).is_none() {
-                    new = true;
+                if gateway.directory.borrow().get(&server.id).is_none() {
+                    taken.new = true;
                     Event::new("host_listed")
-                        .with("host", &*id)
-                        .with("service", service)
-                        .with("domain", domain)
+                        .with("host", &*server.id)
+                        .with("service", server.service.as_str())
+                        .with("domain", server.domain.as_str())
                         .write();
                 }
-                gateway.directory.borrow_mut().put(server);
+                let changed = gateway.directory.borrow_mut().put(server.clone());
+                is_repeat = repeats.is_repeat(now, &server.id, changed || was_missing);
             }
             Record::BackendServerGone(id) => {
-                missing.lost(now, id);
+                missing.lost(now, id.clone());
+                repeats.gone(id);
             }
             Record::Unknown(why) => warn!("servers: {why}"),
             _ => {}
         }
+        taken.kept.push(Kept { record, is_repeat });
     }
     if step.snapshot {
         for server in gateway.directory.borrow().iter() {
@@ -219,13 +175,29 @@
     }
     missing.sweep(gateway);
     gateway.forget_gone();
-    new
+    taken
+}
+
+/// Keeps records of backend servers for gateways that ask this one, and wakes these if there is news for them.
+fn keep_servers(gateway: &Gateway, kept: Vec<Kept<Record>>, snapshot: bool, next: Option<u64>) {
+    let news = snapshot || kept.iter().any(|kept| !kept.is_repeat);
+    let mut passing = gateway.passing(Topic::BackendServers).borrow_mut();
+    match next {
+        Some(next) if snapshot => passing.read_anew(next),
+        Some(next) => passing.followed_with_repeats(kept, next),
+        // The place is lost: the topic is read anew with the next step.
+        None => {}
+    }
+    drop(passing);
+    if news {
+        gateway.news(Topic::BackendServers).notify_waiters();
+    }
 }
 
 /// Follows the list of backend servers.
 pub async fn follow_servers(gateway: Rc<Gateway>) {
     let mut follower = Follower::new(&gateway, Topic::BackendServers);
-    let mut told_at = ToldAt::new();
+    let mut repeats = Repeats::default();
     let mut listing = Listing::new(ListingConfig {
         quick_ms: SERVERS_QUICK_MS,
         settle_ms: SERVERS_SETTLE_MS,
@@ -234,12 +206,10 @@
     loop {
         if let Some(step) = follower.step(0).await {
             let told_by = step.told_by;
-            let news = keep_servers(&gateway, &mut told_at, &step, follower.from());
-            let new = take_servers(&gateway, step);
-            if news {
-                gateway.news(Topic::BackendServers).notify_waiters();
-            }
-            let pause_ms = listing.read(gateway.now(), new);
+            let snapshot = step.snapshot;
+            let taken = take_servers(&gateway, &mut repeats, step);
+            keep_servers(&gateway, taken.kept, snapshot, follower.from());
+            let pause_ms = listing.read(gateway.now(), taken.new);
             // Another gateway holds the next question back until it has news.
             if follower.from().is_some() && told_by == ToldBy::Store {
                 sleep(Duration::from_millis(pause_ms)).await;
