--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -268,8 +268,9 @@
             }
             let load = self.gateway.balance.borrow().load(now, target);
             self.log.push(format!(
-                "to {} at {} ms: {} open, {} tokens unread",
+                "to {}{} at {} ms: {} open, {} tokens unread",
                 place.server,
+                if place.candidate.near { "" } else { " elsewhere" },
                 now - self.received,
                 load.requests,
                 load.tokens,
