No table goes back to an earlier leader's

A leader that was replaced and had taken its successor's table over would have published a change to its own lower fence, which fits that table: change is refused now, as the whole table was before. Test: no_table_goes_back_to_an_earlier_leader (fails without the comparison of versions: the change fits by its origin).

--- a/crates/oliveworks-gateway-core/src/table.rs
+++ b/crates/oliveworks-gateway-core/src/table.rs
@@ -178,9 +178,10 @@
         changes
     }
 
-    /// Makes a change; tells whether it fits this table, which stays as it is if not.
+    /// Makes a change; tells whether it fits this table, which stays as it is if not. A leader that was
+    /// replaced may not know yet, and no table goes back to its fence.
     pub fn apply(&mut self, change: &Change) -> bool {
-        if change.from != self.version() {
+        if change.from != self.version() || change.to <= change.from {
             return false;
         }
         self.fence = change.to.fence;
--- a/crates/oliveworks-gateway-core/tests/table.rs
+++ b/crates/oliveworks-gateway-core/tests/table.rs
@@ -135,6 +135,17 @@
     }
 }
 
+/// A leader that was replaced holds its successor's table already, and does not know that it leads no more.
+#[test]
+fn no_table_goes_back_to_an_earlier_leader() {
+    let mut held = table(2, 0..3);
+    let before = held.clone();
+    for change in held.changes_to(&table(1, 0..9)) {
+        assert!(!held.apply(&change));
+    }
+    assert_eq!(held, before);
+}
+
 #[test]
 fn parts_of_two_tables_are_not_mixed() {
     let (mut old, mut new) = (table(1, 0..1_000), table(1, 500..1_500));
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -290,8 +290,9 @@
     }
     let new_leader = gateway.table.borrow().fence != new.fence;
     let regrouped = new_leader || changes.iter().any(Change::regroups);
-    for change in &changes {
-        gateway.change_table(change.clone());
+    if !changes.iter().all(|change| gateway.change_table(change.clone())) {
+        // Another leader's table is newer: this one is about to hear that it leads no more.
+        return;
     }
     gateway.changes_to_pass.borrow_mut().extend(changes);
     gateway.send_now.notify_one();
