A gateway that takes the list of backend servers over is told which may be cold

Change: the list is told with how long each host counts as cold here. Ruled out: doubting every host at a process's start (a restarted gateway would refuse for seconds).

--- a/crates/oliveworks-gateway-core/src/slow_start.rs
+++ b/crates/oliveworks-gateway-core/src/slow_start.rs
@@ -99,6 +99,11 @@
         self.cold.doubt(now, target, None, Evidence::Lost)
     }
 
+    /// How much longer a backend server counts as cold, in ms, as a gateway is told that takes the list over.
+    pub fn told_ms(&self, now: Millis, target: Target, lasts_ms: u64) -> u64 {
+        self.cold.told_ms(now, target, lasts_ms)
+    }
+
     /// Something came from a backend server.
     pub fn heard(&mut self, now: Millis, target: Target, terms: SlowStart) {
         self.cold.heard(now, target, terms);
--- a/crates/oliveworks-gateway-core/src/slow_start/cold.rs
+++ b/crates/oliveworks-gateway-core/src/slow_start/cold.rs
@@ -85,7 +85,8 @@
         ColdHosts { record_lag_ms, hosts: HashMap::new() }
     }
 
-    /// Takes a record in, of a backend server that is cold for `lasts_ms` from its start; tells what is known now if that makes a warm backend server cold.
+    /// Takes a record in, of a backend server that is cold for `lasts_ms` from its start; tells what is known
+    /// now if that makes a warm one cold.
     pub fn record(
         &mut self,
         now: Millis,
@@ -137,6 +138,17 @@
         }
     }
 
+    /// How much longer a backend server counts as cold, in ms, for a gateway that takes the list over from this
+    /// one: it cannot know what is doubted here. One that was not heard of since it was lost is cold for the
+    /// whole time after it is, and by then a younger record is read.
+    pub fn told_ms(&self, now: Millis, target: Target, lasts_ms: u64) -> u64 {
+        match self.hosts.get(&target).and_then(|host| host.known(now)) {
+            None => 0,
+            Some(Known { until: Some(until), .. }) => until.saturating_sub(now),
+            Some(Known { until: None, .. }) => lasts_ms + self.record_lag_ms,
+        }
+    }
+
     /// Whether a backend server counts as cold; one that no record was read of does.
     pub fn is_cold(&self, now: Millis, target: Target) -> bool {
         self.hosts.get(&target).is_none_or(|host| host.known(now).is_some())
--- a/crates/oliveworks-gateway-core/tests/slow_start/cold.rs
+++ b/crates/oliveworks-gateway-core/tests/slow_start/cold.rs
@@ -152,3 +152,21 @@
     assert!(!without_news(10_000, 13_500, 14_000), "the store answers");
     assert!(!without_news(13_500, 10_000, 14_000), "others are heard");
 }
+
+/// A gateway that starts takes the list over from one that has seen a loss: by then the record is old.
+#[test]
+fn what_is_doubted_is_told_to_who_takes_the_list_over() {
+    let mut knows = warm();
+    knows.lost(5_000, HEAD);
+    let told_ms = knows.told_ms(6_000, HEAD, TERMS.lasts_ms);
+    let mut starts = alone();
+    record(&mut starts, 6_000, told_ms, Listed::Known);
+    assert!(is_cold(&starts, 6_000 + TERMS.lasts_ms + LAG_MS - 1));
+    knows.heard(7_000, HEAD, TERMS);
+    assert_eq!(knows.told_ms(8_000, HEAD, TERMS.lasts_ms), TERMS.lasts_ms - 1_000);
+}
+
+#[test]
+fn what_is_warm_is_told_so() {
+    assert_eq!(warm().told_ms(5_000, HEAD, TERMS.lasts_ms), 0);
+}
--- a/crates/oliveworks-gateway/src/passing.rs
+++ b/crates/oliveworks-gateway/src/passing.rs
@@ -214,7 +214,8 @@
             let directory = gateway.directory.borrow();
             let missing = gateway.missing.borrow();
             let listed = directory.iter().filter(|server| !missing.holds(&server.id));
-            listed.cloned().map(Record::BackendServer).collect()
+            let told = listed.map(|server| gateway.as_cold_as_known(server));
+            told.map(Record::BackendServer).collect()
         }
         Topic::Leaders => {
             let claim = gateway.election.borrow().newest();
--- a/crates/oliveworks-gateway/src/slow_start.rs
+++ b/crates/oliveworks-gateway/src/slow_start.rs
@@ -63,6 +63,18 @@
         }
     }
 
+    /// A backend server's record for a gateway that takes the list over: as cold as it counts here.
+    pub fn as_cold_as_known(&self, server: &BackendServer) -> BackendServer {
+        let mut told = server.clone();
+        if let (Some(terms), Some(slow_starts)) =
+            (self.slow_start_of(&server.service), self.slow_starts.borrow().as_ref())
+        {
+            let cold_ms = slow_starts.told_ms(self.now(), Target::of(&server.id), terms.lasts_ms);
+            told.cold_ms = told.cold_ms.max(cold_ms);
+        }
+        told
+    }
+
     /// A failure domain is drained no more: its backend servers may be cold.
     pub fn drain_leaves_cold(&self, failure_domain: &str) {
         let directory = self.directory.borrow();
