--- a/crates/oliveworks-gateway-core/tests/slow_start/cold.rs
+++ b/crates/oliveworks-gateway-core/tests/slow_start/cold.rs
@@ -170,3 +170,13 @@
 fn what_is_warm_is_told_so() {
     assert_eq!(warm().told_ms(5_000, HEAD, TERMS.lasts_ms), 0);
 }
+
+/// A gateway starts while the store is away, and is told the list by one that has lost the head since.
+#[test]
+fn a_list_of_a_gateway_without_the_store_does_not_say_that_one_is_warm() {
+    let mut slow_starts = alone();
+    record(&mut slow_starts, 1_000, 0, Listed::Late);
+    slow_starts.heard(20_000, HEAD, TERMS);
+    assert!(is_cold(&slow_starts, 22_999));
+    assert!(!is_cold(&slow_starts, 23_000));
+}
--- a/crates/oliveworks-gateway/src/passing.rs
+++ b/crates/oliveworks-gateway/src/passing.rs
@@ -192,8 +192,9 @@
     };
     let now = gateway.now();
     let proof_age_ms = match topic {
-        Topic::Configuration => gateway.freshness.get().age_ms(now),
-        Topic::BackendServers | Topic::Leaders => None,
+        // Of backend servers, too, it says whether the store is heard: records may be as late.
+        Topic::Configuration | Topic::BackendServers => gateway.freshness.get().age_ms(now),
+        Topic::Leaders => None,
     };
     let store_failed_ms_ago = gateway.store_failed_at.get().map(|at| now - at);
     Some(Answer { records, snapshot, next, held_ms: 0, proof_age_ms, store_failed_ms_ago })
