Who doubts a host asks other gateways for repeats of its record as well

Cause: at the merge of the parts, gateways that follow the list through another were told no record that says what the one before said; slow start waits for just such a record, so that a host that was doubted once stayed cold for seconds more. Change: repeats are asked for while any host is doubted.

--- a/crates/oliveworks-gateway-core/src/slow_start.rs
+++ b/crates/oliveworks-gateway-core/src/slow_start.rs
@@ -104,6 +104,11 @@
         self.cold.told_ms(now, target, lasts_ms)
     }
 
+    /// Whether a backend server is doubted, so that a younger record of it would tell more.
+    pub fn doubts_any(&self, now: Millis) -> bool {
+        self.cold.doubts_any(now)
+    }
+
     /// Something came from a backend server.
     pub fn heard(&mut self, now: Millis, target: Target, terms: SlowStart) {
         self.cold.heard(now, target, terms);
--- a/crates/oliveworks-gateway-core/src/slow_start/cold.rs
+++ b/crates/oliveworks-gateway-core/src/slow_start/cold.rs
@@ -156,6 +156,12 @@
         }
     }
 
+    /// Whether a backend server is doubted, so that a younger record of it would tell more.
+    pub fn doubts_any(&self, now: Millis) -> bool {
+        let mut known = self.hosts.values().filter_map(|host| host.known(now));
+        known.any(|known| known.evidence != Evidence::Record)
+    }
+
     /// Whether a backend server counts as cold; one that no record was read of does.
     pub fn is_cold(&self, now: Millis, target: Target) -> bool {
         self.hosts.get(&target).is_none_or(|host| host.known(now).is_some())
--- a/crates/oliveworks-gateway-core/tests/slow_start/cold.rs
+++ b/crates/oliveworks-gateway-core/tests/slow_start/cold.rs
@@ -180,3 +180,14 @@
     assert!(is_cold(&slow_starts, 22_999));
     assert!(!is_cold(&slow_starts, 23_000));
 }
+
+/// Who doubts a host asks for records that say nothing new: the first one that is young enough clears it.
+#[test]
+fn a_doubt_is_known_until_a_younger_record_clears_it() {
+    let mut slow_starts = warm();
+    assert!(!slow_starts.doubts_any(1_000));
+    slow_starts.lost(5_000, HEAD);
+    assert!(slow_starts.doubts_any(5_000));
+    record(&mut slow_starts, 5_000 + LAG_MS, 0, Listed::Known);
+    assert!(!slow_starts.doubts_any(5_000 + LAG_MS));
+}
--- a/crates/oliveworks-gateway/src/follow.rs
+++ b/crates/oliveworks-gateway/src/follow.rs
@@ -149,7 +149,8 @@
             None => Asking::open(address).await?,
         };
         // The planner goes by how young records are, so a leader wants them all.
-        let repeats = gateway.election.borrow().leads().is_some();
+        let leads = gateway.election.borrow().leads().is_some();
+        let repeats = leads || gateway.doubts_any_host();
         let answer = asking.ask(self.topic, self.from, repeats).await?;
         self.asking = Some(asking);
         let answer = answer.ok_or("it has nothing to tell")?;
--- a/crates/oliveworks-gateway/src/slow_start.rs
+++ b/crates/oliveworks-gateway/src/slow_start.rs
@@ -75,6 +75,12 @@
         told
     }
 
+    /// Whether a backend server is doubted: then a record that says what the one before it said is news.
+    pub fn doubts_any_host(&self) -> bool {
+        let slow_starts = self.slow_starts.borrow();
+        slow_starts.as_ref().is_some_and(|slow_starts| slow_starts.doubts_any(self.now()))
+    }
+
     /// A failure domain is drained no more: its backend servers may be cold.
     pub fn drain_leaves_cold(&self, failure_domain: &str) {
         let directory = self.directory.borrow();
