--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -8,9 +8,26 @@
 //!
 //! Spares hold a model without serving, so that a repair takes a moment and not a load. Loads are
 //! spread in time, below the weight store's rate.
-
+//!
+//! | module | decides |
+//! |---|---|
+//! | `adopt` | which groups of an earlier leader go on |
+//! | `advance` | the next step of each group |
+//! | `allot`, `shortage` | which free hosts form new groups, and for which model hosts are kept |
+//! | `sooner` | what free hosts can serve before what is wanted of them |
+//! | `spares`, `stage` | what other hosts load, and keep in memory |
+//! | `yielding` | which groups end for others |
+//! | `parts`, `pressure` | the part of the hosts that each model should have |
+//! | `spread` | over how many failure domains a model's groups are spread |
+//! | `growth`, `outage` | whether a domain is coming back, or fell silent as a whole |
+//! | `drain` | what becomes of the hosts of a drained failure domain |
+//! | `heads` | which member heads a group |
+//! | `waiting`, `describe` | what people are told |
+
+mod adopt;
 mod advance;
 mod allot;
+mod describe;
 mod domain;
 mod drain;
 mod group;
@@ -32,7 +49,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::Millis;
-use crate::backend_servers::{BackendServer, BackendServerId, Holding, MemberState};
+use crate::backend_servers::{BackendServer, BackendServerId, Holding};
 use crate::configuration::{Engine, Model};
 use crate::quota::{self, Quotas, Room};
 use group::{Group, Phase};
@@ -93,7 +110,7 @@
     /// What the domains can hold, and the groups that they should hold for it.
     rooms: BTreeMap<String, Room>,
     quotas: Quotas,
-    /// The same of each domain when it last had all its hosts.
+    /// The quotas of each domain from when it last had as many hosts as ever.
     quotas_when_whole: Quotas,
     /// When the quotas last changed.
     quotas_at: Millis,
@@ -245,67 +262,6 @@
         }
     }
 
-    /// Takes over groups that an earlier leader formed, once every host was asked or heard of.
-    pub fn adopt(&mut self, now: Millis) {
-        for host in self.hosts.values_mut() {
-            host.knows_fence = false;
-            host.adopt_load();
-        }
-        let mut found: BTreeMap<u64, BTreeMap<usize, (BackendServerId, MemberState, String)>> =
-            BTreeMap::new();
-        for host in self.hosts.values() {
-            let Some(member) = &host.holding.group else { continue };
-            let row = (host.server.id.clone(), member.state, member.name.clone());
-            found.entry(member.epoch).or_default().insert(member.rank, row);
-        }
-        // What the earlier leader gave up must not come back: it may have dealt with the hosts.
-        found.retain(|epoch, _| !self.ended.contains(epoch));
-        for (epoch, ranks) in found {
-            self.adopt_group(now, epoch, &ranks);
-        }
-    }
-
-    fn adopt_group(
-        &mut self,
-        now: Millis,
-        epoch: u64,
-        ranks: &BTreeMap<usize, (BackendServerId, MemberState, String)>,
-    ) {
-        let Some((head, state, name)) = ranks.get(&0) else { return };
-        let models = self.hosts.get(head).map(|host| host.holding.models.clone());
-        let Some(model) = models.and_then(|models| models.first().cloned()) else { return };
-        let Some(size) = self.engine.model(&model).map(|model| model.size) else { return };
-        let spare = group::is_spare_name(name) && ranks.len() == 1;
-        let whole = (0..size).all(|rank| ranks.contains_key(&rank)) && ranks.len() == size;
-        if !whole && !spare {
-            return;
-        }
-        let members: Vec<BackendServerId> = ranks.values().map(|(id, _, _)| id.clone()).collect();
-        let phase = match state {
-            MemberState::Open => Phase::Open { from: now },
-            MemberState::Closing | MemberState::Broken => Phase::Breaking,
-            MemberState::Ready if spare => Phase::Spare,
-            MemberState::Joining | MemberState::Ready => Phase::Joining,
-        };
-        for member in &members {
-            if let Some(host) = self.hosts.get_mut(member) {
-                host.adopted(epoch);
-            }
-        }
-        let name = name.clone();
-        let group = Group {
-            epoch,
-            name,
-            model,
-            members,
-            phase,
-            since: now,
-            adopted: true,
-            yields_to: None,
-        };
-        self.groups.insert(epoch, group);
-    }
-
     /// A host is listed, or its record changed.
     pub fn listed(&mut self, now: Millis, server: &BackendServer) {
         match self.hosts.get_mut(&server.id) {
@@ -643,36 +599,6 @@
         }
     }
 
-    /// A line for each group, for people.
-    pub fn describe(&self) -> Vec<String> {
-        self.groups.values().map(Group::describe).collect()
-    }
-
-    /// A line for each domain: what its hosts are doing, and the groups that it should hold.
-    pub fn describe_domains(&self) -> Vec<String> {
-        let mut domains: BTreeMap<&str, BTreeMap<String, usize>> = BTreeMap::new();
-        for host in self.hosts.values() {
-            let what = match host.group.and_then(|epoch| self.groups.get(&epoch)) {
-                _ if host.is_lost() => "lost".to_owned(),
-                _ if host.server.draining || host.unlisted => "leaving".to_owned(),
-                _ if host.is_slow() => "slow".to_owned(),
-                Some(group) if host.drained => {
-                    format!("drained:{}:{}", group.model, group.phase.name())
-                }
-                None if host.drained => "drained:free".to_owned(),
-                Some(group) => format!("{}:{}{}", group.model, group.phase.name(), host.beside()),
-                None => format!("free:{}{}", host.last_model(), host.beside()),
-            };
-            *domains.entry(&host.server.domain).or_default().entry(what).or_default() += 1;
-        }
-        let none = BTreeMap::new();
-        let line = |name: &str, hosts| {
-            let wanted = self.quotas.get(name).unwrap_or(&none);
-            format!("{name} {hosts:?} wanted {wanted:?}")
-        };
-        domains.iter().map(|(name, hosts)| line(name, hosts)).collect()
-    }
-
     /// Hosts that belong to more than one group; always empty.
     pub fn shared_hosts(&self) -> BTreeSet<BackendServerId> {
         let mut seen = BTreeSet::new();
--- /dev/null
+++ b/crates/oliveworks-gateway-core/src/planner/adopt.rs
@@ -0,0 +1,73 @@
+//! What a new leader takes over of an earlier one's groups.
+//!
+//! Hosts say which group they belong to, and that is all there is to go by: no group is kept in the store.
+
+use std::collections::BTreeMap;
+
+use super::Planner;
+use super::group::{self, Group, Phase};
+use crate::Millis;
+use crate::backend_servers::{BackendServerId, MemberState};
+
+impl Planner {
+    /// Takes over groups that an earlier leader formed, once every host was asked or heard of.
+    pub fn adopt(&mut self, now: Millis) {
+        for host in self.hosts.values_mut() {
+            host.knows_fence = false;
+            host.adopt_load();
+        }
+        let mut found: BTreeMap<u64, BTreeMap<usize, (BackendServerId, MemberState, String)>> =
+            BTreeMap::new();
+        for host in self.hosts.values() {
+            let Some(member) = &host.holding.group else { continue };
+            let row = (host.server.id.clone(), member.state, member.name.clone());
+            found.entry(member.epoch).or_default().insert(member.rank, row);
+        }
+        // What the earlier leader gave up must not come back: it may have dealt with the hosts.
+        found.retain(|epoch, _| !self.ended.contains(epoch));
+        for (epoch, ranks) in found {
+            self.adopt_group(now, epoch, &ranks);
+        }
+    }
+
+    fn adopt_group(
+        &mut self,
+        now: Millis,
+        epoch: u64,
+        ranks: &BTreeMap<usize, (BackendServerId, MemberState, String)>,
+    ) {
+        let Some((head, state, name)) = ranks.get(&0) else { return };
+        let models = self.hosts.get(head).map(|host| host.holding.models.clone());
+        let Some(model) = models.and_then(|models| models.first().cloned()) else { return };
+        let Some(size) = self.engine.model(&model).map(|model| model.size) else { return };
+        let spare = group::is_spare_name(name) && ranks.len() == 1;
+        let whole = (0..size).all(|rank| ranks.contains_key(&rank)) && ranks.len() == size;
+        if !whole && !spare {
+            return;
+        }
+        let members: Vec<BackendServerId> = ranks.values().map(|(id, _, _)| id.clone()).collect();
+        let phase = match state {
+            MemberState::Open => Phase::Open { from: now },
+            MemberState::Closing | MemberState::Broken => Phase::Breaking,
+            MemberState::Ready if spare => Phase::Spare,
+            MemberState::Joining | MemberState::Ready => Phase::Joining,
+        };
+        for member in &members {
+            if let Some(host) = self.hosts.get_mut(member) {
+                host.adopted(epoch);
+            }
+        }
+        let name = name.clone();
+        let group = Group {
+            epoch,
+            name,
+            model,
+            members,
+            phase,
+            since: now,
+            adopted: true,
+            yields_to: None,
+        };
+        self.groups.insert(epoch, group);
+    }
+}
--- a/crates/oliveworks-gateway-core/src/planner/spread.rs
+++ b/crates/oliveworks-gateway-core/src/planner/spread.rs
@@ -10,6 +10,7 @@
     pub fn set_tolerance(&mut self, failure_domains: usize) {
         if self.tolerance != failure_domains {
             self.tolerance = failure_domains;
+            // With no rooms held, the next look works the quotas out anew.
             self.rooms.clear();
         }
     }
--- a/crates/oliveworks-gateway-core/src/quota.rs
+++ b/crates/oliveworks-gateway-core/src/quota.rs
@@ -50,8 +50,8 @@
     spread_out(models, rooms, &Spread::default())
 }
 
-/// The same, where each model has groups in as many failure domains as it is to be spread over, as far as
-/// they fit; spares give way to these, too.
+/// Like [`serving_all`], with each model spread over failure domains as far as groups fit; spares give way to
+/// these, too.
 pub fn spread_out(models: &[Model], rooms: &BTreeMap<String, Room>, spread: &Spread) -> Quotas {
     let mut rooms = rooms.clone();
     loop {
--- a/crates/oliveworks-gateway-core/src/slow_start.rs
+++ b/crates/oliveworks-gateway-core/src/slow_start.rs
@@ -47,7 +47,8 @@
 /// The silence of the store, here and by what others tell, after which this gateway may have missed
 /// something, in ms: longer than the time between two reads.
 const STORE_SILENT_MS: u64 = 3_000;
-/// A pause of this process that is as long as what records lag by anyway, in ms.
+/// The longest pause of this process, in ms, after which it still goes by what it knew: shorter than the
+/// time between two records of a backend server.
 const PAUSE_MS: u64 = 1_000;
 
 /// What this gateway knows of cold backend servers and sends them.
--- a/crates/oliveworks-gateway/src/heartbeat.rs
+++ b/crates/oliveworks-gateway/src/heartbeat.rs
@@ -25,8 +25,8 @@
 /// How long ago another gateway of this failure domain told so, in ms: with its own 200 ms and the
 /// way, half of the 600 ms that a group's silence takes to be noticed at the least.
 const HEARD_NEAR_MS: u64 = 100;
-/// Gateways that one heartbeat names. Each is named by many, so that every gateway of hundreds is heard of twice
-/// a second and more; eight were a third of a heartbeat's bytes in a deployment of six gateways.
+/// Gateways that one heartbeat names. Each is named by many, so that every gateway of hundreds is heard of
+/// twice a second and more.
 const PEERS_TOLD: usize = 2;
 /// How long a leader may be without the store before others may take its place.
 const LEADER_STORE_MS: u64 = 2_500;
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -284,7 +284,7 @@
                 began: Cell::new(false),
                 failed: false,
             };
-            let choice = self.gateway.cold_choice(target);
+            let choice = self.gateway.pending_send(target);
             let tried = self.attempt(connection, &place, choice, &open.began).await;
             open.failed =
                 matches!(tried, Tried::Failed { failure, .. } if failure != Failure::Refused);
--- a/crates/oliveworks-gateway/src/relay/attempt.rs
+++ b/crates/oliveworks-gateway/src/relay/attempt.rs
@@ -20,7 +20,7 @@
 use crate::events::Event;
 use crate::exchange::{Exchange, NoConnection, headers_of};
 use crate::places::Place;
-use crate::slow_start::ColdChoice;
+use crate::slow_start::PendingSend;
 
 /// The silence after which a plain request that may be repeated goes elsewhere.
 const PLAIN_SILENCE_MS: u64 = 400;
@@ -78,7 +78,7 @@
         &mut self,
         connection: &mut Connection,
         place: &Place,
-        mut choice: ColdChoice<'_>,
+        mut choice: PendingSend<'_>,
         began: &Cell<bool>,
     ) -> Tried {
         self.attempts.connecting();
--- a/crates/oliveworks-gateway/src/relay/placing.rs
+++ b/crates/oliveworks-gateway/src/relay/placing.rs
@@ -22,19 +22,20 @@
 
 /// No place was found.
 struct NoPlace {
-    none: NoTarget,
-    /// When there may be one, if that is known; it is not where all are full.
+    reason: NoTarget,
+    /// When a place may come free; none if that is not known, or never. Known of cold places only, whose
+    /// bound is by the second.
     free_at: Option<Millis>,
 }
 
 impl NoPlace {
-    fn of(none: NoTarget) -> NoPlace {
-        NoPlace { none, free_at: None }
+    fn of(reason: NoTarget) -> NoPlace {
+        NoPlace { reason, free_at: None }
     }
 
     /// Whether there is certainly none until a time.
     fn lasts_until(&self, until: Millis) -> bool {
-        self.none == NoTarget::Cold && self.free_at.is_none_or(|at| at > until)
+        self.reason == NoTarget::Cold && self.free_at.is_none_or(|at| at > until)
     }
 }
 
@@ -111,7 +112,7 @@
         }
         let free_at = self.gateway.leave_out_cold(&self.service, &mut candidates);
         if candidates.is_empty() && !places.is_empty() {
-            return Err(NoPlace { none: NoTarget::Cold, free_at });
+            return Err(NoPlace { reason: NoTarget::Cold, free_at });
         }
         let balance = self.gateway.balance.borrow();
         let draw = rand::random();
@@ -145,14 +146,14 @@
         loop {
             let places = self.places();
             if places.is_empty() && self.gateway.is_all_drained(&self.service) {
-                // Drains last: what goes on after an attempt does not wait for their end either.
+                // A drain may take hours: not even a request that was sent before waits for its end.
                 return Err(NoTarget::Drained);
             }
             if places.is_empty() && !goes_on {
-                // No group is formed, and nobody joins the list, within a part of a goal.
+                // Neither a group nor a backend server is expected before the wait would be over.
                 return Err(NoTarget::None);
             }
-            let none = match self.choose(&places, goes_on) {
+            let no_place = match self.choose(&places, goes_on) {
                 Ok(target) => {
                     let near = places.iter().any(|place| place.candidate.near);
                     let found = places.into_iter().find(|place| place.candidate.target == target);
@@ -160,12 +161,12 @@
                     self.count_way(&place, near);
                     return Ok(place);
                 }
-                Err(none) => none,
+                Err(no_place) => no_place,
             };
-            if self.gateway.now() >= until || (!goes_on && none.lasts_until(until)) {
+            if self.gateway.now() >= until || (!goes_on && no_place.lasts_until(until)) {
                 let part = self.callers_part().of_all;
                 self.log.push(format!("{} places, part of callers {part:.2}", places.len()));
-                return Err(none.none);
+                return Err(no_place.reason);
             }
             sleep(Duration::from_millis(LOOK_MS)).await;
         }
--- a/crates/oliveworks-gateway/src/slow_start.rs
+++ b/crates/oliveworks-gateway/src/slow_start.rs
@@ -191,23 +191,23 @@
     }
 
     /// Counts a request as on its way to a backend server.
-    pub fn cold_choice(&self, target: Target) -> ColdChoice<'_> {
+    pub fn pending_send(&self, target: Target) -> PendingSend<'_> {
         if let Some(slow_starts) = self.slow_starts.borrow_mut().as_mut() {
             slow_starts.chosen(target);
         }
-        ColdChoice { gateway: self, target, sent: false }
+        PendingSend { gateway: self, target, sent: false }
     }
 }
 
-/// A request that was given to a backend server: counts against this gateway's part until it is known not
-/// to be sent, and for a second once it is.
-pub struct ColdChoice<'a> {
+/// A request that was given to a backend server and is not sent yet: it counts against this gateway's part
+/// of what a cold one may get, and no longer if it is dropped unsent.
+pub struct PendingSend<'a> {
     gateway: &'a Gateway,
     target: Target,
     sent: bool,
 }
 
-impl ColdChoice<'_> {
+impl PendingSend<'_> {
     /// It is sent now.
     pub fn sent(&mut self) {
         self.sent = true;
@@ -217,7 +217,7 @@
     }
 }
 
-impl Drop for ColdChoice<'_> {
+impl Drop for PendingSend<'_> {
     fn drop(&mut self) {
         if self.sent {
             return;
