--- a/crates/oliveworks-gateway/src/slow_start.rs
+++ b/crates/oliveworks-gateway/src/slow_start.rs
@@ -94,8 +94,8 @@
 
     /// A backend server is not reached. If that lasts, it may come back cold.
     ///
-    /// Rejected: taking each failed call for a loss (hosts that missed one call were sent few requests for
-    /// seconds, and 230 of some 9,000 callers were refused for it).
+    /// Rejected: taking each failed call for a loss (a host that missed one call would be sent few requests
+    /// for seconds, and callers refused beside it).
     pub fn lose(&self, server: &str) {
         if !self.balance.borrow().is_lost(Target::of(server)) {
             return;
@@ -133,6 +133,8 @@
     /// of them is free again, if one is. Those that stay are compared by what they bear.
     pub fn leave_out_cold(&self, service: &str, candidates: &mut Vec<Candidate>) -> Option<Millis> {
         let terms = self.slow_start_of(service)?;
+        // A request may be the first thing that runs after a pause, which has to be known by then.
+        self.tick();
         let mut slow_starts = self.slow_starts.borrow_mut();
         let slow_starts = slow_starts.as_mut()?;
         let now = self.now();
@@ -189,23 +191,23 @@
     }
 
     /// Counts a request as on its way to a backend server.
-    pub fn cold_choice(&self, target: Target) -> ColdChoice<'_> {
+    pub fn pending_send(&self, target: Target) -> PendingSend<'_> {
         if let Some(slow_starts) = self.slow_starts.borrow_mut().as_mut() {
             slow_starts.chosen(target);
         }
-        ColdChoice { gateway: self, target, sent: false }
+        PendingSend { gateway: self, target, sent: false }
     }
 }
 
-/// A request that was given to a backend server: counts against this gateway's part until it is known not
-/// to be sent, and for a second once it is.
-pub struct ColdChoice<'a> {
+/// A request that was given to a backend server and is not sent yet: it counts against this gateway's part
+/// of what a cold one may get, and no longer if it is dropped unsent.
+pub struct PendingSend<'a> {
     gateway: &'a Gateway,
     target: Target,
     sent: bool,
 }
 
-impl ColdChoice<'_> {
+impl PendingSend<'_> {
     /// It is sent now.
     pub fn sent(&mut self) {
         self.sent = true;
@@ -215,7 +217,7 @@
     }
 }
 
-impl Drop for ColdChoice<'_> {
+impl Drop for PendingSend<'_> {
     fn drop(&mut self) {
         if self.sent {
             return;
