A proof that is older than the process that is told it stays old

Change: a proof's time may lie before the process's; a gateway's own proof that old counts as none when sources are chosen. Test first red (age 200 in place of 4,760).

--- a/crates/oliveworks-gateway-core/src/freshness.rs
+++ b/crates/oliveworks-gateway-core/src/freshness.rs
@@ -19,29 +19,30 @@
 /// How young the configuration is known to be.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Freshness {
-    proved_at: Option<Millis>,
+    /// On this process's clock; below 0 where the proof is older than the process.
+    proved_at: Option<i64>,
 }
 
 impl Freshness {
     /// The store answered a call sent at `sent` that it held back for at least `held_ms`, and what
     /// it answered has been taken in.
     pub fn proved(&mut self, sent: Millis, held_ms: u64) {
-        self.prove(sent + held_ms);
+        self.prove((sent + held_ms) as i64);
     }
 
     /// Another gateway answered a question sent at `sent` after holding it back for `held_ms`: its own
     /// proof was `age_ms` old then, and what it knows has been taken in.
     pub fn passed_on(&mut self, sent: Millis, held_ms: u64, age_ms: u64) {
-        self.prove((sent + held_ms).saturating_sub(age_ms));
+        self.prove((sent + held_ms) as i64 - age_ms as i64);
     }
 
-    fn prove(&mut self, at: Millis) {
+    fn prove(&mut self, at: i64) {
         self.proved_at = Some(self.proved_at.map_or(at, |old| old.max(at)));
     }
 
     /// How long ago the store was proved to have nothing newer.
     pub fn age_ms(&self, now: Millis) -> Option<u64> {
-        self.proved_at.map(|at| now.saturating_sub(at))
+        self.proved_at.map(|at| (now as i64 - at).max(0) as u64)
     }
 
     /// Whether keys may be honoured, given the bound after which a key must not serve.
--- a/crates/oliveworks-gateway-core/tests/decisions.rs
+++ b/crates/oliveworks-gateway-core/tests/decisions.rs
@@ -220,6 +220,16 @@
     assert_eq!(balance.choose(10, &candidates(2), &[], 1.0, 0), Ok(Target(1)));
 }
 
+/// A gateway starts while the store is away, and another that is cut off as well tells it an old proof: the
+/// process's clock begins at 0, and the proof is older.
+#[test]
+fn a_proof_from_before_the_process_began_is_no_younger_for_it() {
+    let mut freshness = Freshness::default();
+    freshness.passed_on(40, 0, 4_600);
+    assert_eq!(freshness.age_ms(200), Some(4_760));
+    assert!(!freshness.honours_keys(200, Some(3_000)));
+}
+
 #[test]
 fn full_suspended_and_tried_targets_get_nothing() {
     let mut balance = Balance::default();
--- a/crates/oliveworks-gateway/src/heartbeat.rs
+++ b/crates/oliveworks-gateway/src/heartbeat.rs
@@ -243,7 +243,8 @@
         failure_domain: beat.failure_domain.clone(),
         heard_at: now,
         store_answers: beat.store_answers,
-        proved_at: beat.proof_age_ms.map(|age_ms| now.saturating_sub(age_ms)),
+        // One that is older than this process is as good as none.
+        proved_at: beat.proof_age_ms.and_then(|age_ms| now.checked_sub(age_ms)),
     };
     if peers.insert(beat.node.clone(), sender).is_none() {
         let (name, address) = (beat.node.as_str(), from.to_string());
