Sight: a host's end under a request says how many ends would convict it, whether another explains the last one, and how long the run had delivered

Cause: the record tells neither why a request was sent on after its third end nor what its runs had delivered when their hosts ended, so the hypotheses (a mark that moves, ties with those beside it) cannot be told apart. Change: three fields more on host_ended_under_request. No change of logic.

--- a/crates/oliveworks-gateway-core/src/crashers.rs
+++ b/crates/oliveworks-gateway-core/src/crashers.rs
@@ -82,6 +82,17 @@
     }
 }
 
+/// What speaks for and against a request's conviction, for people.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Assessment {
+    /// Ends in a row.
+    pub ends: u32,
+    /// Ends that convict it.
+    pub needed: u32,
+    /// Whether another request explains the last end as well.
+    pub shares_last_end: bool,
+}
+
 /// A chain of ends, as gateways tell each other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Chain {
@@ -206,6 +217,16 @@
         Standing::Suspect { ends }
     }
 
+    /// What speaks for and against a request's conviction; none if nothing is held against it.
+    pub fn assess(&self, request: Fingerprint) -> Option<Assessment> {
+        let record = self.records.get(&request)?;
+        Some(Assessment {
+            ends: record.ends,
+            needed: CONVICTED_AFTER + self.unexplained(record),
+            shares_last_end: self.is_explained(request, record),
+        })
+    }
+
     /// Moments since shortly before a chain began at which backend servers ended for no reason that a chain explains.
     fn unexplained(&self, record: &Record) -> u32 {
         let long = self.records.values().filter(|other| other.ends >= CONVICTED_AFTER);
--- a/crates/oliveworks-gateway/src/crashers.rs
+++ b/crates/oliveworks-gateway/src/crashers.rs
@@ -52,7 +52,9 @@
     /// Where it ran.
     pub place: &'a Place,
     /// When it was sent.
-    pub began: Millis,
+    pub sent: Millis,
+    /// When its first event came, if one did.
+    pub first_event: Option<Millis>,
     /// How it failed.
     pub failure: Failure,
     /// The id under which it was sent.
@@ -75,12 +77,16 @@
         let (now, target) = (self.now(), place.candidate.target);
         let ends = self.crashers.borrow_mut().host_ended(now, request, target);
         self.count("hosts_ended_under_requests");
+        let assessment = self.crashers.borrow().assess(request);
         Event::new("host_ended_under_request")
             .with("host", &*place.server)
             .with("request", run.id)
             .with("same_request", name(request))
             .with("ends_in_a_row", ends)
-            .with("ran_ms", now.saturating_sub(run.began))
+            .with("ends_needed", assessment.map(|known| known.needed))
+            .with("shares_last_end", assessment.map(|known| known.shares_last_end))
+            .with("ran_ms", now.saturating_sub(run.sent))
+            .with("delivered_ms", run.first_event.map(|at| now.saturating_sub(at)))
             .write();
         if ends > 1 {
             self.beat_is_urgent.set(true);
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -22,7 +22,6 @@
 use crate::crashers::{FailedRun, fingerprint};
 use crate::dialect::{Asked, Headers};
 use crate::events::Event;
-use crate::places::Place;
 use crate::state::Gateway;
 
 /// What a request's deadline is if its caller names none.
@@ -297,13 +296,14 @@
                 gateway: self.gateway,
                 target,
                 tokens,
-                began: Cell::new(false),
+                first_event: Cell::new(None),
                 failed: false,
             };
             let suspect_run = self.gateway.suspect_run(standing, target);
             let choice = self.gateway.pending_send(target);
-            let tried = self.attempt(connection, &place, choice, &open.began).await;
+            let tried = self.attempt(connection, &place, choice, &open.first_event).await;
             open.failed = self.is_to_blame(target, &tried);
+            let first_event = open.first_event.get();
             drop(open);
             drop(suspect_run);
             let (failure, gone) = match tried {
@@ -314,7 +314,9 @@
                 Tried::Left => return (End::Torn, "left".into()),
                 Tried::Failed { failure, gone } => (failure, gone),
             };
-            let gone = gone || self.has_ended(&place, now, failure).await;
+            let id = &self.asked.id;
+            let run = FailedRun { place: &place, sent: now, first_event, failure, id };
+            let gone = gone || self.has_ended(&run).await;
             let now = self.gateway.now();
             self.log.push(format!("{} {failure:?} at {} ms", place.server, now - self.received));
             self.gateway.count(&format!("attempt_{failure:?}").to_lowercase());
@@ -326,12 +328,11 @@
 
     /// Whether the backend server of a run that failed has ended, so that the run need not count against the request: not
     /// again if others had ended under it before.
-    async fn has_ended(&self, place: &Place, began: Millis, failure: Failure) -> bool {
+    async fn has_ended(&self, run: &FailedRun<'_>) -> bool {
         if self.gateway.now() >= self.deadline {
             return false;
         }
-        let run = FailedRun { place, began, failure, id: &self.asked.id };
-        let ended = self.gateway.ended_under(self.fingerprint, &run).await;
+        let ended = self.gateway.ended_under(self.fingerprint, run).await;
         ended && !self.gateway.standing(self.fingerprint).is_strong_suspect()
     }
 
@@ -417,7 +418,8 @@
     target: Target,
     /// Tokens of its prompt.
     tokens: u32,
-    began: Cell<bool>,
+    /// When the first event came from there, if one did.
+    first_event: Cell<Option<Millis>>,
     failed: bool,
 }
 
@@ -425,6 +427,7 @@
     fn drop(&mut self) {
         let now = self.gateway.now();
         let mut balance = self.gateway.balance.borrow_mut();
-        balance.ended(now, self.target, self.tokens, self.began.get(), self.failed);
+        let began = self.first_event.get().is_some();
+        balance.ended(now, self.target, self.tokens, began, self.failed);
     }
 }
--- a/crates/oliveworks-gateway/src/relay/attempt.rs
+++ b/crates/oliveworks-gateway/src/relay/attempt.rs
@@ -77,7 +77,7 @@
         connection: &mut Connection,
         place: &Place,
         mut choice: PendingSend<'_>,
-        began: &Cell<bool>,
+        first_event: &Cell<Option<Millis>>,
     ) -> Tried {
         self.attempts.connecting();
         let within_ms = self.gateway.settings.requests.connect_ms;
@@ -123,7 +123,7 @@
             return failed;
         }
         if self.route.stream && (200..300).contains(&status) {
-            return self.stream(connection, exchange, response, headers, place, began).await;
+            return self.stream(connection, exchange, response, headers, place, first_event).await;
         }
         self.whole(connection, exchange, response, headers, place).await
     }
@@ -287,7 +287,7 @@
         mut response: Response<Incoming>,
         headers: Headers,
         place: &Place,
-        began: &Cell<bool>,
+        first_event: &Cell<Option<Millis>>,
     ) -> Tried {
         let mut since = self.heard(place);
         let mut splitter = Splitter::default();
@@ -300,7 +300,7 @@
             };
             let before = since;
             since = self.heard(place);
-            if began.get() {
+            if first_event.get().is_some() {
                 self.served.longest_gap_ms = self.served.longest_gap_ms.max(since - before);
                 let target = place.candidate.target;
                 self.gateway.speeds.borrow_mut().paused(since, target, since - before);
@@ -309,7 +309,8 @@
             let Ok(events) = splitter.push(&part) else {
                 return Tried::Failed { failure: Failure::Lost, gone: false };
             };
-            if !events.is_empty() && !began.replace(true) {
+            if !events.is_empty() && first_event.get().is_none() {
+                first_event.set(Some(since));
                 self.gateway
                     .balance
                     .borrow_mut()
