Crashers: one chain of ends at all gateways, a conviction that lasts, a mark with a top

What callers saw: a request that crashes its hosts went on after the third one, by 9 and 12 sends. Cause: each gateway knew a part of the chain only (a longer one told took the place of the known one, single ends were told to nobody), so ends of the chain itself spoke for other reasons and moved the mark on; the mark had no top, and whoever was past it could be set free by the next end elsewhere. Change: ends are merged, each with its host and age, and told from the first on; a whole answer is told too, so that what it cleared does not come back; ends that a convicted request explains are held against nobody else; five ends convict whatever else ends; a conviction lasts until its time or a whole answer. It settles 30 ms after the last end, when those that ran beside it are known, so that it does not hang on who is asked first. Ruled out: that the request is not told apart (its path, caller and body stay, as do model and prompt).

--- a/crates/oliveworks-gateway-core/src/crashers.rs
+++ b/crates/oliveworks-gateway-core/src/crashers.rs
@@ -4,14 +4,20 @@
 //! ends one or two more, with all that runs beside it. So requests are told apart by what is sent: under a request
 //! whose runs ended one backend server after the other, and never one to its end, no more are risked.
 //!
-//! Evidence is a chain of ends: one counts only if it comes some time after the one before it, so that
-//! a lost failure domain, which ends hundreds at once, counts once for whatever ran there. A run that comes to its end clears
-//! the request. Those that ran beside the guilty one share its first ends; they are sent on apart from each other,
-//! and come to their end elsewhere. Where backend servers also end for other reasons, a chain must be longer, by one for
-//! each moment at which some did. Gateways tell each other of chains of two and more.
+//! Evidence is a [chain](chain) of ends, the same at all gateways, since they tell each other of each end. An end counts only if
+//! it comes some time after the one before it, so that a lost failure domain, which ends hundreds at once, counts once
+//! for whatever ran there. A run that comes to its end clears the request everywhere. Those that ran beside the guilty one share its first
+//! ends; they are sent on apart from each other, come to their end elsewhere, and what a convicted request explains
+//! is held against nobody else. Where backend servers also end for other reasons, a chain must be longer, by one for each
+//! moment at which some did, up to a bound: a request that comes again and again must not go on for ever. A conviction
+//! lasts, whatever ends afterwards.
 //!
 //! Rejected: to convict at the second end (those that ran beside a guilty one are sent on to a few places, some of them
-//! to its next one), and to count ends however close they are (one lost failure domain convicts what many callers ask).
+//! to its next one); to count ends however close they are (one lost failure domain convicts what many callers ask); and
+//! to reckon a conviction anew at each question (each later end of another request sets the first one free).
+
+mod chain;
+mod running;
 
 use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -20,10 +26,15 @@
 
 use crate::Millis;
 use crate::balance::Target;
+use chain::Record;
+pub use chain::{Chain, ToldEnd};
+use running::Running;
 
 /// Ends in a row after which a request is sent nowhere. Whoever runs beside a guilty one twice is as likely as not to be found
 /// beside it; three times, and never to its end, is not chance.
 const CONVICTED_AFTER: u32 = 3;
+/// The same where backend servers end for other reasons as well, at the most: each more costs a group and all that runs there.
+const CONVICTED_AFTER_MOST: u32 = 5;
 /// How long an end is held against a request, in ms: callers try again within their deadlines, and sessions within a minute.
 const SUSPECT_MS: Millis = 60_000;
 /// How long a convicted request is refused before one trial, in ms. A server or weights that are mended are rolled
@@ -31,15 +42,13 @@
 const CONVICTED_MS: Millis = 300_000;
 /// Requests that are remembered: the streams of a lost failure domain of 273 hosts, 15 each.
 const KEPT: usize = 4_096;
-/// How long a chain is told to others, in ms: ten heartbeats, of which some may be lost.
+/// How long news of a request are told to others, in ms: ten heartbeats, of which some may be lost.
 const TOLD_MS: Millis = 1_000;
 /// The time between two tellings of all that are convicted, in ms: a gateway that starts learns them before a caller
 /// who was refused comes back.
 const TELL_ALL_MS: Millis = 500;
 /// Chains that one heartbeat tells at the most: some 3 KB, and far more than are guilty at once.
 const TOLD_MOST: usize = 32;
-/// Ends of a chain that are remembered, so that what a convicted request explains is known.
-const ENDS_KEPT: usize = 8;
 /// How long before a chain began ends count that it does not explain, in ms: as long as most requests run.
 const LOOK_BACK_MS: Millis = 10_000;
 /// Other requests that are thought guilty at the same time, so that their ends do not speak for this one: with many, waves
@@ -47,9 +56,9 @@
 const OTHERS_GUILTY: usize = 3;
 /// Ends that are so close have one cause, such as a lost failure domain, in ms.
 const SAME_MOMENT_MS: Millis = 500;
-/// How much later the next end of a chain comes at the least, in ms: the hosts of a lost failure domain do not end at
-/// once, and what ran at the first is sent on to the others.
-const NEXT_END_MS: Millis = 200;
+/// How long after an end all gateways know what ran there, in ms: the way of a heartbeat that is not to wait, and a moment
+/// to find out that the backend server has ended.
+pub const SETTLED_MS: Millis = 30;
 /// How long an end of a backend server is the same one for all that ran there, in ms.
 const SAME_END_MS: Millis = 1_000;
 
@@ -93,59 +102,17 @@
     pub shares_last_end: bool,
 }
 
-/// A chain of ends, as gateways tell each other.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Chain {
-    /// The request.
-    pub request: Fingerprint,
-    /// Ends in a row.
-    pub ends: u32,
-    /// The last backend servers that ended, the newest last.
-    pub hosts: Vec<Target>,
-    /// From the first end to the last, in ms.
-    pub span_ms: u64,
-    /// How long ago the last end was, in ms.
-    pub ago_ms: u64,
-}
-
-#[derive(Clone, Debug)]
-struct Record {
-    ends: u32,
-    /// The last backend servers that ended, the newest last.
-    hosts: Vec<Target>,
-    first_end: Millis,
-    last_end: Millis,
-    /// When this gateway learned of the last end, if others are told of it.
-    tell_since: Option<Millis>,
-}
-
-impl Record {
-    /// A backend server ended under the request, the newest that is known.
-    fn explains(&mut self, host: Target) {
-        self.hosts.retain(|known| *known != host);
-        self.hosts.push(host);
-        let surplus = self.hosts.len().saturating_sub(ENDS_KEPT);
-        self.hosts.drain(..surplus);
-    }
-}
-
-/// Suspects that run at a place.
-#[derive(Clone, Copy, Debug, Default)]
-struct Running {
-    all: u32,
-    strong: u32,
-}
-
 /// Requests under which backend servers ended.
 #[derive(Clone, Debug, Default)]
 pub struct Crashers {
     records: HashMap<Fingerprint, Record>,
-    /// Requests of this gateway's that are held suspect and run now, by place.
-    running: HashMap<Target, Running>,
+    running: Running,
     /// When all convicted ones were last told.
     told_all_at: Millis,
-    /// Ends of backend servers that this gateway saw lately.
+    /// Ends of backend servers that are known, the oldest first.
     seen: VecDeque<(Millis, Target)>,
+    /// Requests that were convicted since they were last taken.
+    new_convictions: Vec<Fingerprint>,
 }
 
 impl Crashers {
@@ -153,182 +120,246 @@
     /// who send the same. Rejected: to count only runs that began after the last end (of twenty copies a second that
     /// ran side by side one in three counted, and ten hosts ended in 2.5 s).
     pub fn host_ended(&mut self, now: Millis, request: Fingerprint, host: Target) -> u32 {
-        self.forget(now);
+        self.settle(now);
         self.see(now, host);
-        let record = self.records.entry(request).or_insert(Record {
-            ends: 0,
-            hosts: Vec::new(),
-            first_end: now,
-            last_end: 0,
-            tell_since: None,
-        });
-        // One that does not count is still this request's, and speaks for no other reason.
-        record.explains(host);
-        if record.ends == 0 || now >= record.last_end + NEXT_END_MS {
-            record.ends += 1;
-            record.last_end = now;
-            record.tell_since = (record.ends > 1).then_some(now);
+        let record = self.records.entry(request).or_default();
+        if record.ended(now, host) {
+            record.tell_since = Some(now);
         }
-        record.ends
+        self.ends_against(request)
     }
 
-    /// Another gateway told of a chain; tells whether it is longer than what is known here.
+    /// Another gateway told what it knows of a request; tells whether that is news here.
     pub fn told(&mut self, now: Millis, chain: Chain) -> bool {
-        if let Some(known) = self.records.get_mut(&chain.request).filter(|r| r.ends >= chain.ends) {
-            // Two gateways may see ends side by side: both are this request's.
-            chain.hosts.iter().for_each(|host| known.explains(*host));
+        let held_ms = if chain.is_convicted { CONVICTED_MS } else { SUSPECT_MS };
+        let young = |ago_ms: u64| ago_ms < held_ms;
+        let ends = chain.ends.iter().filter(|end| young(end.ago_ms));
+        let ends: Vec<_> = ends.map(|end| (now.saturating_sub(end.ago_ms), end.host)).collect();
+        let survived = chain.survived_ago_ms.map(|ago_ms| now.saturating_sub(ago_ms));
+        if ends.is_empty() && survived.is_none() {
             return false;
         }
-        let Chain { request, ends, hosts, span_ms, ago_ms } = chain;
-        let last_end = now.saturating_sub(ago_ms);
-        let first_end = last_end.saturating_sub(span_ms);
-        let record = Record { ends, hosts, first_end, last_end, tell_since: Some(now) };
-        self.records.insert(request, record);
-        true
+        if !self.records.contains_key(&chain.request) {
+            self.settle(now);
+        }
+        ends.iter().for_each(|(at, host)| self.see(*at, *host));
+        let record = self.records.entry(chain.request).or_default();
+        let mut is_news = survived.is_some_and(|at| record.survived(at));
+        for (at, host) in ends {
+            is_news |= record.ended(at, host);
+        }
+        let learns = chain.is_convicted && !record.is_convicted && !record.ends().is_empty();
+        if learns {
+            record.is_convicted = true;
+            self.new_convictions.push(chain.request);
+        }
+        if is_news || learns {
+            record.tell_since = Some(now);
+        }
+        is_news || learns
     }
 
-    /// A request came to its end: it does not crash its backend server.
-    pub fn survived(&mut self, request: Fingerprint) {
-        self.records.remove(&request);
+    /// A request came to its end: it does not crash its backend server. Others are told, since they may know of ends.
+    pub fn survived(&mut self, now: Millis, request: Fingerprint) {
+        if let Some(record) = self.records.get_mut(&request)
+            && record.survived(now)
+        {
+            record.tell_since = Some(now);
+        }
     }
 
     /// How a request stands. One whose time is over is a strong suspect again: the next end convicts it anew.
     pub fn standing(&mut self, now: Millis, request: Fingerprint) -> Standing {
-        let Some(record) = self.records.get(&request) else { return Standing::Clear };
-        let (ends, last_end) = (record.ends, record.last_end);
-        if ends < CONVICTED_AFTER {
-            return match now < last_end + SUSPECT_MS {
-                true => Standing::Suspect { ends },
-                false => Standing::Clear,
-            };
-        }
-        let until = last_end + CONVICTED_MS;
-        if self.is_convicted(now, request, record) {
-            return Standing::Convicted { until };
+        let is_convicted = self.convict_if_due(now, request);
+        let Some(record) = self.records.get_mut(&request) else { return Standing::Clear };
+        if is_convicted {
+            let until = record.last_end() + CONVICTED_MS;
+            if now < until {
+                return Standing::Convicted { until };
+            }
+            *record = Record::on_trial(now, CONVICTED_AFTER - 1);
         }
-        if now < until {
-            return Standing::Suspect { ends };
+        if now >= record.last_end() + SUSPECT_MS {
+            return Standing::Clear;
         }
-        let ends = CONVICTED_AFTER - 1;
-        if let Some(record) = self.records.get_mut(&request) {
-            let hosts = Vec::new();
-            *record = Record { ends, hosts, first_end: now, last_end: now, tell_since: None };
+        match self.ends_against(request) {
+            0 => Standing::Clear,
+            ends => Standing::Suspect { ends },
         }
-        Standing::Suspect { ends }
     }
 
     /// What speaks for and against a request's conviction; none if nothing is held against it.
     pub fn assess(&self, request: Fingerprint) -> Option<Assessment> {
         let record = self.records.get(&request)?;
         Some(Assessment {
-            ends: record.ends,
-            needed: CONVICTED_AFTER + self.unexplained(record),
-            shares_last_end: self.is_explained(request, record),
+            ends: self.ends_against(request),
+            needed: self.needed(record),
+            shares_last_end: self.shares_last_end(request),
         })
     }
 
-    /// Moments since shortly before a chain began at which backend servers ended for no reason that a chain explains.
-    fn unexplained(&self, record: &Record) -> u32 {
-        let long = self.records.values().filter(|other| other.ends >= CONVICTED_AFTER);
-        let mut others: Vec<&Record> = long.collect();
-        others.sort_by_key(|other| (Reverse(other.ends), other.first_end));
-        let chains = others.into_iter().take(OTHERS_GUILTY).chain([record]);
-        let explained: HashSet<Target> = chains.flat_map(|chain| &chain.hosts).copied().collect();
-        let since = record.first_end.saturating_sub(LOOK_BACK_MS);
-        let ends = self.seen.iter().filter(|(at, host)| *at >= since && !explained.contains(host));
-        let mut moments = 0;
-        let mut last: Option<Millis> = None;
-        for (at, _) in ends {
-            moments += u32::from(last.is_none_or(|last| *at >= last + SAME_MOMENT_MS));
-            last = Some(*at);
-        }
-        moments
-    }
-
-    fn see(&mut self, now: Millis, host: Target) {
-        let is_known = |(at, known): &(Millis, Target)| *known == host && now < *at + SAME_END_MS;
-        if !self.seen.iter().any(is_known) {
-            self.seen.push_back((now, host));
-        }
-        while self.seen.front().is_some_and(|(at, _)| now > *at + SUSPECT_MS) {
-            self.seen.pop_front();
-        }
-    }
-
-    /// Whether the last end may be another request's, with a chain at least as long: the next end tells.
-    fn is_explained(&self, request: Fingerprint, record: &Record) -> bool {
-        let Some(last) = record.hosts.last() else { return false };
-        self.records.iter().any(|(other, theirs)| {
-            *other != request && theirs.ends >= record.ends && theirs.hosts.contains(last)
-        })
+    /// Requests that were convicted since this was last asked: what runs of them is not to go on.
+    pub fn take_new_convictions(&mut self) -> Vec<Fingerprint> {
+        std::mem::take(&mut self.new_convictions)
     }
 
-    /// Chains that other gateways are to be told of: new ones, and now and then those that convict, for gateways
-    /// that have started or were cut off.
+    /// What other gateways are to be told: news, and now and then all that are convicted, for gateways
+    /// that have started or were cut off. What matters most comes first.
     pub fn to_tell(&mut self, now: Millis) -> Vec<Chain> {
+        self.settle(now);
         let all = now >= self.told_all_at + TELL_ALL_MS;
         if all {
             self.told_all_at = now;
         }
-        let told = self.records.iter().filter(|(request, record)| {
-            // An end from before this process has no age here, and would seem younger with each one that passes it on.
-            if record.last_end == 0 {
-                return false;
-            }
-            let is_new = record.tell_since.is_some_and(|since| now < since + TOLD_MS);
-            is_new || all && self.is_convicted(now, **request, record)
+        let told = self.records.iter().filter(|(_, record)| {
+            let is_news = record.tell_since.is_some_and(|since| now < since + TOLD_MS);
+            let lasts = record.is_convicted && now < record.last_end() + CONVICTED_MS;
+            is_news || all && lasts
         });
-        let chain = |(request, record): (&Fingerprint, &Record)| Chain {
-            request: *request,
-            ends: record.ends,
-            hosts: record.hosts.clone(),
-            span_ms: record.last_end.saturating_sub(record.first_end),
-            ago_ms: now.saturating_sub(record.last_end),
-        };
-        told.take(TOLD_MOST).map(chain).collect()
-    }
-
-    fn is_convicted(&self, now: Millis, request: Fingerprint, record: &Record) -> bool {
-        now < record.last_end + CONVICTED_MS
-            && record.ends >= CONVICTED_AFTER
-            && record.ends >= CONVICTED_AFTER + self.unexplained(record)
-            && !self.is_explained(request, record)
+        let mut told: Vec<_> = told.collect();
+        told.sort_by_key(|(request, record)| {
+            Reverse((record.is_convicted, record.moments(|_| true), record.last_end(), **request))
+        });
+        let chains = told.into_iter().filter_map(|(request, record)| record.tell(now, *request));
+        chains.take(TOLD_MOST).collect()
     }
 
     /// A request that is held suspect begins to run at a place.
     pub fn placed(&mut self, target: Target, standing: Standing) {
-        let running = self.running.entry(target).or_default();
-        running.all += 1;
-        running.strong += u32::from(standing.is_strong_suspect());
+        self.running.placed(target, standing);
     }
 
     /// It runs there no more.
     pub fn left(&mut self, target: Target, standing: Standing) {
-        let Some(running) = self.running.get_mut(&target) else { return };
-        running.all = running.all.saturating_sub(1);
-        running.strong = running.strong.saturating_sub(u32::from(standing.is_strong_suspect()));
-        if running.all == 0 {
-            self.running.remove(&target);
-        }
+        self.running.left(target, standing);
     }
 
     /// Whether this gateway has suspects running at a place: others go elsewhere, so that the next end tells most.
     pub fn has_suspects(&self, target: Target) -> bool {
-        self.running.contains_key(&target)
+        self.running.has_any(target)
     }
 
     /// Whether it has strong ones there: they are kept apart also where every place has some suspect.
     pub fn has_strong_suspects(&self, target: Target) -> bool {
-        self.running.get(&target).is_some_and(|running| running.strong > 0)
+        self.running.has_strong(target)
+    }
+
+    /// Backend servers that ended under requests which are convicted, but for one.
+    fn explained(&self, but: Fingerprint) -> HashSet<Target> {
+        let guilty =
+            self.records.iter().filter(|(other, known)| known.is_convicted && **other != but);
+        guilty.flat_map(|(_, known)| known.hosts()).collect()
+    }
+
+    /// Ends in a row that no convicted request explains.
+    fn ends_against(&self, request: Fingerprint) -> u32 {
+        let Some(record) = self.records.get(&request) else { return 0 };
+        let explained = self.explained(request);
+        record.moments(|host| !explained.contains(&host))
+    }
+
+    /// Ends that convict a request: more where backend servers also end for reasons that no chain explains.
+    fn needed(&self, record: &Record) -> u32 {
+        (CONVICTED_AFTER + self.unexplained(record)).min(CONVICTED_AFTER_MOST)
+    }
+
+    /// Moments since shortly before a chain began at which backend servers ended for no reason that a chain explains.
+    fn unexplained(&self, record: &Record) -> u32 {
+        let is_long = |other: &&Record| other.moments(|_| true) >= CONVICTED_AFTER;
+        let mut others: Vec<&Record> = self.records.values().filter(is_long).collect();
+        others.sort_by_key(|other| (Reverse(other.moments(|_| true)), other.first_end()));
+        let chains = others.into_iter().take(OTHERS_GUILTY).chain([record]);
+        let explained: HashSet<Target> = chains.flat_map(Record::hosts).collect();
+        let since = record.first_end().saturating_sub(LOOK_BACK_MS);
+        let ends = self.seen.iter().filter(|(at, host)| *at >= since && !explained.contains(host));
+        let mut moments = 0;
+        let mut last: Option<Millis> = None;
+        for (at, _) in ends {
+            moments += u32::from(last.is_none_or(|last| *at >= last + SAME_MOMENT_MS));
+            last = Some(*at);
+        }
+        moments
+    }
+
+    /// Whether the last end may be another request's, with a chain at least as long: the next end tells.
+    fn shares_last_end(&self, request: Fingerprint) -> bool {
+        let Some(last) = self.records.get(&request).and_then(|record| record.hosts().last()) else {
+            return false;
+        };
+        let ends = self.ends_against(request);
+        self.records.iter().any(|(other, theirs)| {
+            *other != request
+                && !theirs.is_convicted
+                && theirs.hosts().any(|host| host == last)
+                && self.ends_against(*other) >= ends
+        })
+    }
+
+    /// Whether a request's ends convict it now. That lasts once those that ran beside it have been heard of as well, so that
+    /// it does not hang on who is asked first.
+    fn convict_if_due(&mut self, now: Millis, request: Fingerprint) -> bool {
+        let Some(record) = self.records.get(&request) else { return false };
+        if record.is_convicted {
+            return true;
+        }
+        let last_end = record.last_end();
+        if record.moments(|_| true) < CONVICTED_AFTER {
+            return false;
+        }
+        let ends = self.ends_against(request);
+        let is_due = ends >= CONVICTED_AFTER_MOST
+            || ends >= self.needed(record) && !self.shares_last_end(request);
+        if is_due
+            && now >= last_end + SETTLED_MS
+            && let Some(record) = self.records.get_mut(&request)
+        {
+            record.is_convicted = true;
+            record.tell_since = Some(now);
+            self.new_convictions.push(request);
+        }
+        is_due
+    }
+
+    /// Convicts who is due, the longest chains first: what they explain is not held against the others. Forgets what is
+    /// held against nobody any more.
+    fn settle(&mut self, now: Millis) {
+        self.forget(now);
+        let long = self.records.iter().filter(|(_, record)| !record.is_convicted);
+        let long = long.map(|(request, record)| (Reverse(record.moments(|_| true)), *request));
+        let mut long: Vec<_> = long.filter(|(ends, _)| ends.0 >= CONVICTED_AFTER).collect();
+        long.sort_unstable();
+        for (_, request) in long {
+            self.convict_if_due(now, request);
+        }
+    }
+
+    /// Notes an end of a backend server, in the order of their times.
+    fn see(&mut self, at: Millis, host: Target) {
+        let is_known = |(known_at, known): &(Millis, Target)| {
+            *known == host && at.abs_diff(*known_at) < SAME_END_MS
+        };
+        if self.seen.iter().any(is_known) {
+            return;
+        }
+        let place = self.seen.partition_point(|(known_at, _)| *known_at <= at);
+        self.seen.insert(place, (at, host));
     }
 
     /// Forgets what is held against nobody any more, and the oldest ends if there are too many.
     fn forget(&mut self, now: Millis) {
-        self.records.retain(|_, record| now < record.last_end + SUSPECT_MS.max(CONVICTED_MS));
+        while self.seen.front().is_some_and(|(at, _)| now > *at + SUSPECT_MS) {
+            self.seen.pop_front();
+        }
+        self.records.retain(|_, record| {
+            let held_ms = if record.is_convicted { CONVICTED_MS } else { SUSPECT_MS };
+            now < record.last_news() + held_ms
+        });
         if self.records.len() < KEPT {
             return;
         }
-        let oldest = self.records.iter().min_by_key(|(_, record)| (record.ends, record.last_end));
+        let oldest = self.records.iter().min_by_key(|(_, record)| {
+            (record.is_convicted, record.moments(|_| true), record.last_news())
+        });
         if let Some(request) = oldest.map(|(request, _)| *request) {
             self.records.remove(&request);
         }
--- a/crates/oliveworks-gateway/src/crashers.rs
+++ b/crates/oliveworks-gateway/src/crashers.rs
@@ -88,19 +88,39 @@
             .with("ran_ms", now.saturating_sub(run.sent))
             .with("delivered_ms", run.first_event.map(|at| now.saturating_sub(at)))
             .write();
-        if ends > 1 {
-            self.beat_is_urgent.set(true);
-            self.send_now.notify_one();
-        }
+        self.tell_of_crashers();
         true
     }
 
+    /// Others hear at once of what has become known of a request.
+    fn tell_of_crashers(&self) {
+        self.note_convictions();
+        self.beat_is_urgent.set(true);
+        self.send_now.notify_one();
+    }
+
+    /// Says which requests have been convicted.
+    pub fn note_convictions(&self) {
+        let convicted = self.crashers.borrow_mut().take_new_convictions();
+        for request in convicted {
+            self.count("convicted_crashers");
+            let assessment = self.crashers.borrow().assess(request);
+            Event::new("crasher_convicted")
+                .with("same_request", name(request))
+                .with("ends_in_a_row", assessment.map(|known| known.ends))
+                .with("ends_needed", assessment.map(|known| known.needed))
+                .write();
+        }
+    }
+
     /// How a request stands.
     pub fn standing(&self, request: Fingerprint) -> Standing {
         if !self.settings.requests.refuse_crashers {
             return Standing::Clear;
         }
-        self.crashers.borrow_mut().standing(self.now(), request)
+        let standing = self.crashers.borrow_mut().standing(self.now(), request);
+        self.note_convictions();
+        standing
     }
 
     /// A request is not sent, since backend servers ended under it one after the other.
@@ -115,23 +135,30 @@
 
     /// A request came to its end.
     pub fn survived(&self, request: Fingerprint) {
-        self.crashers.borrow_mut().survived(request);
+        self.crashers.borrow_mut().survived(self.now(), request);
     }
 
     /// Another gateway told of backend servers that ended under a request.
     pub fn crasher_told(&self, chain: Chain) {
-        let (request, ends) = (chain.request, chain.ends);
+        let request = chain.request;
         if !self.crashers.borrow_mut().told(self.now(), chain) {
             return;
         }
-        self.beat_is_urgent.set(true);
-        self.send_now.notify_one();
+        self.tell_of_crashers();
+        let assessment = self.crashers.borrow().assess(request);
         Event::new("crasher_told")
             .with("same_request", name(request))
-            .with("ends_in_a_row", ends)
+            .with("ends_in_a_row", assessment.map_or(0, |known| known.ends))
             .write();
     }
 
+    /// What other gateways are to be told of requests under which backend servers ended.
+    pub fn crashers_told(&self) -> Vec<Chain> {
+        let told = self.crashers.borrow_mut().to_tell(self.now());
+        self.note_convictions();
+        told
+    }
+
     /// A run of a request that is held suspect, for as long as it lasts.
     pub fn suspect_run(&self, standing: Standing, target: Target) -> Option<SuspectRun<'_>> {
         if standing == Standing::Clear {
--- a/crates/oliveworks-gateway/src/heartbeat.rs
+++ b/crates/oliveworks-gateway/src/heartbeat.rs
@@ -129,7 +129,7 @@
         suspects: gateway.suspects.borrow().keys().copied().collect(),
         slow: gateway.slow_groups(),
         leaving: gateway.leaving_told(),
-        crashers: gateway.crashers.borrow_mut().to_tell(now),
+        crashers: gateway.crashers_told(),
         ended_drains: gateway.drains_ended_lately(),
         traffic: gateway.traffic.get(),
         peers: peers_told(gateway, now),
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -5,16 +5,18 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use ntex::http::StatusCode;
 use oliveworks_gateway_core::Millis;
 use oliveworks_gateway_core::attempts::{Attempts, Failure, Next, Terms, Verdict};
 use oliveworks_gateway_core::balance::{NoTarget, Target};
 use oliveworks_gateway_core::configuration::{Lookup, Repeat, Route, Unmatched};
-use oliveworks_gateway_core::crashers::{Fingerprint, Standing};
+use oliveworks_gateway_core::crashers::{Fingerprint, SETTLED_MS, Standing};
 use oliveworks_gateway_core::demand::ModelKey;
 use oliveworks_gateway_core::events::Progress;
 use oliveworks_gateway_core::timeliness::{Goal, Served, Timeliness};
+use tokio::time::sleep;
 
 use attempt::Tried;
 
@@ -332,8 +334,14 @@
         if self.gateway.now() >= self.deadline {
             return false;
         }
-        let ended = self.gateway.ended_under(self.fingerprint, run).await;
-        ended && !self.gateway.standing(self.fingerprint).is_strong_suspect()
+        let gateway = self.gateway;
+        let ended = gateway.ended_under(self.fingerprint, run).await;
+        if !ended || !gateway.standing(self.fingerprint).is_strong_suspect() {
+            return ended;
+        }
+        // Before it is sent on, those that ran beside it are heard of, and more of them may have ended elsewhere.
+        sleep(Duration::from_millis(SETTLED_MS)).await;
+        false
     }
 
     /// Refuses a request under which backend servers ended one after the other: this try has not run, and tells its
