A request is its caller, host, method, path, model and body; hints and its service do not tell it apart

Cause: the fingerprint took in the service, which a split route chooses by the try's id and a change of the configuration moves, and the parts of the prompt, which are hints. Change: neither counts; the host that was asked does, in place of the service.

--- a/crates/oliveworks-gateway/src/crashers.rs
+++ b/crates/oliveworks-gateway/src/crashers.rs
@@ -14,20 +14,15 @@
 use crate::places::Place;
 use crate::state::Gateway;
 
-/// What is sent with a request, but for what differs from one try of it to the next.
-pub fn fingerprint(
-    request: &Whole,
-    asked: &Asked,
-    service: &str,
-    workspace: Option<&str>,
-) -> Fingerprint {
-    let parts: [&[u8]; 7] = [
-        service.as_bytes(),
+/// What a request is: who asks for what, where. Not what differs from one try of it to the next, nor what only helps to place it
+/// (its service changes with the configuration and, where it is split, with the id of the try; parts of a prompt are hints).
+pub fn fingerprint(request: &Whole, asked: &Asked, workspace: Option<&str>) -> Fingerprint {
+    let parts: [&[u8]; 6] = [
+        request.header("host").unwrap_or_default().as_bytes(),
         workspace.unwrap_or_default().as_bytes(),
         request.method.as_str().as_bytes(),
         request.target.as_bytes(),
         asked.model.as_deref().unwrap_or_default().as_bytes(),
-        asked.prompt.as_deref().unwrap_or_default().as_bytes(),
         &request.body,
     ];
     let mut context = Context::new(&SHA256);
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -197,7 +197,7 @@
     });
     let workspace = found.workspace.map(|workspace| workspace.name.clone());
     Ok(Job {
-        fingerprint: fingerprint(request, &asked, &service, workspace.as_deref()),
+        fingerprint: fingerprint(request, &asked, workspace.as_deref()),
         pass_ms: pass_ms.unwrap_or(0),
         model: asked.model.clone().filter(|_| grouped),
         workspace,
