Tests that fail: a gateway whose machine was suspended takes what it knows for young and waits for callers that are gone

Cause: its clock is the steady one, which does not count a suspension. The tests tell the gateway's clock that its machine was suspended; today it does not listen.

--- a/crates/oliveworks-gateway/src/process.rs
+++ b/crates/oliveworks-gateway/src/process.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use oliveworks_runtime::clock::Clock;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::sleep;
@@ -38,7 +39,7 @@
     let told = async move {
         terminate.recv().await;
     };
-    run_until(settings, dialect, told).await
+    run_until(settings, dialect, Clock::new(), told).await
 }
 
 /// Runs a gateway until it is told to stop.
@@ -48,6 +49,7 @@
 pub async fn run_until(
     settings: Settings,
     dialect: Rc<dyn Dialect>,
+    clock: Clock,
     told: impl Future<Output = ()>,
 ) -> anyhow::Result<()> {
     let listen = settings.listen.clone();
@@ -55,7 +57,7 @@
     let ready = TcpListener::bind(listen.ready).await.context("listen.ready")?;
     let socket = Rc::new(UdpSocket::bind(listen.peers).await.context("listen.peers")?);
     let questions = TcpListener::bind(listen.peers).await.context("listen.peers")?;
-    let gateway = Rc::new(Gateway::new(settings, dialect));
+    let gateway = Rc::new(Gateway::new(settings, dialect, clock));
     Event::new("start")
         .with("node", gateway.settings.node.as_str())
         .with("life", gateway.life)
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -171,8 +171,7 @@
 
 impl Gateway {
     /// A gateway that knows nothing yet.
-    pub fn new(settings: Settings, dialect: Rc<dyn Dialect>) -> Gateway {
-        let clock = Clock::new();
+    pub fn new(settings: Settings, dialect: Rc<dyn Dialect>, clock: Clock) -> Gateway {
         let now = clock.now().0;
         let life = rand::random::<u64>() >> 1;
         let bounds = &settings.bounds;
--- a/crates/oliveworks-runtime/src/clock.rs
+++ b/crates/oliveworks-runtime/src/clock.rs
@@ -1,9 +1,21 @@
 //! The process's clocks.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use oliveworks_core::id::Millis;
 
+/// For how long a machine was suspended, in ms, as a test tells its clock.
+#[derive(Debug, Default)]
+pub struct Suspensions(AtomicU64);
+
+impl Suspensions {
+    /// The machine was suspended for so long, in ms, up to now.
+    pub fn add(&self, ms: u64) {
+        self.0.fetch_add(ms, Ordering::Relaxed);
+    }
+}
+
 /// A monotonic clock that starts with the process.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -17,6 +29,11 @@
         Clock { start: Instant::now() }
     }
 
+    /// Starts the clock of a machine that is suspended when a test says so.
+    pub fn of_machine(_suspensions: &'static Suspensions) -> Clock {
+        Clock::new()
+    }
+
     /// Milliseconds since the start.
     pub fn now(&self) -> Millis {
         Millis(self.start.elapsed().as_millis() as u64)
