A gateway's clock counts suspensions of its machine, and what waits looks at it again afterwards

Cause: the steady clock stands still in a suspension, so proofs, leases, ages and deadlines looked as young as before it; and timers that were set before fire so much later. Change: the clock is the time since boot (CLOCK_BOOTTIME, through rustix), which goes on; a pause of a second and more makes what waits for an answer look at its deadline, and what was asked of the store or another gateway is asked anew. A suspension is to the code what a freeze is: the tick sees the gap, and slow start, parts of bounds and the leader's listening follow as they did. Ruled out: the time of day, which is set back and forth; a short tick in each timer (wake-ups cost processor time at each of hundreds of gateways).

--- a/crates/oliveworks-gateway/src/follow.rs
+++ b/crates/oliveworks-gateway/src/follow.rs
@@ -79,10 +79,14 @@
     /// `wait_ms` is how long the store may hold it back.
     pub async fn step(&mut self, wait_ms: u64) -> Option<Step> {
         let gateway = self.client.gateway().clone();
-        match sources::next(&gateway) {
-            ReadFrom::Store => self.step_in_store(&gateway, wait_ms).await,
-            ReadFrom::Gateway(address) => self.step_through(&gateway, address).await,
-        }
+        let step = async {
+            match sources::next(&gateway) {
+                ReadFrom::Store => self.step_in_store(&gateway, wait_ms).await,
+                ReadFrom::Gateway(address) => self.step_through(&gateway, address).await,
+            }
+        };
+        // What was asked before a pause may have been answered for as long, or never.
+        gateway.unless_resumed(step).await.flatten()
     }
 
     async fn step_in_store(&mut self, gateway: &Gateway, wait_ms: u64) -> Option<Step> {
--- a/crates/oliveworks-gateway/src/lib.rs
+++ b/crates/oliveworks-gateway/src/lib.rs
@@ -56,3 +56,4 @@
 mod store;
 mod suspicions;
 mod table;
+mod timers;
--- a/crates/oliveworks-gateway/src/relay/attempt.rs
+++ b/crates/oliveworks-gateway/src/relay/attempt.rs
@@ -1,7 +1,6 @@
 //! One attempt of a request at one backend server or replica group.
 
 use std::cell::Cell;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -12,7 +11,6 @@
 use oliveworks_gateway_core::attempts::Failure;
 use oliveworks_gateway_core::configuration::Repeat;
 use oliveworks_gateway_core::events::{Pass, Splitter};
-use tokio::time::timeout;
 
 use super::Job;
 use crate::connection::{Connection, Gone};
@@ -199,8 +197,7 @@
                 return Err(Failure::Stalled);
             }
             let until = silent_at.map_or(give_up, |at| at.min(give_up));
-            let pause = Duration::from_millis(until - now);
-            if let Ok(value) = timeout(pause, &mut wait).await {
+            if let Ok(value) = self.gateway.within(until - now, &mut wait).await {
                 return Ok(value);
             }
         }
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -57,6 +57,8 @@
 pub const STOP_NOTICE_MS: u64 = 2_300;
 /// A gap between two ticks after which this process has been asleep.
 const ASLEEP_MS: u64 = 150;
+/// A gap after which what waits looks at the clock again, in ms: shorter ones cost less than asking anew.
+const RESUMED_MS: u64 = 1_000;
 
 /// A gateway's shared state. Belongs to one thread.
 pub struct Gateway {
@@ -64,7 +66,7 @@
     pub settings: Settings,
     /// How the platform speaks.
     pub dialect: Rc<dyn Dialect>,
-    /// The steady clock.
+    /// The clock, which counts suspensions of the machine.
     pub clock: Clock,
     /// The newest configuration.
     pub lookup: RefCell<Option<Rc<Lookup>>>,
@@ -165,6 +167,8 @@
     pub counters: RefCell<BTreeMap<String, u64>>,
     /// Latencies, by what they are of.
     pub latencies: RefCell<Latencies>,
+    /// Tells what waits that the process goes on after a pause.
+    pub resumed: Notify,
     ticked_at: Cell<Millis>,
     woke_at: Cell<Millis>,
 }
@@ -232,6 +236,7 @@
             life,
             counters: RefCell::default(),
             latencies: RefCell::default(),
+            resumed: Notify::new(),
             ticked_at: Cell::new(now),
             woke_at: Cell::new(0),
             clock,
@@ -239,7 +244,7 @@
         }
     }
 
-    /// The time on the steady clock.
+    /// The time since the process started.
     pub fn now(&self) -> Millis {
         self.clock.now().0
     }
@@ -259,10 +264,21 @@
             if let Some(slow_starts) = self.slow_starts.borrow_mut().as_mut() {
                 slow_starts.paused(now, paused_ms);
             }
+            self.go_on(paused_ms);
         }
         self.ticked_at.set(now);
     }
 
+    /// The process goes on after a pause: its machine was suspended, or it was stopped or kept from running.
+    fn go_on(&self, paused_ms: u64) {
+        if paused_ms < RESUMED_MS {
+            return;
+        }
+        self.count("pauses");
+        Event::new("goes_on").with("after_ms", paused_ms).write();
+        self.resumed.notify_waiters();
+    }
+
     /// Since when this process has run without a pause: silence before that proves nothing.
     pub fn awake_since(&self) -> Millis {
         let now = self.now();
