--- a/crates/oliveworks-gateway-core/src/slow_start.rs
+++ b/crates/oliveworks-gateway-core/src/slow_start.rs
@@ -73,23 +73,29 @@
         }
     }
 
-    /// Takes a record in, of a backend server that is cold for `lasts_ms` from its start; tells what is known
-    /// now if that makes a warm one cold.
+    /// Takes a record in, of a backend server that is cold for `lasts_ms` from its start, if that is known yet; tells what is
+    /// known now if that makes a warm one cold.
     pub fn record(
         &mut self,
         now: Millis,
         target: Target,
-        lasts_ms: u64,
+        lasts_ms: Option<u64>,
         cold_ms: u64,
         listed: Listed,
     ) -> Option<Known> {
         self.cold.record(now, target, lasts_ms, cold_ms, listed)
     }
 
-    /// A backend server may have come back cold: its failure domain's drain has ended.
-    pub fn drain_ended(&mut self, now: Millis, target: Target, terms: SlowStart) -> Option<Known> {
-        let until = now + terms.lasts_ms;
-        self.cold.doubt(now, target, Some(until), Evidence::DrainEnded)
+    /// A backend server may have come back cold: its failure domain's drain has ended. Where the terms are not known yet, it
+    /// is cold until it is heard, and then for as long as they say.
+    pub fn drain_ended(
+        &mut self,
+        now: Millis,
+        target: Target,
+        terms: Option<SlowStart>,
+    ) -> Option<Known> {
+        let until = terms.map(|terms| now + terms.lasts_ms);
+        self.cold.doubt(now, target, until, Evidence::DrainEnded)
     }
 
     /// A backend server began a life of which its record does not tell.
@@ -98,9 +104,9 @@
         now: Millis,
         target: Target,
         born: Born,
-        terms: SlowStart,
+        terms: Option<SlowStart>,
     ) -> Option<Known> {
-        self.cold.started_again(now, target, born, terms.lasts_ms)
+        self.cold.started_again(now, target, born, terms.map(|terms| terms.lasts_ms))
     }
 
     /// A backend server is not reached: once it is, it may have come back cold.
--- a/crates/oliveworks-gateway-core/src/slow_start/cold.rs
+++ b/crates/oliveworks-gateway-core/src/slow_start/cold.rs
@@ -128,13 +128,13 @@
         ColdHosts { record_lag_ms, hosts: HashMap::new() }
     }
 
-    /// Takes a record in, of a backend server that is cold for `lasts_ms` from its start; tells what is known
-    /// now if that makes a warm one cold.
+    /// Takes a record in, of a backend server that is cold for `lasts_ms` from its start, if that is known yet; tells what is
+    /// known now if that makes a warm one cold.
     pub fn record(
         &mut self,
         now: Millis,
         target: Target,
-        lasts_ms: u64,
+        lasts_ms: Option<u64>,
         cold_ms: u64,
         listed: Listed,
     ) -> Option<Known> {
@@ -144,7 +144,7 @@
         match listed {
             // One that says how long it is cold is believed; one that says that it is warm has just started.
             Listed::Newly if cold_ms == 0 => {
-                let until = Some(now + lasts_ms);
+                let until = lasts_ms.map(|lasts_ms| now + lasts_ms);
                 let evidence = Evidence::NewlyListed;
                 host.doubt = Some(Doubt { since: now, until, evidence });
             }
@@ -188,14 +188,15 @@
         now: Millis,
         target: Target,
         born: Born,
-        lasts_ms: u64,
+        lasts_ms: Option<u64>,
     ) -> Option<Known> {
         let host = self.hosts.get_mut(&target)?;
         if host.life >= Some(born) {
             return None;
         }
         host.life = Some(born);
-        self.doubt(now, target, Some(now + lasts_ms), Evidence::StartedAgain)
+        let until = lasts_ms.map(|lasts_ms| now + lasts_ms);
+        self.doubt(now, target, until, Evidence::StartedAgain)
     }
 
     /// Something came from a backend server: if it came back cold, then not later than now.
--- a/crates/oliveworks-gateway-core/tests/slow_start/cold.rs
+++ b/crates/oliveworks-gateway-core/tests/slow_start/cold.rs
@@ -7,7 +7,7 @@
 use crate::{HEAD, LAG_MS, TERMS, alone, unread};
 
 fn record(slow_starts: &mut SlowStarts, now: u64, cold_ms: u64, listed: Listed) {
-    slow_starts.record(now, HEAD, TERMS.lasts_ms, cold_ms, listed);
+    slow_starts.record(now, HEAD, Some(TERMS.lasts_ms), cold_ms, listed);
 }
 
 /// A gateway that has read that the head is warm.
@@ -51,7 +51,7 @@
 #[test]
 fn it_turns_cold_again_by_its_record() {
     let mut slow_starts = warm();
-    let known = slow_starts.record(9_000, HEAD, TERMS.lasts_ms, 2_000, Listed::Known);
+    let known = slow_starts.record(9_000, HEAD, Some(TERMS.lasts_ms), 2_000, Listed::Known);
     assert_eq!(known.map(|known| known.evidence), Some(Evidence::Record));
     assert!(is_cold(&slow_starts, 10_999));
     record(&mut slow_starts, 10_500, 0, Listed::Known);
@@ -61,14 +61,14 @@
 #[test]
 fn it_is_told_once_that_one_turned_cold() {
     let mut slow_starts = warm();
-    assert!(slow_starts.record(9_000, HEAD, TERMS.lasts_ms, 2_000, Listed::Known).is_some());
-    assert!(slow_starts.record(10_000, HEAD, TERMS.lasts_ms, 1_000, Listed::Known).is_none());
+    assert!(slow_starts.record(9_000, HEAD, Some(TERMS.lasts_ms), 2_000, Listed::Known).is_some());
+    assert!(slow_starts.record(10_000, HEAD, Some(TERMS.lasts_ms), 1_000, Listed::Known).is_none());
 }
 
 #[test]
 fn it_is_cold_when_its_drain_has_ended() {
     let mut slow_starts = warm();
-    slow_starts.drain_ended(5_000, HEAD, TERMS);
+    slow_starts.drain_ended(5_000, HEAD, Some(TERMS));
     assert!(is_cold(&slow_starts, 7_999));
     assert!(!is_cold(&slow_starts, 8_000));
 }
@@ -199,7 +199,7 @@
 fn the_end_of_a_drain_does_not_bring_a_lost_one_back() {
     let mut slow_starts = warm();
     slow_starts.lost(5_000, HEAD);
-    slow_starts.drain_ended(6_000, HEAD, TERMS);
+    slow_starts.drain_ended(6_000, HEAD, Some(TERMS));
     assert!(is_cold(&slow_starts, 60_000));
 }
 
@@ -231,3 +231,24 @@
 fn what_a_reading_says(reading: Reading, expected: Listed) {
     assert_eq!(Listed::of(reading), expected);
 }
+
+/// A gateway that started just after a drain's end sent a cold host what a warm one bears: 28 requests in a second, where all
+/// gateways together may send 20. It had heard of the end from another (`drain_ended_elsewhere` 62 ms after it) and read the
+/// list 129 ms later, but the configuration 1 ms after that: it did not know yet how slowly the service begins, and
+/// dropped the doubt.
+#[test]
+fn a_doubt_that_comes_before_the_configuration_is_kept() {
+    let mut slow_starts = warm();
+    slow_starts.drain_ended(5_000, HEAD, None);
+    assert!(is_cold(&slow_starts, 60_000));
+    slow_starts.heard(61_000, HEAD, TERMS);
+    assert!(is_cold(&slow_starts, 61_000 + TERMS.lasts_ms - 1));
+    assert!(!is_cold(&slow_starts, 61_000 + TERMS.lasts_ms));
+}
+
+#[test]
+fn a_new_one_that_is_listed_before_the_configuration_is_cold() {
+    let mut slow_starts = unread();
+    slow_starts.record(1_000, HEAD, None, 0, Listed::Newly);
+    assert!(is_cold(&slow_starts, 60_000));
+}
--- a/crates/oliveworks-gateway-core/tests/slow_start/replay.rs
+++ b/crates/oliveworks-gateway-core/tests/slow_start/replay.rs
@@ -202,7 +202,7 @@
     let starts_at = if known { 0 } else { RETURN };
     let mut slow_starts = SlowStarts::new(CONFIG, starts_at);
     let mut members = Members::new(index as u64, false, starts_at);
-    slow_starts.record(BEGAN, HEAD, TERMS.lasts_ms, END, Listed::Newly);
+    slow_starts.record(BEGAN, HEAD, Some(TERMS.lasts_ms), END, Listed::Newly);
     if known {
         for at in [0, BEGAN] {
             (0..fleet.known).for_each(|other| members.heard(other as u64, at));
--- a/crates/oliveworks-gateway/src/slow_start.rs
+++ b/crates/oliveworks-gateway/src/slow_start.rs
@@ -41,13 +41,22 @@
         self.lookup()?.service(service)?.slow_start
     }
 
+    /// Whether the backend servers of a service may begin slowly, and how, if that is known. What tells that one is cold may come
+    /// before the first configuration does, and is not told again.
+    fn may_start_slowly(&self, service: &str) -> Option<Option<SlowStart>> {
+        match self.lookup() {
+            None => Some(None),
+            Some(_) => self.slow_start_of(service).map(Some),
+        }
+    }
+
     /// Takes in what a record says of how cold its backend server is.
     pub fn take_cold(&self, server: &BackendServer, listed: Listed) {
         let now = self.now();
         let mut slow_starts = self.slow_starts.borrow_mut();
         let Some(slow_starts) = slow_starts.as_mut() else { return };
-        // The first records may come before the first configuration, which says whose figures matter.
-        let lasts_ms = self.slow_start_of(&server.service).map_or(0, |terms| terms.lasts_ms);
+        let terms = self.may_start_slowly(&server.service);
+        let lasts_ms = terms.map_or(Some(0), |known| known.map(|terms| terms.lasts_ms));
         let target = Target::of(&server.id);
         if let Some(known) = slow_starts.record(now, target, lasts_ms, server.cold_ms, listed) {
             self.count("hosts_turned_cold");
@@ -77,7 +86,7 @@
     pub fn drain_leaves_cold(&self, failure_domain: &str) {
         let directory = self.directory.borrow();
         for server in directory.iter().filter(|s| s.failure_domain == failure_domain) {
-            let Some(terms) = self.slow_start_of(&server.service) else { continue };
+            let Some(terms) = self.may_start_slowly(&server.service) else { continue };
             self.doubt(&server.id, |slow_starts, now, target| {
                 slow_starts.drain_ended(now, target, terms)
             });
@@ -91,7 +100,7 @@
         if !self.drains.borrow().has_ended_within(now, &server.failure_domain, lag_ms) {
             return;
         }
-        let Some(terms) = self.slow_start_of(&server.service) else { return };
+        let Some(terms) = self.may_start_slowly(&server.service) else { return };
         self.doubt(&server.id, |slow_starts, now, target| {
             slow_starts.drain_ended(now, target, terms)
         });
@@ -107,14 +116,14 @@
         }
         let directory = self.directory.borrow();
         let Some(server) = directory.get(server) else { return };
-        if self.slow_start_of(&server.service).is_some() {
+        if self.may_start_slowly(&server.service).is_some() {
             self.doubt(&server.id, SlowStarts::lost);
         }
     }
 
     /// A backend server of a service has begun a life of which its record does not tell.
     pub fn starts_again(&self, server: &str, service: &str, born: Born) {
-        let Some(terms) = self.slow_start_of(service) else { return };
+        let Some(terms) = self.may_start_slowly(service) else { return };
         let id: BackendServerId = server.into();
         self.doubt(&id, |slow_starts, now, target| {
             slow_starts.started_again(now, target, born, terms)
