Crashers: who is due is looked at each 20 ms; a lost failure domain at 4,100 hosts; what becomes of suspects in the relay is a file of its own

Cause: each end and each news went through all that is known: with thousands of ends at once that is some 50 us each. Change: one look each 20 ms. The world of the test takes the size of the largest deployment (4,100 hosts, 3,700 requests a second, 12 of its gateways): 273 hosts lost at once, each ten seconds.

--- a/crates/oliveworks-gateway-core/src/crashers.rs
+++ b/crates/oliveworks-gateway-core/src/crashers.rs
@@ -64,6 +64,9 @@
 /// How long after an end all gateways know what ran there, in ms: the way of a heartbeat that is not to wait, and a moment
 /// to find out that the backend server has ended.
 pub const SETTLED_MS: Millis = 30;
+/// The time between two looks at who is due, in ms: a lost failure domain brings thousands of ends at once, and each look
+/// goes through all that are known.
+const SETTLE_EACH_MS: Millis = 20;
 /// How long an end of a backend server is the same one for all that ran there, in ms.
 const SAME_END_MS: Millis = 1_000;
 
@@ -112,6 +115,8 @@
 pub struct Crashers {
     records: HashMap<Fingerprint, Record>,
     running: Running,
+    /// When it was last looked who is due.
+    settled_at: Millis,
     /// When all convicted ones were last told.
     told_all_at: Millis,
     /// Ends of backend servers that are known, the oldest first.
@@ -359,6 +364,10 @@
     /// Convicts who is due, the longest chains first: what they explain says less against the others. Forgets what is
     /// held against nobody any more.
     fn settle(&mut self, now: Millis) {
+        if now < self.settled_at + SETTLE_EACH_MS {
+            return;
+        }
+        self.settled_at = now;
         self.forget(now);
         let long = self.records.iter().filter(|(_, record)| !record.is_convicted);
         let long = long.map(|(request, record)| (Reverse(record.evidence(|_| false)), *request));
--- a/crates/oliveworks-gateway-core/tests/crashers.rs
+++ b/crates/oliveworks-gateway-core/tests/crashers.rs
@@ -213,19 +213,21 @@
             self.convicted.insert(number);
             return;
         }
-        let free: Vec<Target> =
-            (0..self.hosts).map(Target).filter(|host| !self.ended.contains(host)).collect();
+        let all = (0..self.hosts).map(Target);
+        let free: Vec<Target> = match self.ended.is_empty() {
+            true => all.collect(),
+            false => all.filter(|host| !self.ended.contains(host)).collect(),
+        };
+        let standing = self.gateways[gateway].standing(now, request(number));
         let crashers = &self.gateways[gateway];
         let without = |is_there: fn(&Crashers, Target) -> bool| -> Vec<Target> {
             free.iter().copied().filter(|host| !is_there(crashers, *host)).collect()
         };
-        let apart =
-            [without(Crashers::has_suspects), without(Crashers::has_strong_suspects), free.clone()];
-        let standing = self.gateways[gateway].standing(now, request(number));
-        let places = match standing {
-            Standing::Clear => &free,
-            _ => apart.iter().find(|places| !places.is_empty()).unwrap_or(&free),
+        let apart = match standing {
+            Standing::Clear => Vec::new(),
+            _ => vec![without(Crashers::has_suspects), without(Crashers::has_strong_suspects)],
         };
+        let places = apart.iter().find(|places| !places.is_empty()).unwrap_or(&free);
         let Some(host) = places.choose(&mut self.rng).copied() else { return };
         if standing != Standing::Clear {
             self.gateways[gateway].placed(now, host, request(number), standing);
@@ -276,23 +278,38 @@
     }
 }
 
+/// How much there is of everything.
+#[derive(Clone, Copy)]
+struct Size {
+    gateways: usize,
+    hosts: u64,
+    requests_per_s: u64,
+}
+
+const SMALL: Size = Size { gateways: 5, hosts: 40, requests_per_s: 100 };
+/// The hosts and the requests of the largest deployment. Each gateway hears all others, so there are fewer of these.
+const LARGE: Size = Size { gateways: 12, hosts: 4_100, requests_per_s: 3_700 };
+/// A failure domain of it.
+const LARGE_DOMAIN: usize = 273;
+
 /// Requests come and go for a while; the `guilty` ones end each host they run at after a second, and each ten
 /// seconds `crashes` hosts end for no reason of theirs. Tells how many hosts the guilty ones ended, and who was convicted.
-fn play(seed: u64, guilty: u64, crashes: usize) -> (usize, BTreeSet<u64>) {
-    let mut world = World::new(seed, 5, 40);
+fn play(seed: u64, size: Size, guilty: u64, crashes: usize) -> (usize, BTreeSet<u64>) {
+    let Size { gateways, hosts, requests_per_s } = size;
+    let mut world = World::new(seed, gateways, hosts);
     let (mut by_guilty, mut next) = (0, guilty);
     (0..guilty).for_each(|number| world.send(0, number, number as usize % 5, 0));
     for second in 1..30u64 {
         let now = second * 1_000;
         world.ended.clear();
-        for _ in 0..100 {
-            let gateway = world.rng.random_range(0..5);
+        for _ in 0..requests_per_s {
+            let gateway = world.rng.random_range(0..gateways);
             world.send(now, next, gateway, 0);
             next += 1;
         }
         let crashes = if second % 10 == 5 { crashes } else { 0 };
         for _ in 0..crashes {
-            let host = Target(world.rng.random_range(0..40));
+            let host = Target(world.rng.random_range(0..hosts));
             world.end(now + 300, host);
         }
         for number in 0..guilty {
@@ -321,7 +338,7 @@
 #[test_case(2; "two guilty")]
 fn the_guilty_are_convicted_and_nobody_else(guilty: u64) {
     for seed in 0..seeds() {
-        let (ended, convicted) = play(seed, guilty, 0);
+        let (ended, convicted) = play(seed, SMALL, guilty, 0);
         assert_eq!(convicted, (0..guilty).collect::<BTreeSet<_>>(), "seed {seed}");
         assert!(ended <= 5 * guilty as usize, "seed {seed}: {ended} hosts ended");
     }
@@ -334,6 +351,15 @@
 #[test_case(13; "a failure domain")]
 fn crashes_that_nobody_caused_convict_nobody(crashes: usize) {
     for seed in 0..seeds() {
-        assert_eq!(play(seed, 0, crashes).1, BTreeSet::new(), "seed {seed}");
+        assert_eq!(play(seed, SMALL, 0, crashes).1, BTreeSet::new(), "seed {seed}");
+    }
+}
+
+/// A failure domain of 273 hosts is lost at once, each ten seconds, with what runs there.
+#[test]
+fn a_lost_failure_domain_at_size_convicts_nobody() {
+    let seeds = std::env::var("OLIVEWORKS_SEEDS").map_or(1, |_| seeds());
+    for seed in 0..seeds {
+        assert_eq!(play(seed, LARGE, 0, LARGE_DOMAIN).1, BTreeSet::new(), "seed {seed}");
     }
 }
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -1,22 +1,22 @@
 //! Sees a request to its answer.
 
 mod attempt;
+mod crashers;
 mod placing;
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use ntex::http::StatusCode;
 use oliveworks_gateway_core::Millis;
 use oliveworks_gateway_core::attempts::{Attempts, Failure, Next, Terms, Verdict};
 use oliveworks_gateway_core::balance::{NoTarget, Target};
 use oliveworks_gateway_core::configuration::{Lookup, Repeat, Route, Unmatched};
-use oliveworks_gateway_core::crashers::{Fingerprint, SETTLED_MS};
+use oliveworks_gateway_core::crashers::Fingerprint;
 use oliveworks_gateway_core::demand::ModelKey;
 use oliveworks_gateway_core::events::Progress;
+use oliveworks_gateway_core::obstacles::NoPlace;
 use oliveworks_gateway_core::timeliness::{Goal, Served, Timeliness};
-use tokio::time::sleep;
 
 use attempt::Tried;
 
@@ -255,24 +255,7 @@
             self.note_demand(lacks_place);
             let place = match found {
                 Ok(place) => place,
-                Err(none) => {
-                    self.log.push(format!("no place: {:?}", none.reason));
-                    self.gateway.count(match none.reason {
-                        NoTarget::None => "refused_without_group",
-                        NoTarget::Full => "refused_full",
-                        NoTarget::Drained => "refused_drained",
-                        NoTarget::Cold => "refused_cold",
-                        NoTarget::Backoff => "refused_backoff",
-                    });
-                    let now = self.gateway.now();
-                    let come_back_ms = match none.reason {
-                        NoTarget::Backoff => none.known_ms(now).unwrap_or(COME_BACK_MS),
-                        _ => COME_BACK_MS,
-                    };
-                    return self
-                        .give_up(connection, self.attempts.verdict(now), come_back_ms)
-                        .await;
-                }
+                Err(none) => return self.refuse_without_place(connection, &none).await,
             };
             // While it waited for a place a copy of it may have begun.
             if gateway.is_tried_already(fingerprint) {
@@ -284,25 +267,9 @@
                 let verdict = self.attempts.verdict(self.gateway.now());
                 return self.give_up(connection, verdict, COME_BACK_MS).await;
             }
-            self.table = self.gateway.table_version();
             let target = place.candidate.target;
             let tokens = self.asked.prompt_tokens;
-            self.tried.push(target);
-            let now = self.gateway.now();
-            if self.attempts.sent() == 0 {
-                self.served.sent_after_ms = now - self.received;
-            }
-            let load = self.gateway.balance.borrow().load(now, target);
-            self.log.push(format!(
-                "to {}{} at {} ms: {} open, {} tokens unread",
-                place.server,
-                if place.candidate.near { "" } else { " elsewhere" },
-                now - self.received,
-                load.requests,
-                load.tokens,
-            ));
-            self.gateway.balance.borrow_mut().started(now, target, tokens);
-            self.gateway.admission.borrow_mut().started(now, target);
+            let now = self.begin_send(&place);
             let mut open = Open {
                 gateway: self.gateway,
                 target,
@@ -343,54 +310,49 @@
         }
     }
 
-    /// Whether the backend server of a run that failed has ended, so that the run need not count against the request: not
-    /// again if others had ended under it before.
-    async fn has_ended(&self, run: &FailedRun<'_>) -> bool {
-        if self.gateway.now() >= self.deadline {
-            return false;
-        }
-        let gateway = self.gateway;
-        let ended = gateway.ended_under(self.fingerprint, run).await;
-        if !ended || !gateway.standing(self.fingerprint).is_strong_suspect() {
-            return ended;
-        }
-        // Before it is sent on, those that ran beside it are heard of, and more of them may have ended elsewhere.
-        sleep(Duration::from_millis(SETTLED_MS)).await;
-        false
-    }
-
-    /// Notes that an attempt was taken back.
-    fn take_back(&mut self, place: &Place, sent_before: u32) {
-        let now = self.gateway.now();
-        self.log.push(format!("taken back from {} at {} ms", place.server, now - self.received));
-        self.gateway.count("crashers_taken_back");
-        let was_sent = self.attempts.sent() > sent_before;
-        let failure = if was_sent { Failure::Lost } else { Failure::NotSent };
-        self.attempts.failed(now, failure, false);
-    }
-
-    /// Refuses a copy of a request that may crash its backend server, while another one is tried.
-    async fn refuse_copy(&mut self, connection: &mut Connection) -> (End, String) {
-        self.log.push("backend servers ended under the same request, which is being tried".into());
-        self.gateway.count("refused_copies");
-        let verdict = self.attempts.verdict(self.gateway.now());
-        self.give_up(connection, verdict, COME_BACK_MS).await
-    }
-
-    /// Refuses a request under which backend servers ended one after the other: this try has not run, and tells its
-    /// caller when one may. Rejected: a status for a request that is never right (it may be once the server is mended, and
-    /// it is the same request that another server may bear).
-    async fn refuse_crasher(
+    /// Tells a caller that there is no place for its request.
+    async fn refuse_without_place(
         &mut self,
         connection: &mut Connection,
-        until: Millis,
+        none: &NoPlace,
     ) -> (End, String) {
-        self.log.push("backend servers ended under the same request".into());
+        self.log.push(format!("no place: {:?}", none.reason));
+        self.gateway.count(match none.reason {
+            NoTarget::None => "refused_without_group",
+            NoTarget::Full => "refused_full",
+            NoTarget::Drained => "refused_drained",
+            NoTarget::Cold => "refused_cold",
+            NoTarget::Backoff => "refused_backoff",
+        });
         let now = self.gateway.now();
-        let for_ms = until.saturating_sub(now);
-        self.gateway.crasher_refused(self.fingerprint, &self.asked.id, for_ms);
-        let verdict = self.attempts.verdict(now);
-        self.give_up(connection, verdict, for_ms).await
+        let come_back_ms = match none.reason {
+            NoTarget::Backoff => none.known_ms(now).unwrap_or(COME_BACK_MS),
+            _ => COME_BACK_MS,
+        };
+        self.give_up(connection, self.attempts.verdict(now), come_back_ms).await
+    }
+
+    /// Notes where the request goes, for the choices of others and for people; tells when.
+    fn begin_send(&mut self, place: &Place) -> Millis {
+        self.table = self.gateway.table_version();
+        let (target, tokens) = (place.candidate.target, self.asked.prompt_tokens);
+        self.tried.push(target);
+        let now = self.gateway.now();
+        if self.attempts.sent() == 0 {
+            self.served.sent_after_ms = now - self.received;
+        }
+        let load = self.gateway.balance.borrow().load(now, target);
+        self.log.push(format!(
+            "to {}{} at {} ms: {} open, {} tokens unread",
+            place.server,
+            if place.candidate.near { "" } else { " elsewhere" },
+            now - self.received,
+            load.requests,
+            load.tokens,
+        ));
+        self.gateway.balance.borrow_mut().started(now, target, tokens);
+        self.gateway.admission.borrow_mut().started(now, target);
+        now
     }
 
     /// Whether a target counts for less in the next choices, since an attempt there failed.
