--- a/crates/oliveworks-gateway-core/src/crashers.rs
+++ b/crates/oliveworks-gateway-core/src/crashers.rs
@@ -4,7 +4,7 @@
 //! ends one or two more, with all that runs beside it. So requests are told apart by what is sent: under a request
 //! whose runs ended one backend server after the other, and never one to its end, no more are risked.
 //!
-//! Evidence is a [chain](chain) of ends, the same at all gateways, since they tell each other of each end. An end counts only if
+//! Evidence is a chain of ends, the same at all gateways, since they tell each other of each end. An end counts only if
 //! it comes some time after the one before it, so that a lost failure domain, which ends hundreds at once, counts once
 //! for whatever ran there, and says little of a run that had delivered for a while. A run that comes to its end clears the request everywhere. Those that ran beside the guilty one share its first
 //! ends; they are sent on apart from each other, come to their end elsewhere, and what a convicted request explains
