Crashers: a trial is a single run over all gateways; what is remembered stays bound

Cause, found by reading: after a conviction's time copies came side by side again (each may end a host), and the limit of 4,096 requests gave up one at each look, while a lost failure domain adds thousands between two. Change: a request that was released runs one by one, which others are told; all above the limit go, the weakest first.

--- a/crates/oliveworks-gateway-core/src/crashers.rs
+++ b/crates/oliveworks-gateway-core/src/crashers.rs
@@ -6,11 +6,12 @@
 //!
 //! Evidence is a chain of ends, the same at all gateways, since they tell each other of each end. An end counts only if
 //! it comes some time after the one before it, so that a lost failure domain, which ends hundreds at once, counts once
-//! for whatever ran there, and says little of a run that had delivered for a while. A run that comes to its end clears the request everywhere. Those that ran beside the guilty one share its first
-//! ends; they are sent on apart from each other, come to their end elsewhere, and what a convicted request explains
-//! says little against the others. Where backend servers also end for other reasons, a chain must be longer, by one for each
-//! moment at which some did, up to a bound: a request that comes again and again must not go on for ever. A conviction
-//! lasts, whatever ends afterwards.
+//! for whatever ran there, and it says little of a run that had delivered for a while. A run that comes to its end
+//! clears the request everywhere. Those that ran beside the guilty one share its first ends; they are sent on apart
+//! from each other, come to their end elsewhere, and what a convicted request explains says little against the others.
+//! Where backend servers also end for other reasons, a chain must be longer, by one for each moment at which some did,
+//! up to a bound: a request that comes again and again must not go on for ever. A conviction lasts, whatever ends
+//! afterwards.
 //!
 //! Rejected: to convict at the second end (those that ran beside a guilty one are sent on to a few places, some of them
 //! to its next one); to count ends however close they are (one lost failure domain convicts what many callers ask); and
@@ -35,10 +36,11 @@
 const CONVICTED_AFTER: u32 = 3;
 /// What convicts.
 const CONVICTING: Evidence = Evidence::of_ends(CONVICTED_AFTER);
-/// Ends that convict where backend servers end for other reasons as well, at the most: each more costs a group and all that runs there.
+/// Ends that convict where backend servers end for other reasons as well, at the most: each more costs a group and all
+/// that runs there.
 const CONVICTED_AFTER_MOST: u32 = 5;
-/// Backend servers that convict a request whatever else ran there, if it had not delivered at any: those who run beside a guilty one
-/// run at one place at a time, and few of them are beside it four times without having begun.
+/// Backend servers that convict a request whatever else ran there, if it had not delivered at any: those who run beside
+/// a guilty one run at one place at a time, and few of them are beside it four times without having begun.
 const CONVICTED_AFTER_HOSTS: usize = 4;
 /// How long an end is held against a request, in ms: callers try again within their deadlines, and sessions within a minute.
 const SUSPECT_MS: Millis = 60_000;
@@ -52,7 +54,7 @@
 /// The time between two tellings of all that are convicted, in ms: a gateway that starts learns them before a caller
 /// who was refused comes back.
 const TELL_ALL_MS: Millis = 500;
-/// Chains that one heartbeat tells at the most: some 3 KB, and far more than are guilty at once.
+/// Chains that one heartbeat tells at the most: some 4 KB, and far more than are guilty at once.
 const TOLD_MOST: usize = 32;
 /// How long before a chain began ends count that it does not explain, in ms: as long as most requests run.
 const LOOK_BACK_MS: Millis = 10_000;
@@ -127,8 +129,8 @@
 
 impl Crashers {
     /// A backend server has ended under a run of a request, which had delivered for so long there; tells the ends in a
-    /// row. Several may run at once, of callers who send the same. Rejected: to count only runs that began after the last end (of twenty copies a second that
-    /// ran side by side one in three counted, and ten hosts ended in 2.5 s).
+    /// row. Several may run at once, of callers who send the same. Rejected: to count only runs that began after the last
+    /// end (where copies run side by side few would count, and more backend servers end before the request is known).
     pub fn host_ended(
         &mut self,
         now: Millis,
@@ -153,7 +155,7 @@
         let ends: Vec<End> = ends.map(|told| End::of_told(now, told)).collect();
         let survived = chain.survived_ago_ms.map(|ago_ms| now.saturating_sub(ago_ms));
         let tried = chain.tried_ago_ms.map(|ago_ms| now.saturating_sub(ago_ms));
-        if ends.is_empty() && survived.is_none() {
+        if ends.is_empty() && survived.is_none() && tried.is_none() {
             return false;
         }
         if !self.records.contains_key(&chain.request) {
@@ -399,13 +401,17 @@
             let held_ms = if record.is_convicted { CONVICTED_MS } else { SUSPECT_MS };
             now < record.last_news() + held_ms
         });
-        if self.records.len() < KEPT {
+        let surplus = self.records.len().saturating_sub(KEPT);
+        if surplus == 0 {
             return;
         }
-        let oldest = self.records.iter().min_by_key(|(_, record)| {
+        let mut weakest: Vec<_> = self.records.iter().collect();
+        weakest.sort_by_key(|(_, record)| {
             (record.is_convicted, record.evidence(|_| false), record.last_news())
         });
-        if let Some(request) = oldest.map(|(request, _)| *request) {
+        let weakest: Vec<Fingerprint> =
+            weakest.into_iter().take(surplus).map(|(request, _)| *request).collect();
+        for request in weakest {
             self.records.remove(&request);
         }
     }
--- a/crates/oliveworks-gateway-core/src/crashers/chain.rs
+++ b/crates/oliveworks-gateway-core/src/crashers/chain.rs
@@ -199,12 +199,12 @@
 
     /// Whether a run that has begun may tell more.
     pub fn is_being_tried(&self, now: Millis) -> bool {
-        self.tried_at.is_some_and(|at| at > self.last_news() && now < at + TRIAL_MS)
+        self.tried_at.is_some_and(|at| at >= self.last_news() && now < at + TRIAL_MS)
     }
 
-    /// Whether copies of it are not to run side by side.
+    /// Whether copies of it are not to run side by side: also those that come once its conviction is over.
     pub fn runs_one_by_one(&self) -> bool {
-        self.ended_hosts() >= ONE_BY_ONE_AFTER_HOSTS
+        self.carried > 0 || self.ended_hosts() >= ONE_BY_ONE_AFTER_HOSTS
     }
 
     /// Backend servers that ended before its run there had delivered for long.
@@ -232,11 +232,11 @@
         let ends: Vec<ToldEnd> = dated.map(|end| end.told(now)).collect();
         let survived_at = self.survived_at.filter(|at| *at > 0);
         let survived_ago_ms = survived_at.map(|at| now.saturating_sub(at));
-        if ends.is_empty() && survived_ago_ms.is_none() {
-            return None;
-        }
         let tried_ago_ms = self.tried_at.filter(|_| self.is_being_tried(now));
         let tried_ago_ms = tried_ago_ms.map(|at| now.saturating_sub(at));
+        if ends.is_empty() && survived_ago_ms.is_none() && tried_ago_ms.is_none() {
+            return None;
+        }
         let is_convicted = self.is_convicted;
         Some(Chain { request, ends, survived_ago_ms, tried_ago_ms, is_convicted })
     }
--- a/crates/oliveworks-gateway-core/tests/crashers.rs
+++ b/crates/oliveworks-gateway-core/tests/crashers.rs
@@ -125,6 +125,45 @@
     assert!(is_convicted(&mut crashers, until + 900, GUILTY));
 }
 
+/// Those that come side by side once the conviction is over wait for the one that is tried, at all gateways.
+#[test]
+fn the_trial_is_a_single_run() {
+    let (mut one, mut other) = (Crashers::default(), Crashers::default());
+    for (end, host) in [(1_000, 1), (2_000, 2), (3_000, 3)] {
+        one.host_ended(end, request(GUILTY), Target(host), 0);
+    }
+    one.to_tell(3_100).into_iter().for_each(|chain| assert!(other.told(3_100, chain)));
+    let Standing::Convicted { until } = one.standing(3_100, request(GUILTY)) else {
+        panic!("not convicted");
+    };
+    let standing = one.standing(until, request(GUILTY));
+    assert!(!one.is_tried_already(until, request(GUILTY)));
+    assert!(one.placed(until, Target(4), request(GUILTY), standing), "others wait");
+    assert!(one.is_tried_already(until, request(GUILTY)));
+    other.standing(until, request(GUILTY));
+    assert!(!other.is_tried_already(until, request(GUILTY)));
+    for chain in one.to_tell(until + 5) {
+        other.told(until + 10, chain);
+    }
+    assert!(other.is_tried_already(until + 10, request(GUILTY)));
+}
+
+/// A lost failure domain of a large deployment, and more: what is remembered stays bound.
+#[test]
+fn the_weakest_are_forgotten_first() {
+    let mut crashers = Crashers::default();
+    for (end, host) in [(1_000, 1), (2_000, 2), (3_000, 3)] {
+        crashers.host_ended(end, request(GUILTY), Target(host), 0);
+    }
+    for number in 1..10_000 {
+        crashers.host_ended(3_500, request(number), Target(4), 0);
+    }
+    crashers.to_tell(3_600);
+    let known = (1..10_000).filter(|number| crashers.assess(request(*number)).is_some()).count();
+    assert!(known <= 4_096, "{known} are remembered");
+    assert!(is_convicted(&mut crashers, 3_600, GUILTY));
+}
+
 #[test]
 fn a_chain_is_told_once_and_not_for_ever() {
     let (mut one, mut other) = (Crashers::default(), Crashers::default());
