Sight: which rate limit a host names, who learned it by what, and what is sent meanwhile

Change: Server-Limit is read from every answer, also of calls; a line host_limit at each change (at most one a second and host) with what was sent under the one before; counters answers_with_limit, limits_changed, limit_unreadable, sent_to_limited_hosts. Nothing is limited yet. Ruled out: ordering by time (what is told on grows older by an unknown time); a limit that ends by itself.

--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -27,6 +27,7 @@
 //! | [`fan_out`] | which gateways a heartbeat goes to |
 //! | [`telling`] | what a heartbeat tells of open requests |
 //! | [`backoff`] | which backend servers are left alone, since they asked for it |
+//! | [`rate_limits`] | what all gateways together send a backend server that names a limit |
 //! | [`obstacles`] | what keeps a request from a place, and what follows if it has none |
 //! | [`suspensions`] | which places get nothing, since they stand still |
 //! | [`balance`] | where a request goes |
@@ -60,6 +61,7 @@
 pub mod passing;
 pub mod planner;
 pub mod quota;
+pub mod rate_limits;
 pub mod repeats;
 pub mod residency;
 pub mod returning;
--- /dev/null
+++ b/crates/oliveworks-gateway-core/tests/rate_limits/main.rs
@@ -0,0 +1,3 @@
+//! Backend servers that name a rate limit.
+
+mod limits;
--- a/crates/oliveworks-gateway/src/dialect.rs
+++ b/crates/oliveworks-gateway/src/dialect.rs
@@ -6,6 +6,7 @@
 use oliveworks_gateway_core::backend_servers::{BackendServer, BackendServerId, Holding};
 use oliveworks_gateway_core::configuration::Configuration;
 use oliveworks_gateway_core::planner::{Order, Outcome};
+use oliveworks_gateway_core::rate_limits::Rate;
 use serde::{Deserialize, Serialize};
 
 /// Headers in order; names in lower case.
@@ -163,6 +164,18 @@
     Unreadable(String),
 }
 
+/// The requests a second that a backend server takes from all gateways together.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum NamedLimit {
+    /// It names none.
+    #[default]
+    NotTold,
+    /// It takes so many.
+    Rate(Rate),
+    /// It says so in a way that cannot be understood.
+    Unreadable(String),
+}
+
 /// What a backend server's head says.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Answered {
@@ -178,6 +191,10 @@
     pub leaving: bool,
     /// When this gateway may send to it again, if it refuses.
     pub retry_after: RetryAfter,
+    /// The limit that it names.
+    pub limit: NamedLimit,
+    /// Names of headers that speak of the backend server and that nothing here reads.
+    pub unread: Vec<String>,
 }
 
 /// How a platform speaks.
--- a/crates/oliveworks-gateway/src/host_says.rs
+++ b/crates/oliveworks-gateway/src/host_says.rs
@@ -1,6 +1,7 @@
 //! Takes in what backend servers say of themselves in their answers, beside the answer itself.
 
 use log::warn;
+use oliveworks_gateway_core::Millis;
 use oliveworks_gateway_core::backend_servers::Born;
 use oliveworks_gateway_core::balance::Target;
 use serde::{Deserialize, Serialize};
@@ -13,6 +14,20 @@
 /// lost. Whoever learns of it from them tells it on for as long.
 const LEAVING_TOLD_MS: u64 = 1_000;
 
+/// Names of headers that nothing here reads and that are reported.
+const UNREAD_NAMES_MAX: usize = 32;
+
+/// Who answered.
+#[derive(Clone, Copy, Debug)]
+pub struct Sender<'a> {
+    /// The backend server.
+    pub server: &'a str,
+    /// When its life had begun as far as was known when the request was sent.
+    pub life: Option<Born>,
+    /// When the request was sent.
+    pub sent_at: Millis,
+}
+
 /// A backend server that leaves, as gateways tell each other.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Leaving {
@@ -23,9 +38,11 @@
 }
 
 impl Gateway {
-    /// Takes in what a backend server's answer to a request or a call says of its sender; `life` is when that had begun
-    /// as far as was known when the request was sent.
-    pub fn heed(&self, server: &str, life: Option<Born>, answered: &Answered, request: &str) {
+    /// Takes in what a backend server's answer to a request or a call says of its sender.
+    pub fn heed(&self, sender: Sender<'_>, answered: &Answered, request: &str) {
+        let Sender { server, life, .. } = sender;
+        self.hear_limit(sender, &answered.limit, request);
+        self.report_unread(server, &answered.unread);
         if answered.leaving {
             self.count("answers_of_leaving_hosts");
             self.host_leaves(server, life, "an answer");
@@ -40,6 +57,24 @@
         }
     }
 
+    /// Reports headers that speak of a backend server and that nothing here reads, once a name: what hosts begin to say is
+    /// seen by operators before it is missed.
+    fn report_unread(&self, server: &str, names: &[String]) {
+        if names.is_empty() {
+            return;
+        }
+        self.count("answers_with_unread_headers");
+        let mut known = self.unread_headers.borrow_mut();
+        for name in names {
+            if known.len() < UNREAD_NAMES_MAX && known.insert(name.clone()) {
+                Event::new("header_not_read")
+                    .with("host", server)
+                    .with("header", name.as_str())
+                    .write();
+            }
+        }
+    }
+
     /// A backend server asked to be left alone for so long.
     fn back_off(&self, server: &str, ms: u64, request: &str) {
         self.count("refusals_with_retry_after");
@@ -91,8 +126,11 @@
         told.iter().map(|(_, leaving)| *leaving).collect()
     }
 
-    /// Counts a request that is sent to a backend server which asked to be left alone.
+    /// Counts a request that is sent to a backend server which asked to be left alone, or names a limit.
     pub fn count_send(&self, target: Target) {
+        if self.limits.borrow_mut().sent(target) {
+            self.count("sent_to_limited_hosts");
+        }
         if self.backoffs.borrow().until(self.now(), target).is_some() {
             self.count("sent_within_backoff");
         }
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -17,6 +17,7 @@
 use crate::dialect::Call;
 use crate::events::Event;
 use crate::exchange::{self, Broken, Exchange, MISDIRECTED, NoConnection, Reply};
+use crate::host_says::Sender;
 use crate::state::Gateway;
 use crate::{peers, store};
 
@@ -191,11 +192,12 @@
     let life = gateway.directory.borrow().born(server);
     let opened = Exchange::open(address, within_ms).await;
     let mut open = opened.map_err(|why| why == NoConnection::Refused)?;
+    let sent_at = gateway.now();
     let answer = exchange::call(&mut open, address, call, within_ms).await;
     let reply = answer.map_err(|_: Broken| false)?;
     if reply.status != MISDIRECTED {
         let answered = gateway.dialect.answered(reply.status, &reply.headers);
-        gateway.heed(server, life, &answered, &call.target);
+        gateway.heed(Sender { server, life, sent_at }, &answered, &call.target);
     }
     Ok(reply)
 }
--- a/crates/oliveworks-gateway/src/lib.rs
+++ b/crates/oliveworks-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 //! | `table`, `places` | groups that serve, and where requests can be sent |
 //! | `obstacles` | what keeps a request from a place |
 //! | `slow_start` | cold backend servers, and what they are sent |
+//! | `rate_limits` | backend servers that name a rate limit, and what they are sent |
 //! | `host_says` | takes in what hosts say of themselves in their answers |
 //! | `crashers` | requests that crash the backend servers they run at |
 //! | `suspicions` | groups that stand still or run slowly |
@@ -45,6 +46,7 @@
 mod peers;
 mod places;
 pub mod process;
+mod rate_limits;
 mod readiness;
 mod records;
 mod relay;
--- a/crates/oliveworks-gateway/src/relay/attempt.rs
+++ b/crates/oliveworks-gateway/src/relay/attempt.rs
@@ -17,6 +17,7 @@
 use crate::dialect::{Answered, Headers, Said};
 use crate::events::Event;
 use crate::exchange::{Exchange, MISDIRECTED, NoConnection, headers_of};
+use crate::host_says::Sender;
 use crate::places::Place;
 use crate::slow_start::PendingSend;
 
@@ -109,7 +110,8 @@
         let headers = headers_of(&response);
         let answered = self.gateway.dialect.answered(status, &headers);
         if self.is_of_the_place(status, &answered) {
-            self.gateway.heed(&place.server, life, &answered, &self.asked.id);
+            let sender = Sender { server: &place.server, life, sent_at: sent };
+            self.gateway.heed(sender, &answered, &self.asked.id);
         }
         if let Some(failed) = self.judge(status, &answered) {
             if status == MISDIRECTED
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -20,6 +20,7 @@
 use oliveworks_gateway_core::members::Members;
 use oliveworks_gateway_core::passing::Passing;
 use oliveworks_gateway_core::planner::Planner;
+use oliveworks_gateway_core::rate_limits::limits::Limits;
 use oliveworks_gateway_core::returning::Waits;
 use oliveworks_gateway_core::slow_start::SlowStarts;
 use oliveworks_gateway_core::speed::Speeds;
@@ -105,6 +106,12 @@
     pub convictions: Notify,
     /// Backend servers that asked to be left alone.
     pub backoffs: RefCell<Backoffs>,
+    /// Backend servers that name a rate limit.
+    pub limits: RefCell<Limits>,
+    /// When a line was last written of a backend server's limit.
+    pub limits_told_at: RefCell<HashMap<Target, Millis>>,
+    /// Names of headers in answers that nothing here reads.
+    pub unread_headers: RefCell<HashSet<String>>,
     /// How long callers of each route still wait.
     pub waits: RefCell<Waits>,
     /// Gateways that share what all of them together may send.
@@ -205,6 +212,9 @@
             crashers: RefCell::default(),
             convictions: Notify::new(),
             backoffs: RefCell::default(),
+            limits: RefCell::default(),
+            limits_told_at: RefCell::default(),
+            unread_headers: RefCell::default(),
             waits: RefCell::default(),
             members: RefCell::new(members::members(&settings, now)),
             slow_starts: RefCell::new(slow_start::slow_starts(&settings, now)),
@@ -384,6 +394,8 @@
         self.balance.borrow_mut().retain(|target| listed.contains(&target));
         self.suspensions.borrow_mut().retain(|target| listed.contains(&target));
         self.backoffs.borrow_mut().retain(|target| listed.contains(&target));
+        self.limits.borrow_mut().retain(self.now(), |target| listed.contains(&target));
+        self.limits_told_at.borrow_mut().retain(|target, _| listed.contains(target));
         self.admission.borrow_mut().retain(|target| listed.contains(&target));
         self.speeds.borrow_mut().retain(|target| listed.contains(&target));
         self.members.borrow_mut().retain(self.now());
