Rate limits: one gateway grants permits for each host that names a limit, and nothing is sent without one

Cause: Server-Limit was heeded nowhere; and no way that the project had shares a rate of a few requests a second between hundreds of gateways. Change: for each such host the gateway that comes first by a hash, of those heard lately, keeps a token bucket; the others ask it for a permit by datagram before they send. Limits are told in heartbeats, ordered by revisions. First attempts, repeats, resumed streams and trials need a permit; calls of the leader are never held back but count. Without one a request goes elsewhere, or is refused at once with the time at which one may come. The last permit is kept for requests without another place. A host is compared by what it takes. Cut-off gateways grant the part of the rate that those they hear are of all.

--- a/crates/oliveworks-gateway-core/src/balance.rs
+++ b/crates/oliveworks-gateway-core/src/balance.rs
@@ -41,6 +41,16 @@
     pub token_ms: f64,
 }
 
+impl Candidate {
+    /// How it is compared with others if it takes so many requests a second: its load counts as if it had as many slots
+    /// as that, which is about as long as answers take. What it may have open stays: its rate alone is bound.
+    pub fn taking(self, requests_per_s: f64) -> Candidate {
+        let slots = f64::from(self.slots.max(1));
+        let taken = requests_per_s.clamp(1.0, slots);
+        Candidate { open_ms: self.open_ms * slots / taken, ..self }
+    }
+}
+
 /// What is open at a target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
@@ -145,6 +155,8 @@
     Cold,
     /// All that are not cold asked to be left alone.
     Backoff,
+    /// All name a rate limit, and no permit is left.
+    Limited,
 }
 
 impl Balance {
--- a/crates/oliveworks-gateway-core/src/members.rs
+++ b/crates/oliveworks-gateway-core/src/members.rs
@@ -96,8 +96,7 @@
 
     /// Whether this gateway hears no more than half of all, itself among them: it is cut off, and not they.
     pub fn is_cut_off(&self, now: Millis) -> bool {
-        let heard = 1 + self.others.values().filter(|at| now <= **at + SILENT_MS).count();
-        !self.others.is_empty() && heard * 2 <= self.others.len() + 1
+        !self.others.is_empty() && self.heard_count(now) * 2 <= self.count()
     }
 
     /// How many gateways share a bound; none while others may not count this one, which has no part then.
@@ -110,6 +109,27 @@
         self.others.len() + 1
     }
 
+    /// This gateway, by its name's hash.
+    pub fn own(&self) -> u64 {
+        self.own
+    }
+
+    /// The gateway that grants permits for a target: the first, by a hash of both names, of those heard lately and this one.
+    pub fn limiter(&self, now: Millis, target: Target) -> u64 {
+        let heard = self.others.iter().filter(|(_, at)| now <= **at + SILENT_MS);
+        let all = heard.map(|(gateway, _)| *gateway).chain([self.own]);
+        all.min_by_key(|gateway| place(*gateway, target)).unwrap_or(self.own)
+    }
+
+    /// The part of all gateways that were heard lately, this one among them.
+    pub fn heard_part(&self, now: Millis) -> f64 {
+        self.heard_count(now) as f64 / self.count() as f64
+    }
+
+    fn heard_count(&self, now: Millis) -> usize {
+        1 + self.others.values().filter(|at| now <= **at + SILENT_MS).count()
+    }
+
     /// Forgets gateways that were not heard for long, unless this one is cut off, or just was.
     pub fn retain(&mut self, now: Millis) {
         if self.is_cut_off(now) {
--- a/crates/oliveworks-gateway-core/src/obstacles.rs
+++ b/crates/oliveworks-gateway-core/src/obstacles.rs
@@ -30,13 +30,19 @@
         /// When the part is free again; none if that is not known.
         free_at: Option<Millis>,
     },
+    /// It names a rate limit, and there is no permit for it.
+    Limited {
+        /// When there may be one.
+        free_at: Millis,
+    },
 }
 
 impl Obstacle {
     /// Whether it also stops a request that was given to the place before and is not sent yet. A suspension does
-    /// not: the request's own connection has come up since. Nor does a cold place: the request is in this gateway's part.
+    /// not: the request's own connection has come up since. Nor does a cold place: the request is in this gateway's part; nor
+    /// a limited one: the request's own permit is looked at.
     pub fn stops_a_send(self) -> bool {
-        !matches!(self, Obstacle::Suspended | Obstacle::Cold { .. })
+        !matches!(self, Obstacle::Suspended | Obstacle::Cold { .. } | Obstacle::Limited { .. })
     }
 
     /// Whether it passes within the time in which callers wait, or may.
@@ -53,6 +59,7 @@
             Obstacle::Suspended => "suspended",
             Obstacle::Backoff { .. } => "backoff",
             Obstacle::Cold { .. } => "cold",
+            Obstacle::Limited { .. } => "limited",
         }
     }
 
@@ -63,6 +70,7 @@
             Obstacle::Suspended => FreeAt::Unknown,
             Obstacle::Backoff { until } => FreeAt::At(until),
             Obstacle::Cold { free_at } => free_at.map_or(FreeAt::NotSoon, FreeAt::At),
+            Obstacle::Limited { free_at } => FreeAt::At(free_at),
         }
     }
 }
@@ -101,6 +109,7 @@
         let reason = passing.fold(NoTarget::None, |reason, obstacle| match obstacle {
             Obstacle::Backoff { .. } => NoTarget::Backoff,
             Obstacle::Cold { .. } if reason == NoTarget::None => NoTarget::Cold,
+            Obstacle::Limited { .. } if reason == NoTarget::None => NoTarget::Limited,
             _ => reason,
         });
         NoPlace { reason, free_at: free_at.unwrap_or(FreeAt::NotSoon) }
--- a/crates/oliveworks-gateway-core/src/rate_limits/limits.rs
+++ b/crates/oliveworks-gateway-core/src/rate_limits/limits.rs
@@ -59,7 +59,7 @@
 
 /// What an answer says of the rate that its sender takes.
 #[derive(Clone, Copy, Debug)]
-pub struct Answer {
+pub struct Heard {
     /// The backend server.
     pub target: Target,
     /// When its life had begun as far as was known when the request was sent.
@@ -84,8 +84,8 @@
 
 impl Limits {
     /// Takes an answer in; tells whether that changes what is known.
-    pub fn answered(&mut self, now: Millis, answer: Answer) -> bool {
-        let Answer { target, life, sent_at, rate } = answer;
+    pub fn heard(&mut self, now: Millis, heard: Heard) -> bool {
+        let Heard { target, life, sent_at, rate } = heard;
         let known = self.0.get(&target).copied();
         let Some(known) = known else {
             let limit = Limit { target, life, revision: 1, rate };
--- a/crates/oliveworks-gateway-core/src/slow_start.rs
+++ b/crates/oliveworks-gateway-core/src/slow_start.rs
@@ -19,7 +19,7 @@
 
 use crate::Millis;
 use crate::backend_servers::Born;
-use crate::balance::{Candidate, Target};
+use crate::balance::Target;
 use crate::configuration::SlowStart;
 use crate::members::Members;
 use cold::{ColdHosts, Evidence, Known, Listed};
@@ -187,15 +187,6 @@
         self.sends.free_at(now, target, self.part(now, target, terms, members))
     }
 
-    /// A cold backend server as it is compared with others: its load counts as if it had as many slots as it
-    /// bears requests in a second, about as long as answers take. What it may have open stays: its rate
-    /// alone is bound.
-    pub fn compared(candidate: Candidate, terms: SlowStart) -> Candidate {
-        let slots = f64::from(candidate.slots.max(1));
-        let bears = terms.requests_per_s.clamp(1.0, slots);
-        Candidate { open_ms: candidate.open_ms * slots / bears, ..candidate }
-    }
-
     /// A request was given to a backend server, and will be sent soon.
     pub fn chosen(&mut self, target: Target) {
         self.sends.chosen(target);
--- a/crates/oliveworks-gateway-core/tests/obstacles.rs
+++ b/crates/oliveworks-gateway-core/tests/obstacles.rs
@@ -5,10 +5,11 @@
 use test_case::test_case;
 
 use FreeAt::{At, NotSoon, Unknown};
-use Obstacle::{Backoff, Cold, Drained, Leaving, Region, Suspended};
+use Obstacle::{Backoff, Cold, Drained, Leaving, Limited, Region, Suspended};
 
 const BACKOFF: Obstacle = Backoff { until: 3_000 };
 const TAKEN: Obstacle = Cold { free_at: Some(700) };
+const NO_PERMIT: Obstacle = Limited { free_at: 500 };
 const TAKEN_FOR_GOOD: Obstacle = Cold { free_at: None };
 
 #[test_case(&[], NoTarget::None, NotSoon; "no place at all")]
@@ -19,6 +20,9 @@
 #[test_case(&[TAKEN, BACKOFF], NoTarget::Backoff, At(700); "a cold one is free sooner")]
 #[test_case(&[TAKEN, TAKEN_FOR_GOOD], NoTarget::Cold, At(700); "cold ones")]
 #[test_case(&[TAKEN_FOR_GOOD], NoTarget::Cold, NotSoon; "a cold one whose part is nothing")]
+#[test_case(&[NO_PERMIT, Leaving], NoTarget::Limited, At(500); "no permit")]
+#[test_case(&[TAKEN, NO_PERMIT], NoTarget::Cold, At(500); "a cold one and no permit")]
+#[test_case(&[NO_PERMIT, BACKOFF], NoTarget::Backoff, At(500); "no permit and one that is left alone")]
 fn what_keeps_a_request_from_all(obstacles: &[Obstacle], reason: NoTarget, free_at: FreeAt) {
     assert_eq!(NoPlace::kept_by(obstacles), NoPlace { reason, free_at });
 }
@@ -38,6 +42,7 @@
 #[test_case(BACKOFF, true)]
 #[test_case(Suspended, false)]
 #[test_case(TAKEN, false)]
+#[test_case(NO_PERMIT, false; "its own permit is looked at")]
 fn what_stops_a_request_that_was_given_to_a_place(obstacle: Obstacle, expected: bool) {
     assert_eq!(obstacle.stops_a_send(), expected);
 }
--- a/crates/oliveworks-gateway-core/tests/rate_limits/limits.rs
+++ b/crates/oliveworks-gateway-core/tests/rate_limits/limits.rs
@@ -3,7 +3,7 @@
 use oliveworks_gateway_core::backend_servers::Born;
 use oliveworks_gateway_core::balance::Target;
 use oliveworks_gateway_core::rate_limits::Rate;
-use oliveworks_gateway_core::rate_limits::limits::{Answer, Limit, Limits};
+use oliveworks_gateway_core::rate_limits::limits::{Heard, Limit, Limits};
 use test_case::test_case;
 
 const HOST: Target = Target(1);
@@ -14,8 +14,8 @@
     Rate::from_per_s(per_s)
 }
 
-fn answer(sent_at: u64, per_s: Option<f64>) -> Answer {
-    Answer { target: HOST, life: FIRST, sent_at, rate: per_s.and_then(Rate::from_per_s) }
+fn answer(sent_at: u64, per_s: Option<f64>) -> Heard {
+    Heard { target: HOST, life: FIRST, sent_at, rate: per_s.and_then(Rate::from_per_s) }
 }
 
 fn limit(life: Option<Born>, revision: u32, per_s: Option<f64>) -> Limit {
@@ -34,7 +34,7 @@
 fn answers_tell_the_limit(answers: &[(u64, u64, Option<f64>)], expected: Option<f64>) {
     let mut limits = Limits::default();
     for (sent_at, at, named) in answers {
-        limits.answered(*at, answer(*sent_at, *named));
+        limits.heard(*at, answer(*sent_at, *named));
     }
     assert_eq!(limits.rate(HOST), expected.and_then(Rate::from_per_s));
 }
@@ -57,7 +57,7 @@
 fn an_answer_of_an_earlier_life_says_nothing() {
     let mut limits = Limits::default();
     limits.told(10, limit(SECOND, 1, Some(4.2)));
-    assert!(!limits.answered(20, answer(15, None)));
+    assert!(!limits.heard(20, answer(15, None)));
     assert_eq!(limits.rate(HOST), rate(4.2));
 }
 
@@ -67,7 +67,7 @@
     for host in 0..100 {
         limits.told(0, Limit { target: Target(host), ..limit(FIRST, 1, Some(4.2)) });
     }
-    limits.answered(5_000, answer(4_900, Some(1.0)));
+    limits.heard(5_000, answer(4_900, Some(1.0)));
     let told = limits.telling(5_100, 17);
     assert_eq!(told[0].rate, rate(1.0));
     assert_eq!(told.len(), 3);
--- a/crates/oliveworks-gateway/src/heartbeat.rs
+++ b/crates/oliveworks-gateway/src/heartbeat.rs
@@ -9,6 +9,7 @@
 use oliveworks_gateway_core::demand::{Looked, ModelKey};
 use oliveworks_gateway_core::election::Heartbeat;
 use oliveworks_gateway_core::fan_out::Source;
+use oliveworks_gateway_core::rate_limits::limits::Limit;
 use oliveworks_gateway_core::telling::{self, Count, Known, Telling};
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
@@ -58,6 +59,8 @@
     leaving: Vec<Leaving>,
     /// Requests under which backend servers ended one after the other.
     crashers: Vec<Chain>,
+    /// Rate limits that backend servers name.
+    limits: Vec<Limit>,
     /// Failure domains whose drain has ended lately, and how many ms ago.
     ended_drains: Vec<(String, u64)>,
     /// Whether any gateway has had a request.
@@ -130,6 +133,7 @@
         slow: gateway.slow_groups(),
         leaving: gateway.leaving_told(),
         crashers: gateway.crashers_told(),
+        limits: gateway.rate_limits.borrow().limits.telling(now, rand::random()),
         ended_drains: gateway.drains_ended_lately(),
         traffic: gateway.traffic.get(),
         peers: peers_told(gateway, now),
@@ -213,6 +217,9 @@
     for chain in beat.crashers {
         gateway.crasher_told(chain);
     }
+    for limit in beat.limits {
+        gateway.limit_told(limit);
+    }
     for (failure_domain, ms_ago) in &beat.ended_drains {
         gateway.drain_ended_elsewhere(failure_domain, *ms_ago);
     }
--- a/crates/oliveworks-gateway/src/host_says.rs
+++ b/crates/oliveworks-gateway/src/host_says.rs
@@ -128,7 +128,7 @@
 
     /// Counts a request that is sent to a backend server which asked to be left alone, or names a limit.
     pub fn count_send(&self, target: Target) {
-        if self.limits.borrow_mut().sent(target) {
+        if self.rate_limits.borrow_mut().limits.sent(target) {
             self.count("sent_to_limited_hosts");
         }
         if self.backoffs.borrow().until(self.now(), target).is_some() {
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -193,6 +193,7 @@
     let opened = Exchange::open(address, within_ms).await;
     let mut open = opened.map_err(|why| why == NoConnection::Refused)?;
     let sent_at = gateway.now();
+    gateway.call_made(server);
     let answer = exchange::call(&mut open, address, call, within_ms).await;
     let reply = answer.map_err(|_: Broken| false)?;
     if reply.status != MISDIRECTED {
--- a/crates/oliveworks-gateway/src/lib.rs
+++ b/crates/oliveworks-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 //! | `table`, `places` | groups that serve, and where requests can be sent |
 //! | `obstacles` | what keeps a request from a place |
 //! | `slow_start` | cold backend servers, and what they are sent |
+//! | `pending_send` | requests that were given to a backend server and are not sent yet |
 //! | `rate_limits` | backend servers that name a rate limit, and what they are sent |
 //! | `host_says` | takes in what hosts say of themselves in their answers |
 //! | `crashers` | requests that crash the backend servers they run at |
@@ -44,6 +45,7 @@
 mod obstacles;
 mod passing;
 mod peers;
+mod pending_send;
 mod places;
 pub mod process;
 mod rate_limits;
--- a/crates/oliveworks-gateway/src/obstacles.rs
+++ b/crates/oliveworks-gateway/src/obstacles.rs
@@ -1,5 +1,6 @@
 //! What keeps a request from a place: every choice, and every send after it, asks here.
 
+use oliveworks_gateway_core::balance::Target;
 use oliveworks_gateway_core::obstacles::Obstacle;
 use oliveworks_gateway_core::residency::Allowed;
 
@@ -16,18 +17,42 @@
 }
 
 impl Gateway {
-    /// Parts the places of a service into those that a request may be sent to now, and the others.
-    pub fn part_places(&self, service: &str, all: Vec<Place>, allowed: Allowed<'_>) -> Places {
+    /// Parts the places of a service into those that a request may be sent to now, however busy they are, and the others.
+    /// `tried` are those that it was sent to before.
+    pub fn part_places(
+        &self,
+        service: &str,
+        all: Vec<Place>,
+        allowed: Allowed<'_>,
+        tried: &[Target],
+    ) -> Places {
         // A request may be the first thing that runs after a pause, which has to be known by then.
         self.tick();
         let mut places = Places::default();
+        let mut without_permit = Vec::new();
         for mut place in all {
-            let obstacle = self.obstacle(&place, allowed);
-            match obstacle.or_else(|| self.cold_obstacle(service, &mut place.candidate)) {
-                Some(obstacle) => places.obstacles.push(obstacle),
-                None => places.open.push(place),
+            if let Some(obstacle) = self.obstacle(&place, allowed) {
+                places.obstacles.push(obstacle);
+                continue;
+            }
+            let target = place.candidate.target;
+            let cold_rate = match self.cold_rate(service, target) {
+                Ok(cold_rate) => cold_rate,
+                Err(obstacle) => {
+                    places.obstacles.push(obstacle);
+                    continue;
+                }
+            };
+            let limit = self.limit_per_s(target);
+            if let Some(rate) = cold_rate.into_iter().chain(limit).reduce(f64::min) {
+                place.candidate = place.candidate.taking(rate);
+            }
+            match self.has_permit(target) {
+                true => places.open.push(place),
+                false => without_permit.push(place),
             }
         }
+        self.want_permits(without_permit, tried, &mut places);
         places
     }
 
--- a/crates/oliveworks-gateway/src/peers.rs
+++ b/crates/oliveworks-gateway/src/peers.rs
@@ -9,14 +9,17 @@
 use std::time::Duration;
 
 use log::warn;
+use oliveworks_gateway_core::balance::Target;
 use oliveworks_gateway_core::election::Heartbeat;
 use oliveworks_gateway_core::fan_out::{self, Recipients};
+use oliveworks_gateway_core::rate_limits::{Answer, Question};
 use oliveworks_gateway_core::table::{Change, Part, Version};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
 
 use crate::heartbeat::{self, Beat, LeaderSeen};
+use crate::rate_limits::ToLimiter;
 use crate::state::Gateway;
 
 /// The time between two heartbeats.
@@ -44,6 +47,12 @@
     Part(Box<Part>),
     /// Asks for what is newer than the table that the sender holds.
     AskTable(Version),
+    /// Asks the limiter of a backend server for a permit.
+    AskPermit(Question),
+    /// A limiter's answer.
+    Permit(Answer),
+    /// Tells the limiter of a backend server of a call that could not wait for a permit.
+    Spent(Target),
 }
 
 impl Message {
@@ -53,6 +62,7 @@
             Message::Beat(_) => "heartbeat_bytes",
             Message::Change(_) | Message::AskTable(_) => "table_change_bytes",
             Message::Part(_) => "table_whole_bytes",
+            Message::AskPermit(_) | Message::Permit(_) | Message::Spent(_) => "permit_bytes",
         }
     }
 }
@@ -154,11 +164,23 @@
     }
 }
 
-/// Sends heartbeats, and changes of the table when there are some.
+/// Says to limiters what is to be said.
+fn send_to_limiters(gateway: &Gateway, socket: &UdpSocket) {
+    for (limiter, message) in gateway.take_messages_to_limiters() {
+        let message = match message {
+            ToLimiter::Question(question) => Message::AskPermit(question),
+            ToLimiter::Spent(target) => Message::Spent(target),
+        };
+        send_to(gateway, socket, &message, &[limiter]);
+    }
+}
+
+/// Sends heartbeats, and changes of the table and messages to limiters when there are some.
 pub async fn send(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut beat_at = 0;
     loop {
         send_changes(&gateway, &socket);
+        send_to_limiters(&gateway, &socket);
         let now = gateway.now();
         if gateway.beat_is_urgent.take() || now >= beat_at + BEAT_MS {
             beat_at = now;
@@ -254,6 +276,12 @@
         Message::Change(change) => take_change(gateway, from, *change),
         Message::Part(part) => take_part(gateway, *part),
         Message::AskTable(held) => tell_table(gateway, socket, held, from),
+        Message::AskPermit(question) => {
+            let answer = gateway.answer_permit(question);
+            send_to(gateway, socket, &Message::Permit(answer), &[from]);
+        }
+        Message::Permit(answer) => gateway.permit_answered(answer),
+        Message::Spent(target) => gateway.call_made_elsewhere(target),
     }
 }
 
--- /dev/null
+++ b/crates/oliveworks-gateway/src/pending_send.rs
@@ -0,0 +1,60 @@
+//! Requests that were given to a backend server and are not sent yet.
+
+use oliveworks_gateway_core::balance::Target;
+use oliveworks_gateway_core::rate_limits::permits::Permit;
+
+use crate::state::Gateway;
+
+/// A request that was given to a backend server and is not sent yet: it counts against what this gateway may send there, and
+/// no longer if it is dropped unsent.
+pub struct PendingSend<'a> {
+    gateway: &'a Gateway,
+    target: Target,
+    permit: Option<Permit>,
+    sent: bool,
+}
+
+impl Gateway {
+    /// Counts a request as on its way to a backend server.
+    pub fn pending_send(&self, target: Target) -> PendingSend<'_> {
+        if let Some(slow_starts) = self.slow_starts.borrow_mut().as_mut() {
+            slow_starts.chosen(target);
+        }
+        let permit = self.rate_limits.borrow_mut().take(self.now(), target);
+        PendingSend { gateway: self, target, permit, sent: false }
+    }
+}
+
+impl PendingSend<'_> {
+    /// Whether it may be sent: its target may have named a rate limit since it was chosen, and a permit may have ended.
+    pub fn may_be_sent(&mut self) -> bool {
+        let now = self.gateway.now();
+        let mut rate_limits = self.gateway.rate_limits.borrow_mut();
+        if !rate_limits.may_send(now, self.target, self.permit) {
+            self.permit = rate_limits.take(now, self.target);
+        }
+        rate_limits.may_send(now, self.target, self.permit)
+    }
+
+    /// It is sent now.
+    pub fn sent(&mut self) {
+        self.sent = true;
+        if let Some(slow_starts) = self.gateway.slow_starts.borrow_mut().as_mut() {
+            slow_starts.sent(self.gateway.now(), self.target);
+        }
+    }
+}
+
+impl Drop for PendingSend<'_> {
+    fn drop(&mut self) {
+        if self.sent {
+            return;
+        }
+        if let Some(slow_starts) = self.gateway.slow_starts.borrow_mut().as_mut() {
+            slow_starts.not_sent(self.target);
+        }
+        if let Some(permit) = self.permit {
+            self.gateway.rate_limits.borrow_mut().give_back(self.target, permit);
+        }
+    }
+}
--- a/crates/oliveworks-gateway/src/rate_limits.rs
+++ b/crates/oliveworks-gateway/src/rate_limits.rs
@@ -1,17 +1,37 @@
-//! Rate limits that backend servers name: takes in what answers tell of them, and tells of their changes.
+//! Rate limits that backend servers name: takes in what answers and other gateways tell of them, and gets permits for
+//! requests.
+
+use std::net::SocketAddr;
 
 use log::warn;
+use oliveworks_gateway_core::Millis;
 use oliveworks_gateway_core::balance::Target;
-use oliveworks_gateway_core::rate_limits::Rate;
-use oliveworks_gateway_core::rate_limits::limits::Answer;
+use oliveworks_gateway_core::obstacles::Obstacle;
+use oliveworks_gateway_core::rate_limits::buckets::{Grant, Need};
+use oliveworks_gateway_core::rate_limits::limits::{Heard, Limit, Limits};
+use oliveworks_gateway_core::rate_limits::{Answer, NoPermit, Question, Rate, Step};
 
 use crate::dialect::NamedLimit;
 use crate::events::Event;
 use crate::host_says::Sender;
+use crate::members;
+use crate::obstacles::Places;
+use crate::places::Place;
 use crate::state::Gateway;
 
 /// The time between two lines of one backend server's limit, in ms: it may name another in each answer.
 const TELL_MS: u64 = 1_000;
+/// Backend servers that one look for a place asks permits for: more of them would lie unused.
+const ASKED_AT_ONCE: usize = 2;
+
+/// What is to be said to the limiter of a backend server.
+#[derive(Clone, Copy, Debug)]
+pub enum ToLimiter {
+    /// A permit is wanted.
+    Question(Question),
+    /// A call was made that could not wait for one.
+    Spent(Target),
+}
 
 impl Gateway {
     /// Takes in which limit an answer names.
@@ -29,12 +49,38 @@
             }
         };
         let target = Target::of(sender.server);
-        let answer = Answer { target, life: sender.life, sent_at: sender.sent_at, rate };
+        let heard = Heard { target, life: sender.life, sent_at: sender.sent_at, rate };
+        self.learn(target, request, |limits, now| limits.heard(now, heard));
+    }
+
+    /// Takes in what another gateway knows of a limit.
+    pub fn limit_told(&self, limit: Limit) {
+        let target = limit.target;
+        {
+            let directory = self.directory.borrow();
+            let Some(server) = directory.id(target) else { return };
+            let known = directory.born(server);
+            if known.zip(limit.life).is_some_and(|(known, told)| told < known) {
+                return;
+            }
+        }
+        self.learn(target, "another gateway", |limits, now| limits.told(now, limit));
+    }
+
+    fn learn(
+        &self,
+        target: Target,
+        told_by: &str,
+        learn: impl FnOnce(&mut Limits, Millis) -> bool,
+    ) {
         let now = self.now();
-        let before = self.limits.borrow().rate(target);
-        let sent_before = self.limits.borrow().sent_since_change(now, target);
-        if self.limits.borrow_mut().answered(now, answer) {
-            self.tell_limit(sender.server, before, sent_before, request);
+        let mut rate_limits = self.rate_limits.borrow_mut();
+        let before = rate_limits.limits.rate(target);
+        let sent_before = rate_limits.limits.sent_since_change(now, target);
+        let changed = learn(&mut rate_limits.limits, now);
+        drop(rate_limits);
+        if changed {
+            self.tell_limit(target, before, sent_before, told_by);
         }
     }
 
@@ -42,21 +88,22 @@
     /// and how long it had been in force, in ms.
     fn tell_limit(
         &self,
-        server: &str,
+        target: Target,
         before: Option<Rate>,
         sent_before: Option<(u64, u64)>,
         told_by: &str,
     ) {
         self.count("limits_changed");
-        let (now, target) = (self.now(), Target::of(server));
+        let now = self.now();
         let mut told_at = self.limits_told_at.borrow_mut();
         if told_at.get(&target).is_some_and(|at| now < at + TELL_MS) {
             return;
         }
         told_at.insert(target, now);
-        let known = self.limits.borrow().get(target);
+        let known = self.rate_limits.borrow().limits.get(target);
+        let directory = self.directory.borrow();
         Event::new("host_limit")
-            .with("host", server)
+            .with("host", directory.id(target).map(|id| &**id))
             .with("per_s", known.and_then(|known| known.rate).map(Rate::per_s))
             .with("before_per_s", before.map(Rate::per_s))
             .with("sent_before", sent_before.map(|(sent, _)| sent))
@@ -65,4 +112,118 @@
             .with("told_by", told_by)
             .write();
     }
+
+    /// What a backend server takes from all gateways, in requests a second, if it names a limit.
+    pub fn limit_per_s(&self, target: Target) -> Option<f64> {
+        self.rate_limits.borrow().limits.rate(target).map(Rate::per_s)
+    }
+
+    /// Whether a request may be given to a backend server as far as its limit goes.
+    pub fn has_permit(&self, target: Target) -> bool {
+        self.rate_limits.borrow().check(self.now(), target, Need::Only).is_ok()
+    }
+
+    /// Asks permits for places that lack one, and parts those into open ones and others.
+    ///
+    /// A place of another failure domain is not asked for while one of this one is open, nor one that was tried.
+    pub fn want_permits(&self, without_permit: Vec<Place>, tried: &[Target], places: &mut Places) {
+        if without_permit.is_empty() {
+            return;
+        }
+        let is_untried = |place: &&Place| !tried.contains(&place.candidate.target);
+        let mut others = places.open.iter().filter(is_untried).peekable();
+        let need = if others.peek().is_none() { Need::Only } else { Need::Optional };
+        let near_is_open = others.any(|place| place.candidate.near);
+        let first = rand::random_range(0..without_permit.len());
+        let mut asked = 0;
+        let (before, from_first) = without_permit.split_at(first);
+        for place in from_first.iter().chain(before) {
+            let target = place.candidate.target;
+            let is_wanted = place.candidate.near || !near_is_open;
+            if asked < ASKED_AT_ONCE && is_wanted && is_untried(&place) {
+                asked += usize::from(self.want_permit(target, need));
+            }
+            match self.rate_limits.borrow().check(self.now(), target, need) {
+                Ok(()) => places.open.push(place.clone()),
+                Err(NoPermit { free_at }) => places.obstacles.push(Obstacle::Limited { free_at }),
+            }
+        }
+    }
+
+    /// Asks for a permit, unless that is of no use now; tells whether it was asked for.
+    fn want_permit(&self, target: Target, need: Need) -> bool {
+        let now = self.now();
+        let members = self.members.borrow();
+        let step = self.rate_limits.borrow_mut().want(now, target, need, &members);
+        drop(members);
+        match step {
+            Step::None => return false,
+            Step::Decided(grant) => self.count_grant(grant),
+            Step::Ask(limiter, question) => {
+                self.tell_limiter(limiter, ToLimiter::Question(question))
+            }
+        }
+        true
+    }
+
+    fn count_grant(&self, grant: Grant) {
+        self.count(match grant {
+            Grant::Permit => "permits_granted",
+            Grant::After(_) => "permits_refused",
+        });
+    }
+
+    fn tell_limiter(&self, limiter: u64, message: ToLimiter) {
+        let peers = self.peers.borrow();
+        let found = peers.iter().find(|(name, _)| members::hash(name) == limiter);
+        let Some((_, peer)) = found else {
+            self.count("limiters_without_address");
+            return;
+        };
+        self.count("limiters_told");
+        self.to_limiters.borrow_mut().push((peer.address, message));
+        self.send_now.notify_one();
+    }
+
+    /// What is to be said to limiters, and where they listen.
+    pub fn take_messages_to_limiters(&self) -> Vec<(SocketAddr, ToLimiter)> {
+        std::mem::take(&mut *self.to_limiters.borrow_mut())
+    }
+
+    /// Answers a gateway that wants a permit.
+    pub fn answer_permit(&self, question: Question) -> Answer {
+        self.limit_told(question.limit);
+        let members = self.members.borrow();
+        let answer = self.rate_limits.borrow_mut().answer(self.now(), question, &members);
+        self.count_grant(answer.grant);
+        answer
+    }
+
+    /// Takes a limiter's answer in.
+    pub fn permit_answered(&self, answer: Answer) {
+        self.limit_told(answer.limit);
+        self.rate_limits.borrow_mut().answered(self.now(), answer);
+        if answer.grant == Grant::Permit {
+            self.permits_came.notify_waiters();
+        }
+    }
+
+    /// A call of this system's own was made to a backend server. It is never held back, since a replica group's safety may hang
+    /// on it, but it counts.
+    pub fn call_made(&self, server: &str) {
+        let target = Target::of(server);
+        let members = self.members.borrow();
+        let limiter = self.rate_limits.borrow_mut().spent(self.now(), target, &members);
+        drop(members);
+        if let Some(limiter) = limiter {
+            self.tell_limiter(limiter, ToLimiter::Spent(target));
+        }
+    }
+
+    /// Another gateway has made a call to a backend server whose limiter this one is.
+    pub fn call_made_elsewhere(&self, target: Target) {
+        let members = self.members.borrow();
+        // One that takes another gateway for the limiter leaves it at that: it is an estimate for a moment.
+        let _ = self.rate_limits.borrow_mut().spent(self.now(), target, &members);
+    }
 }
--- a/crates/oliveworks-gateway/src/records.rs
+++ b/crates/oliveworks-gateway/src/records.rs
@@ -147,7 +147,7 @@
     let Some(known) = known else { return false };
     gateway.count("hosts_started_again");
     gateway.backoffs.borrow_mut().starts_anew(Target::of(&server.id));
-    gateway.limits.borrow_mut().starts_anew(Target::of(&server.id));
+    gateway.rate_limits.borrow_mut().limits.starts_anew(Target::of(&server.id));
     Event::new("host_started_again")
         .with("host", &*server.id)
         .debug("born", server.holding.born)
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -323,10 +323,11 @@
             NoTarget::Drained => "refused_drained",
             NoTarget::Cold => "refused_cold",
             NoTarget::Backoff => "refused_backoff",
+            NoTarget::Limited => "refused_limited",
         });
         let now = self.gateway.now();
         let come_back_ms = match none.reason {
-            NoTarget::Backoff => none.known_ms(now).unwrap_or(COME_BACK_MS),
+            NoTarget::Backoff | NoTarget::Limited => none.known_ms(now).unwrap_or(COME_BACK_MS),
             _ => COME_BACK_MS,
         };
         self.give_up(connection, self.attempts.verdict(now), come_back_ms).await
--- a/crates/oliveworks-gateway/src/relay/attempt.rs
+++ b/crates/oliveworks-gateway/src/relay/attempt.rs
@@ -18,8 +18,8 @@
 use crate::events::Event;
 use crate::exchange::{Exchange, MISDIRECTED, NoConnection, headers_of};
 use crate::host_says::Sender;
+use crate::pending_send::PendingSend;
 use crate::places::Place;
-use crate::slow_start::PendingSend;
 
 /// The silence after which a plain request that may be repeated goes elsewhere.
 const PLAIN_SILENCE_MS: u64 = 400;
@@ -91,7 +91,10 @@
             }
         };
         // While the connection came up keys may have been taken away, a drain begun, or the host asked for less.
-        if !self.may_send() || !self.gateway.may_still_send(place, self.allowed()) {
+        let may_send = self.may_send()
+            && self.gateway.may_still_send(place, self.allowed())
+            && choice.may_be_sent();
+        if !may_send {
             return Tried::Failed { failure: Failure::NotSent, gone: false };
         }
         let Some(request) = self.outgoing(place) else {
--- a/crates/oliveworks-gateway/src/relay/placing.rs
+++ b/crates/oliveworks-gateway/src/relay/placing.rs
@@ -10,7 +10,7 @@
 use oliveworks_gateway_core::locality::{CallersPart, Parts};
 use oliveworks_gateway_core::obstacles::{FreeAt, NoPlace, describe, is_kept_by_region};
 use oliveworks_gateway_core::residency::Allowed;
-use tokio::time::sleep;
+use tokio::time::timeout;
 
 use super::Job;
 use crate::obstacles::Places;
@@ -163,7 +163,7 @@
         let until = (began + patience_ms).min(self.deadline);
         loop {
             let all = self.all_places();
-            let places = self.gateway.part_places(&self.service, all, self.allowed());
+            let places = self.gateway.part_places(&self.service, all, self.allowed(), &self.tried);
             let no_place = match self.choose_apart(&places.open, goes_on, standing) {
                 Ok(target) => {
                     let near = places.open.iter().any(|place| place.candidate.near);
@@ -179,7 +179,9 @@
                 self.log_no_place(&places);
                 return Err(no_place);
             }
-            sleep(Duration::from_millis(LOOK_MS)).await;
+            let look = Duration::from_millis(LOOK_MS);
+            // Also over when a permit comes, which does not hold for long.
+            let _ = timeout(look, self.gateway.permits_came.notified()).await;
         }
     }
 }
--- a/crates/oliveworks-gateway/src/slow_start.rs
+++ b/crates/oliveworks-gateway/src/slow_start.rs
@@ -2,7 +2,7 @@
 
 use oliveworks_gateway_core::Millis;
 use oliveworks_gateway_core::backend_servers::{BackendServer, BackendServerId, Born};
-use oliveworks_gateway_core::balance::{Candidate, Target};
+use oliveworks_gateway_core::balance::Target;
 use oliveworks_gateway_core::configuration::SlowStart;
 use oliveworks_gateway_core::obstacles::Obstacle;
 use oliveworks_gateway_core::slow_start::cold::{Known, Listed};
@@ -152,26 +152,27 @@
         }
     }
 
-    /// Whether a cold backend server of a service is an obstacle, since this gateway has taken its part of it. One
-    /// that is not is compared with others by what it bears.
-    pub fn cold_obstacle(&self, service: &str, candidate: &mut Candidate) -> Option<Obstacle> {
-        let terms = self.slow_start_of(service)?;
+    /// What a backend server of a service bears, in requests a second, if it is cold.
+    ///
+    /// # Errors
+    /// If this gateway has taken its part of it.
+    pub fn cold_rate(&self, service: &str, target: Target) -> Result<Option<f64>, Obstacle> {
+        let Some(terms) = self.slow_start_of(service) else { return Ok(None) };
         let mut slow_starts = self.slow_starts.borrow_mut();
-        let slow_starts = slow_starts.as_mut()?;
+        let Some(slow_starts) = slow_starts.as_mut() else { return Ok(None) };
         let members = self.members.borrow();
-        let (now, target) = (self.now(), candidate.target);
+        let now = self.now();
         slow_starts.store_heard(self.store_heard_at.get());
         if !slow_starts.is_cold(now, target, terms, &members) {
-            return None;
+            return Ok(None);
         }
-        *candidate = SlowStarts::compared(*candidate, terms);
         let free_at = slow_starts.free_at(now, target, terms, &members);
         if free_at.is_some_and(|at| at <= now) {
-            return None;
+            return Ok(Some(terms.requests_per_s));
         }
         let part_per_s = slow_starts.part(now, target, terms, &members);
         self.part_is_taken(target, part_per_s, members.count());
-        Some(Obstacle::Cold { free_at })
+        Err(Obstacle::Cold { free_at })
     }
 
     fn part_is_taken(&self, target: Target, part_per_s: u32, gateways: usize) {
@@ -189,41 +190,4 @@
             .with("gateways", gateways)
             .write();
     }
-
-    /// Counts a request as on its way to a backend server.
-    pub fn pending_send(&self, target: Target) -> PendingSend<'_> {
-        if let Some(slow_starts) = self.slow_starts.borrow_mut().as_mut() {
-            slow_starts.chosen(target);
-        }
-        PendingSend { gateway: self, target, sent: false }
-    }
-}
-
-/// A request that was given to a backend server and is not sent yet: it counts against this gateway's part
-/// of what a cold one may get, and no longer if it is dropped unsent.
-pub struct PendingSend<'a> {
-    gateway: &'a Gateway,
-    target: Target,
-    sent: bool,
-}
-
-impl PendingSend<'_> {
-    /// It is sent now.
-    pub fn sent(&mut self) {
-        self.sent = true;
-        if let Some(slow_starts) = self.gateway.slow_starts.borrow_mut().as_mut() {
-            slow_starts.sent(self.gateway.now(), self.target);
-        }
-    }
-}
-
-impl Drop for PendingSend<'_> {
-    fn drop(&mut self) {
-        if self.sent {
-            return;
-        }
-        if let Some(slow_starts) = self.gateway.slow_starts.borrow_mut().as_mut() {
-            slow_starts.not_sent(self.target);
-        }
-    }
 }
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -20,7 +20,7 @@
 use oliveworks_gateway_core::members::Members;
 use oliveworks_gateway_core::passing::Passing;
 use oliveworks_gateway_core::planner::Planner;
-use oliveworks_gateway_core::rate_limits::limits::Limits;
+use oliveworks_gateway_core::rate_limits::RateLimits;
 use oliveworks_gateway_core::returning::Waits;
 use oliveworks_gateway_core::slow_start::SlowStarts;
 use oliveworks_gateway_core::speed::Speeds;
@@ -35,6 +35,7 @@
 use crate::events::Event;
 use crate::host_says::Leaving;
 use crate::missing::Missing;
+use crate::rate_limits::ToLimiter;
 use crate::settings::Settings;
 use crate::{members, slow_start};
 
@@ -106,8 +107,12 @@
     pub convictions: Notify,
     /// Backend servers that asked to be left alone.
     pub backoffs: RefCell<Backoffs>,
-    /// Backend servers that name a rate limit.
-    pub limits: RefCell<Limits>,
+    /// Backend servers that name a rate limit, and permits for them.
+    pub rate_limits: RefCell<RateLimits>,
+    /// Tells requests that wait that a permit has come.
+    pub permits_came: Notify,
+    /// What is to be said to limiters, and where these listen.
+    pub to_limiters: RefCell<Vec<(SocketAddr, ToLimiter)>>,
     /// When a line was last written of a backend server's limit.
     pub limits_told_at: RefCell<HashMap<Target, Millis>>,
     /// Names of headers in answers that nothing here reads.
@@ -212,7 +217,9 @@
             crashers: RefCell::default(),
             convictions: Notify::new(),
             backoffs: RefCell::default(),
-            limits: RefCell::default(),
+            rate_limits: RefCell::default(),
+            permits_came: Notify::new(),
+            to_limiters: RefCell::default(),
             limits_told_at: RefCell::default(),
             unread_headers: RefCell::default(),
             waits: RefCell::default(),
@@ -394,7 +401,7 @@
         self.balance.borrow_mut().retain(|target| listed.contains(&target));
         self.suspensions.borrow_mut().retain(|target| listed.contains(&target));
         self.backoffs.borrow_mut().retain(|target| listed.contains(&target));
-        self.limits.borrow_mut().retain(self.now(), |target| listed.contains(&target));
+        self.rate_limits.borrow_mut().retain(self.now(), |target| listed.contains(&target));
         self.limits_told_at.borrow_mut().retain(|target, _| listed.contains(target));
         self.admission.borrow_mut().retain(|target| listed.contains(&target));
         self.speeds.borrow_mut().retain(|target| listed.contains(&target));
