A gateway that begins to stop tells others that it reads the store no more

Suspected cause, not shown by a trace: who stops counts as its domain's reader until 0.7 s after it has ended, two of them one after the other twice that, and meanwhile nobody there reads. Change: its heartbeat says from the begin of the stop, sent at once, that the store does not answer it for others; it reads on for itself. The next one takes over while it still answers. Ruled out: taking a gateway that did not answer once for no reader (a test holds that others are asked then, here or elsewhere).

--- a/crates/oliveworks-gateway/src/heartbeat.rs
+++ b/crates/oliveworks-gateway/src/heartbeat.rs
@@ -41,7 +41,7 @@
     failure_domain: String,
     /// The leader's newest heartbeat that the sender knows.
     leader: Option<LeaderSeen>,
-    /// Whether the store answers the sender.
+    /// Whether the store answers the sender, and it goes on reading it.
     store_answers: bool,
     /// How old the sender's proof is that the store holds nothing newer; none without one.
     proof_age_ms: Option<u64>,
@@ -124,7 +124,7 @@
         node: gateway.settings.node.clone(),
         failure_domain: gateway.settings.failure_domain.clone(),
         leader: leader.map(|(heartbeat, address)| LeaderSeen { heartbeat, address }),
-        store_answers: gateway.election.borrow().store_answers(),
+        store_answers: gateway.reads_for_others(),
         proof_age_ms: gateway.freshness.get().age_ms(now),
         figures: Figures::OfGateway,
         telling,
--- a/crates/oliveworks-gateway/src/sources.rs
+++ b/crates/oliveworks-gateway/src/sources.rs
@@ -49,6 +49,14 @@
     read_from(own, &others.collect::<Vec<_>>(), rand::random())
 }
 
+impl Gateway {
+    /// Whether others may count on this gateway to read the store. Not once it stops: the next one takes over while this one
+    /// still answers, and not some time after it has ended.
+    pub fn reads_for_others(&self) -> bool {
+        self.election.borrow().store_answers() && !self.is_stopping()
+    }
+}
+
 /// Whether a proof that the store held nothing newer then is as young as a reader's should be: it is
 /// renewed each time that the store has held a call back for as long as it may.
 fn is_young(gateway: &Gateway, now: Millis, proved_at: Millis) -> bool {
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -48,7 +48,7 @@
     pub failure_domain: String,
     /// When it was last heard, by this gateway or one that told so.
     pub heard_at: Millis,
-    /// Whether the store answered it when it was last heard here.
+    /// Whether the store answered it when it was last heard here, and it went on reading it.
     pub store_answers: bool,
     /// Until when it knew then that the store held nothing newer than it; none if it did not tell.
     pub proved_at: Option<Millis>,
