Rate limits: an answer to a call, or a refusal, ends no limit

Cause, found by reading and not by a run: nothing says that answers to calls carry the header, and the leader asks a head whose group is in trouble; each such answer without it would have taken the limit back at all gateways until the next request. Change: that none is named counts only in a signed answer to a caller's request. A rate that is named counts from any. Test: an_answer_that_may_lack_the_limit_ends_nothing, written with the mend (before it, the field did not exist).

--- a/crates/oliveworks-gateway-core/src/rate_limits/limits.rs
+++ b/crates/oliveworks-gateway-core/src/rate_limits/limits.rs
@@ -68,6 +68,8 @@
     pub sent_at: Millis,
     /// The limit that it names.
     pub rate: Option<Rate>,
+    /// Whether it would name one if there were one: answers to calls and refusals may lack it.
+    pub would_name: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -85,7 +87,10 @@
 impl Limits {
     /// Takes an answer in; tells whether that changes what is known.
     pub fn heard(&mut self, now: Millis, heard: Heard) -> bool {
-        let Heard { target, life, sent_at, rate } = heard;
+        let Heard { target, life, sent_at, rate, would_name } = heard;
+        if rate.is_none() && !would_name {
+            return false;
+        }
         let known = self.0.get(&target).copied();
         let Some(known) = known else {
             let limit = Limit { target, life, revision: 1, rate };
--- a/crates/oliveworks-gateway-core/tests/rate_limits/limits.rs
+++ b/crates/oliveworks-gateway-core/tests/rate_limits/limits.rs
@@ -15,7 +15,13 @@
 }
 
 fn answer(sent_at: u64, per_s: Option<f64>) -> Heard {
-    Heard { target: HOST, life: FIRST, sent_at, rate: per_s.and_then(Rate::from_per_s) }
+    Heard {
+        target: HOST,
+        life: FIRST,
+        sent_at,
+        rate: per_s.and_then(Rate::from_per_s),
+        would_name: true,
+    }
 }
 
 fn limit(life: Option<Born>, revision: u32, per_s: Option<f64>) -> Limit {
@@ -61,6 +67,15 @@
     assert_eq!(limits.rate(HOST), rate(4.2));
 }
 
+/// The leader's call to a host in need took its limit back.
+#[test]
+fn an_answer_that_may_lack_the_limit_ends_nothing() {
+    let mut limits = Limits::default();
+    limits.heard(10, answer(0, Some(4.2)));
+    limits.heard(30, Heard { would_name: false, ..answer(20, None) });
+    assert_eq!(limits.rate(HOST), rate(4.2));
+}
+
 #[test]
 fn a_change_is_told_first_and_older_limits_by_turns() {
     let mut limits = Limits::default();
--- a/crates/oliveworks-gateway/src/host_says.rs
+++ b/crates/oliveworks-gateway/src/host_says.rs
@@ -26,6 +26,8 @@
     pub life: Option<Born>,
     /// When the request was sent.
     pub sent_at: Millis,
+    /// Whether a caller's request was answered, and not a call of this system's own.
+    pub to_request: bool,
 }
 
 /// A backend server that leaves, as gateways tell each other.
@@ -41,7 +43,7 @@
     /// Takes in what a backend server's answer to a request or a call says of its sender.
     pub fn heed(&self, sender: Sender<'_>, answered: &Answered, request: &str) {
         let Sender { server, life, .. } = sender;
-        self.hear_limit(sender, &answered.limit, request);
+        self.hear_limit(sender, answered, request);
         self.report_unread(server, &answered.unread);
         if answered.leaving {
             self.count("answers_of_leaving_hosts");
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -198,7 +198,8 @@
     let reply = answer.map_err(|_: Broken| false)?;
     if reply.status != MISDIRECTED {
         let answered = gateway.dialect.answered(reply.status, &reply.headers);
-        gateway.heed(Sender { server, life, sent_at }, &answered, &call.target);
+        let sender = Sender { server, life, sent_at, to_request: false };
+        gateway.heed(sender, &answered, &call.target);
     }
     Ok(reply)
 }
--- a/crates/oliveworks-gateway/src/rate_limits.rs
+++ b/crates/oliveworks-gateway/src/rate_limits.rs
@@ -11,7 +11,7 @@
 use oliveworks_gateway_core::rate_limits::limits::{Heard, Limit, Limits};
 use oliveworks_gateway_core::rate_limits::{Answer, NoPermit, Question, Rate, Step};
 
-use crate::dialect::NamedLimit;
+use crate::dialect::{Answered, NamedLimit};
 use crate::events::Event;
 use crate::host_says::Sender;
 use crate::members;
@@ -35,8 +35,8 @@
 
 impl Gateway {
     /// Takes in which limit an answer names.
-    pub fn hear_limit(&self, sender: Sender<'_>, named: &NamedLimit, request: &str) {
-        let rate = match named {
+    pub fn hear_limit(&self, sender: Sender<'_>, answered: &Answered, request: &str) {
+        let rate = match &answered.limit {
             NamedLimit::NotTold => None,
             NamedLimit::Rate(rate) => {
                 self.count("answers_with_limit");
@@ -49,7 +49,9 @@
             }
         };
         let target = Target::of(sender.server);
-        let heard = Heard { target, life: sender.life, sent_at: sender.sent_at, rate };
+        let would_name = sender.to_request && answered.signed;
+        let Sender { life, sent_at, .. } = sender;
+        let heard = Heard { target, life, sent_at, rate, would_name };
         self.learn(target, request, |limits, now| limits.heard(now, heard));
     }
 
--- a/crates/oliveworks-gateway/src/relay/attempt.rs
+++ b/crates/oliveworks-gateway/src/relay/attempt.rs
@@ -113,7 +113,8 @@
         let headers = headers_of(&response);
         let answered = self.gateway.dialect.answered(status, &headers);
         if self.is_of_the_place(status, &answered) {
-            let sender = Sender { server: &place.server, life, sent_at: sent };
+            let server = &*place.server;
+            let sender = Sender { server, life, sent_at: sent, to_request: true };
             self.gateway.heed(sender, &answered, &self.asked.id);
         }
         if let Some(failed) = self.judge(status, &answered) {
