Rate limits: a request asks for one permit at a time

Cause: a request that found all hosts limited asked two of them; of the two permits one lay unused until it ended. Change: one host a look, the next one 15 ms later; what binds a place's rate has a function of its own.

--- a/crates/oliveworks-gateway-core/tests/rate_limits/replay.rs
+++ b/crates/oliveworks-gateway-core/tests/rate_limits/replay.rs
@@ -26,8 +26,6 @@
 /// How long a request waits for a permit, and the time between two looks.
 const PATIENCE_MS: u64 = 66;
 const LOOK_MS: u64 = 15;
-/// Hosts that one request asks permits for at a time.
-const ASKED_AT_ONCE: usize = 2;
 const LOST_PERCENT: u32 = 1;
 
 /// How a limit is shared.
@@ -321,19 +319,19 @@
             return;
         }
         let hosts = self.hosts_from_a_drawn_one();
-        let mut asked = 0;
+        let mut asked = false;
         let mut free_at = u64::MAX;
         for host in &hosts {
             let gateway = &mut self.gateways[index];
             if let Err(none) = gateway.limits.check(now, *host, Need::Only) {
                 free_at = free_at.min(none.free_at);
             }
-            if asked < ASKED_AT_ONCE {
+            if !asked {
                 match gateway.limits.want(now, *host, Need::Only, &gateway.members) {
                     Step::None => {}
-                    Step::Decided(_) => asked += 1,
+                    Step::Decided(_) => asked = true,
                     Step::Ask(limiter, question) => {
-                        asked += 1;
+                        asked = true;
                         self.tell(now, index, limiter as usize, Message::Question(question));
                     }
                 }
--- a/crates/oliveworks-gateway/src/obstacles.rs
+++ b/crates/oliveworks-gateway/src/obstacles.rs
@@ -31,21 +31,14 @@
         let mut places = Places::default();
         let mut without_permit = Vec::new();
         for mut place in all {
-            if let Some(obstacle) = self.obstacle(&place, allowed) {
-                places.obstacles.push(obstacle);
-                continue;
-            }
             let target = place.candidate.target;
-            let cold_rate = match self.cold_rate(service, target) {
-                Ok(cold_rate) => cold_rate,
+            match self.rate(service, &place, allowed) {
                 Err(obstacle) => {
                     places.obstacles.push(obstacle);
                     continue;
                 }
-            };
-            let limit = self.limit_per_s(target);
-            if let Some(rate) = cold_rate.into_iter().chain(limit).reduce(f64::min) {
-                place.candidate = place.candidate.taking(rate);
+                Ok(None) => {}
+                Ok(Some(per_s)) => place.candidate = place.candidate.taking(per_s),
             }
             match self.has_permit(target) {
                 true => places.open.push(place),
@@ -56,6 +49,26 @@
         places
     }
 
+    /// What a place takes, in requests a second, if that is bound: the lower of what it bears while it is cold and of the
+    /// limit that it names.
+    ///
+    /// # Errors
+    /// If something else than its limit keeps a request from it.
+    fn rate(
+        &self,
+        service: &str,
+        place: &Place,
+        allowed: Allowed<'_>,
+    ) -> Result<Option<f64>, Obstacle> {
+        if let Some(obstacle) = self.obstacle(place, allowed) {
+            return Err(obstacle);
+        }
+        let target = place.candidate.target;
+        let cold = self.cold_rate(service, target)?;
+        let limit = self.limit_per_s(target);
+        Ok(cold.into_iter().chain(limit).reduce(f64::min))
+    }
+
     /// Whether a request that was given to a place may still be sent there.
     pub fn may_still_send(&self, place: &Place, allowed: Allowed<'_>) -> bool {
         let stops = |obstacle: Obstacle| obstacle.stops_a_send();
--- a/crates/oliveworks-gateway/src/rate_limits.rs
+++ b/crates/oliveworks-gateway/src/rate_limits.rs
@@ -21,8 +21,6 @@
 
 /// The time between two lines of one backend server's limit, in ms: it may name another in each answer.
 const TELL_MS: u64 = 1_000;
-/// Backend servers that one look for a place asks permits for: more of them would lie unused.
-const ASKED_AT_ONCE: usize = 2;
 
 /// What is to be said to the limiter of a backend server.
 #[derive(Clone, Copy, Debug)]
@@ -125,9 +123,10 @@
         self.rate_limits.borrow().check(self.now(), target, Need::Only).is_ok()
     }
 
-    /// Asks permits for places that lack one, and parts those into open ones and others.
+    /// Asks a permit for one of the places that lack one, and parts these into open ones and others.
     ///
-    /// A place of another failure domain is not asked for while one of this one is open, nor one that was tried.
+    /// A place of another failure domain is not asked for while one of this one is open, nor one that was tried. Rejected: to
+    /// ask for several at once (all but one of their permits lie unused).
     pub fn want_permits(&self, without_permit: Vec<Place>, tried: &[Target], places: &mut Places) {
         if without_permit.is_empty() {
             return;
@@ -137,13 +136,13 @@
         let need = if others.peek().is_none() { Need::Only } else { Need::Optional };
         let near_is_open = others.any(|place| place.candidate.near);
         let first = rand::random_range(0..without_permit.len());
-        let mut asked = 0;
+        let mut asked = false;
         let (before, from_first) = without_permit.split_at(first);
         for place in from_first.iter().chain(before) {
             let target = place.candidate.target;
             let is_wanted = place.candidate.near || !near_is_open;
-            if asked < ASKED_AT_ONCE && is_wanted && is_untried(&place) {
-                asked += usize::from(self.want_permit(target, need));
+            if !asked && is_wanted && is_untried(&place) {
+                asked = self.want_permit(target, need);
             }
             match self.rate_limits.borrow().check(self.now(), target, need) {
                 Ok(()) => places.open.push(place.clone()),
