--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -14,6 +14,7 @@
 use serde_json::{Map, Value};
 use tokio::time::{sleep, timeout};
 
+use crate::calls::CallKind;
 use crate::dialect::Call;
 use crate::events::Event;
 use crate::exchange::{self, Broken, Exchange, MISDIRECTED, NoConnection, Reply};
@@ -170,6 +171,7 @@
 
 async fn ask(gateway: &Gateway, server: &str, address: SocketAddr) -> Asked {
     gateway.count("probes");
+    let _place = gateway.calls.place(CallKind::Question).await;
     match make(gateway, server, address, &gateway.dialect.report(server), PROBE_MS).await {
         Ok(Reply { status, body, .. }) => match gateway.dialect.reported(status, &body) {
             Ok(Some(holding)) => Asked::Holding(holding),
@@ -389,7 +391,7 @@
         }
         Command::Order { server, address, order, expects } => {
             let call = gateway.dialect.order(&server, fence, &order, expects);
-            let outcome = give(&gateway, &server, address, &call).await;
+            let outcome = give(&gateway, fence, &server, address, &call).await;
             Event::new("order")
                 .with("host", &*server)
                 .with("fence", fence)
@@ -425,7 +427,18 @@
         .write();
 }
 
-async fn give(gateway: &Gateway, server: &str, address: SocketAddr, order: &Call) -> Outcome {
+async fn give(
+    gateway: &Gateway,
+    fence: u64,
+    server: &str,
+    address: SocketAddr,
+    order: &Call,
+) -> Outcome {
+    let _place = gateway.calls.place(CallKind::Order).await;
+    // It may lead no more by the time that it has a place, and not every host checks fences.
+    if gateway.election.borrow().leads() != Some(fence) {
+        return Outcome::Unanswered;
+    }
     gateway.count("orders");
     match make(gateway, server, address, order, ORDER_MS).await {
         Ok(Reply { status, .. }) => gateway.dialect.ordered(status),
--- a/crates/oliveworks-gateway/src/lib.rs
+++ b/crates/oliveworks-gateway/src/lib.rs
@@ -27,9 +27,11 @@
 //! | `crashers` | requests that crash the backend servers they run at |
 //! | `suspicions` | groups that stand still or run slowly |
 //! | `leader` | gives the planner's orders |
+//! | `calls` | how many calls a leader makes at once |
 //! | `peers`, `heartbeat` | tells the other gateways, and hears them |
 
 mod callers;
+mod calls;
 mod connection;
 mod crashers;
 pub mod dialect;
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -31,6 +31,7 @@
 use oliveworks_runtime::latencies::Latencies;
 use tokio::sync::{Notify, watch};
 
+use crate::calls::Calls;
 use crate::dialect::{Dialect, Record, TOPICS, Topic};
 use crate::events::Event;
 use crate::host_says::Leaving;
@@ -133,6 +134,8 @@
     pub speeds: RefCell<Speeds>,
     /// Repeats.
     pub budget: RefCell<Budget>,
+    /// Places for calls to backend servers on this system's own behalf.
+    pub calls: Calls,
     /// Who leads.
     pub election: RefCell<Election>,
     /// The plans of each service, while this gateway leads.
@@ -230,6 +233,7 @@
             demand: RefCell::default(),
             speeds: RefCell::default(),
             budget: RefCell::new(budget),
+            calls: Calls::default(),
             election: RefCell::new(Election::new(ElectionConfig::default(), life, now)),
             planners: RefCell::default(),
             table: RefCell::default(),
