Leader: a line on a domain is written when it changes, and each ten seconds

Change: a domain's line when it differs from the last, all of them each 10 s. Ruled out: leaving them out (on call, what a domain holds is asked first).

--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -37,6 +37,7 @@
 //! | [`budget`] | whether a request may be sent once more |
 //! | [`crashers`] | which requests crash their backend servers, and are sent nowhere |
 //! | [`attempts`] | what follows a failed attempt, and what the caller is told |
+//! | [`changed_lines`] | which lines on a state are told |
 //! | [`timeliness`] | whether an answer came in time, and if not, why |
 //! | [`events`] | which bytes of a stream may be passed on |
 
@@ -46,6 +47,7 @@
 pub mod backoff;
 pub mod balance;
 pub mod budget;
+pub mod changed_lines;
 pub mod configuration;
 pub mod crashers;
 pub mod demand;
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -7,6 +7,7 @@
 
 use oliveworks_gateway_core::backend_servers::{BackendServer, BackendServerId, Holding};
 use oliveworks_gateway_core::balance::Target;
+use oliveworks_gateway_core::changed_lines::ChangedLines;
 use oliveworks_gateway_core::configuration::Engine;
 use oliveworks_gateway_core::demand::ModelKey;
 use oliveworks_gateway_core::planner::{Command, Ending, ModelLoad, Order, Outcome, Planner};
@@ -29,7 +30,7 @@
 const LOOK_MIN_MS: u64 = 10;
 /// How long a leader that was paused gives no orders.
 const LISTEN_MS: u64 = 250;
-/// The time between two lines on each domain.
+/// The time between two lines on each model, and two looks at what is to be told of domains.
 const DESCRIBE_MS: u64 = 1_000;
 /// The pace above which a host gets a line.
 const PACE_TOLD: f64 = 1.25;
@@ -42,6 +43,7 @@
 pub async fn run(gateway: Rc<Gateway>) {
     let mut fence = None;
     let mut described_at = 0;
+    let mut domain_lines = ChangedLines::default();
     loop {
         gateway.tick();
         stand(&gateway);
@@ -57,7 +59,7 @@
             plan(&gateway, fence);
             if gateway.now() >= described_at + DESCRIBE_MS {
                 described_at = gateway.now();
-                describe(&gateway);
+                describe(&gateway, &mut domain_lines);
             }
         }
         sleep(Duration::from_millis(LOOK_MIN_MS)).await;
@@ -66,11 +68,13 @@
     }
 }
 
-fn describe(gateway: &Gateway) {
-    for (service, planner) in gateway.planners.borrow().iter() {
-        for line in planner.describe_domains() {
-            Event::new("domain").with("hosts", line).write();
-        }
+fn describe(gateway: &Gateway, domain_lines: &mut ChangedLines) {
+    let planners = gateway.planners.borrow();
+    let domains = planners.values().flat_map(Planner::describe_domains).collect();
+    for line in domain_lines.due(gateway.now(), domains) {
+        Event::new("domain").with("hosts", line).write();
+    }
+    for (service, planner) in planners.iter() {
         for gap in planner.spread_gaps() {
             gateway.count("spread_gaps");
             Event::new("spread_gap")
