Names in rate limits: a limit allows, a step waits, a place's rate is bound

Cause: has_permit was true of hosts without a limit, Step::None shadowed the option, and rate() told no rate but what binds one.

--- a/crates/oliveworks-gateway-core/src/rate_limits.rs
+++ b/crates/oliveworks-gateway-core/src/rate_limits.rs
@@ -82,7 +82,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
     /// Nothing: it was asked for, or it is known that there is none.
-    None,
+    Wait,
     /// This gateway is the limiter, and has decided.
     Decided(Grant),
     /// Another one, by its name's hash, is to be asked.
@@ -128,9 +128,9 @@
 
     /// A request wants a permit at a backend server that names a limit.
     pub fn want(&mut self, now: Millis, target: Target, need: Need, members: &Members) -> Step {
-        let Some(limit) = self.limits.get(target) else { return Step::None };
+        let Some(limit) = self.limits.get(target) else { return Step::Wait };
         if !self.permits.begin_to_ask(now, target, need) {
-            return Step::None;
+            return Step::Wait;
         }
         let question = Question { limit, need };
         let limiter = members.limiter(now, target);
--- a/crates/oliveworks-gateway-core/tests/rate_limits/replay.rs
+++ b/crates/oliveworks-gateway-core/tests/rate_limits/replay.rs
@@ -328,7 +328,7 @@
             }
             if !asked {
                 match gateway.limits.want(now, *host, Need::Only, &gateway.members) {
-                    Step::None => {}
+                    Step::Wait => {}
                     Step::Decided(_) => asked = true,
                     Step::Ask(limiter, question) => {
                         asked = true;
--- a/crates/oliveworks-gateway/src/obstacles.rs
+++ b/crates/oliveworks-gateway/src/obstacles.rs
@@ -32,7 +32,7 @@
         let mut without_permit = Vec::new();
         for mut place in all {
             let target = place.candidate.target;
-            match self.rate(service, &place, allowed) {
+            match self.rate_bound(service, &place, allowed) {
                 Err(obstacle) => {
                     places.obstacles.push(obstacle);
                     continue;
@@ -40,7 +40,7 @@
                 Ok(None) => {}
                 Ok(Some(per_s)) => place.candidate = place.candidate.taking(per_s),
             }
-            match self.has_permit(target) {
+            match self.limit_allows(target) {
                 true => places.open.push(place),
                 false => without_permit.push(place),
             }
@@ -54,7 +54,7 @@
     ///
     /// # Errors
     /// If something else than its limit keeps a request from it.
-    fn rate(
+    fn rate_bound(
         &self,
         service: &str,
         place: &Place,
--- a/crates/oliveworks-gateway/src/rate_limits.rs
+++ b/crates/oliveworks-gateway/src/rate_limits.rs
@@ -119,7 +119,7 @@
     }
 
     /// Whether a request may be given to a backend server as far as its limit goes.
-    pub fn has_permit(&self, target: Target) -> bool {
+    pub fn limit_allows(&self, target: Target) -> bool {
         self.rate_limits.borrow().check(self.now(), target, Need::Only).is_ok()
     }
 
@@ -158,7 +158,7 @@
         let step = self.rate_limits.borrow_mut().want(now, target, need, &members);
         drop(members);
         match step {
-            Step::None => return false,
+            Step::Wait => return false,
             Step::Decided(grant) => self.count_grant(grant),
             Step::Ask(limiter, question) => {
                 self.tell_limiter(limiter, ToLimiter::Question(question))
