Sight: which era the store answers in, from where a topic is read

Change: Store-Era is read in all answers; lines store_era and reads_from; the line on a configuration names its place, era and who told; figures store_era, configuration_version and the age of the proof. An era that cannot be read is a counter and a line. Nothing is decided by it yet.

--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`sources`] | which gateways read the store, and whom the others ask |
 //! | [`passing`] | what one gateway tells another of the store's records |
 //! | [`repeats`] | which records tell other gateways nothing new |
+//! | [`era`] | which copy of itself the store answers from |
 //! | [`drains`] | which failure domains get no requests, by the operators' word |
 //! | [`residency`] | which regions may serve a request |
 //! | [`freshness`] | whether the configuration is young enough to honour keys |
@@ -53,6 +54,7 @@
 pub mod demand;
 pub mod drains;
 pub mod election;
+pub mod era;
 pub mod events;
 pub mod fan_out;
 pub mod freshness;
--- a/crates/oliveworks-gateway/src/dialect.rs
+++ b/crates/oliveworks-gateway/src/dialect.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use oliveworks_gateway_core::backend_servers::{BackendServer, BackendServerId, Holding};
 use oliveworks_gateway_core::configuration::Configuration;
+use oliveworks_gateway_core::era::Era;
 use oliveworks_gateway_core::planner::{Order, Outcome};
 use oliveworks_gateway_core::rate_limits::Rate;
 use serde::{Deserialize, Serialize};
@@ -176,6 +177,18 @@
     Unreadable(String),
 }
 
+/// The era that an answer of the store names.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum NamedEra {
+    /// It names none.
+    #[default]
+    NotTold,
+    /// Which copy of itself the store answers from.
+    Era(Era),
+    /// It says so in a way that cannot be understood.
+    Unreadable(String),
+}
+
 /// What a backend server's head says.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Answered {
@@ -216,6 +229,8 @@
     /// Where the platform asks whether a process is ready.
     fn ready_path(&self) -> &'static str;
 
+    /// Reads which era an answer of the store is of.
+    fn store_era(&self, headers: &Headers) -> NamedEra;
     /// Asks for a topic's newest records.
     fn newest(&self, topic: Topic, after: Option<&str>) -> Call;
     /// Reads them.
--- a/crates/oliveworks-gateway/src/follow.rs
+++ b/crates/oliveworks-gateway/src/follow.rs
@@ -30,6 +30,8 @@
     topic: Topic,
     from: Option<u64>,
     pause_ms: u64,
+    /// Where the last step was made, as lines tell it.
+    read_from: Option<ReadFrom>,
 }
 
 /// What one step of following brought.
@@ -67,6 +69,7 @@
             topic,
             from: None,
             pause_ms: RETRY_MS.0,
+            read_from: None,
         }
     }
 
@@ -79,8 +82,10 @@
     /// `wait_ms` is how long the store may hold it back.
     pub async fn step(&mut self, wait_ms: u64) -> Option<Step> {
         let gateway = self.client.gateway().clone();
+        let read_from = sources::next(&gateway);
+        self.tell_read_from(&gateway, read_from);
         let step = async {
-            match sources::next(&gateway) {
+            match read_from {
                 ReadFrom::Store => self.step_in_store(&gateway, wait_ms).await,
                 ReadFrom::Gateway(address) => self.step_through(&gateway, address).await,
             }
@@ -89,6 +94,24 @@
         gateway.unless_resumed(step).await.flatten()
     }
 
+    /// A line when the topic is read elsewhere than with the last step.
+    fn tell_read_from(&mut self, gateway: &Gateway, read_from: ReadFrom) {
+        if self.read_from.replace(read_from) == Some(read_from) {
+            return;
+        }
+        let address = match read_from {
+            ReadFrom::Store => gateway.settings.store.address,
+            ReadFrom::Gateway(address) => address,
+        };
+        Event::new("reads_from")
+            .debug("topic", self.topic)
+            .with("address", address.to_string())
+            .with("is_store", read_from == ReadFrom::Store)
+            .with("place", self.from)
+            .with("era", gateway.store_era.get().era().0)
+            .write();
+    }
+
     async fn step_in_store(&mut self, gateway: &Gateway, wait_ms: u64) -> Option<Step> {
         gateway.store_tried_at.set(gateway.now());
         let tries = sources::tries_the_store(gateway);
--- a/crates/oliveworks-gateway/src/lib.rs
+++ b/crates/oliveworks-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `callers`, `relay` | take requests, and see each to its answer |
 //! | `exchange` | one connection to a backend server or the store |
 //! | `store` | calls to the platform's store |
+//! | `eras` | which copy of itself the store answers from |
 //! | `follow`, `sources` | follow a topic of the store, through it or another gateway |
 //! | `records`, `missing` | take in what the topics tell |
 //! | `drains` | drains of failure domains |
@@ -36,6 +37,7 @@
 mod crashers;
 pub mod dialect;
 mod drains;
+mod eras;
 mod events;
 mod exchange;
 mod follow;
--- a/crates/oliveworks-gateway/src/readiness.rs
+++ b/crates/oliveworks-gateway/src/readiness.rs
@@ -44,14 +44,23 @@
     let counters = gateway.counters.borrow();
     let drains = gateway.drains.borrow().failure_domains();
     let open: u32 = drains.iter().map(|name| gateway.open_there(name)).sum();
-    let now = [("drained_failure_domains", drains.len()), ("drained_open_requests", open as usize)];
+    let lookup = gateway.lookup();
+    let version = lookup.map_or(0, |lookup| lookup.configuration.version);
+    let proof_age_ms = gateway.freshness.get().age_ms(gateway.now());
+    let now = [
+        ("drained_failure_domains", drains.len() as u64),
+        ("drained_open_requests", u64::from(open)),
+        ("store_era", gateway.store_era.get().era().0),
+        ("configuration_version", version),
+    ];
+    let proof_age_ms = proof_age_ms.map(|age_ms| ("configuration_proof_age_ms", age_ms));
     let counts = counters.iter().map(|(name, count)| {
         format!(
             "{FIGURES_PREFIX}_{name} {count}
 "
         )
     });
-    let states = now.map(|(name, count)| {
+    let states = now.into_iter().chain(proof_age_ms).map(|(name, count)| {
         format!(
             "{FIGURES_PREFIX}_{name} {count}
 "
--- a/crates/oliveworks-gateway/src/records.rs
+++ b/crates/oliveworks-gateway/src/records.rs
@@ -29,7 +29,7 @@
 /// How long after the last new one the list counts as complete.
 const SERVERS_SETTLE_MS: u64 = 1_500;
 
-fn take_configuration(gateway: &Gateway, step: Step) {
+fn take_configuration(gateway: &Gateway, step: Step, next: Option<u64>) {
     let mut drained_domains = BTreeSet::new();
     for record in step.records {
         match record {
@@ -41,6 +41,9 @@
                 Event::new("configuration")
                     .with("version", configuration.version)
                     .with("before", held)
+                    .with("next_place", next)
+                    .with("era", gateway.store_era.get().era().0)
+                    .debug("told_by", step.told_by)
                     .with("routes", configuration.routes.len())
                     .with("workspaces", configuration.workspaces.as_ref().map_or(0, Vec::len))
                     .write();
@@ -82,7 +85,7 @@
         // the next call is answered at once and proves more.
         wait_ms = if step.records.is_empty() { longest_wait_ms } else { 0 };
         keep(&gateway, Topic::Configuration, &step, follower.from());
-        take_configuration(&gateway, step);
+        take_configuration(&gateway, step, follower.from());
         if follower.from().is_some() && gateway.lookup.borrow().is_some() {
             prove(&gateway, sent, held_ms, told_by);
         }
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -16,6 +16,7 @@
 use oliveworks_gateway_core::demand::Demand;
 use oliveworks_gateway_core::drains::Drains;
 use oliveworks_gateway_core::election::{Election, ElectionConfig};
+use oliveworks_gateway_core::era::StoreEra;
 use oliveworks_gateway_core::freshness::Freshness;
 use oliveworks_gateway_core::members::Members;
 use oliveworks_gateway_core::passing::Passing;
@@ -98,6 +99,8 @@
     pub store_failed_at: Cell<Option<Millis>>,
     /// When the store last answered, this gateway or one that was asked.
     pub store_heard_at: Cell<Millis>,
+    /// Which copy of itself the store answers from.
+    pub store_era: Cell<StoreEra>,
     /// How busy backend servers are.
     pub balance: RefCell<Balance>,
     /// Places that stand still or could not be reached.
@@ -215,6 +218,7 @@
             store_proved_at: Cell::new(0),
             store_failed_at: Cell::new(None),
             store_heard_at: Cell::new(now),
+            store_era: Cell::default(),
             balance: RefCell::default(),
             suspensions: RefCell::default(),
             crashers: RefCell::default(),
--- a/crates/oliveworks-gateway/src/store.rs
+++ b/crates/oliveworks-gateway/src/store.rs
@@ -52,6 +52,8 @@
         match exchange::call(&mut open, store.address, call, within_ms).await {
             Ok(answer) => {
                 self.exchange = Some(open);
+                let era = self.gateway.dialect.store_era(&answer.headers);
+                self.gateway.hear_store_era(sent, &era, &call.target);
                 // One that the store may hold back tells of the wait for news, not of the store.
                 if extra_ms == 0 {
                     self.gateway.note_latency("store_call", self.gateway.now() - sent);
