--- a/crates/oliveworks-gateway-core/src/election.rs
+++ b/crates/oliveworks-gateway-core/src/election.rs
@@ -10,12 +10,17 @@
 //! whom it reaches over others. Rejected: counting only what the leader itself sent (with 53 gateways,
 //! of which each heartbeat goes to some, leaders that lived were replaced up to five times in 16 s).
 //!
+//! A store that comes back from an older copy may have lost the leader's record. The leader leads on: backend servers know its
+//! fence, and the fences of a later era are all higher. Rejected: that it claims anew (every host would be asked for its state
+//! and every group looked at again, although nothing of that is in the store).
+//!
 //! A leader that does not reach the store is replaced only by a gateway that does: while nobody
 //! reaches it, the leader goes on, since backend servers check its fence without the store.
 
 use serde::{Deserialize, Serialize};
 
 use crate::Millis;
+use crate::place::Place;
 
 /// Times of an election.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,14 +43,21 @@
 }
 
 /// A record of the leaders' topic.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
-    /// The fence that it gives.
-    pub fence: u64,
+    /// Where it stands, in the era in which it was written.
+    pub place: Place,
     /// Who wrote it: drawn anew in each life of a process.
     pub claimant: u64,
 }
 
+impl Claim {
+    /// The fence that it gives.
+    pub fn fence(&self) -> u64 {
+        self.place.fence()
+    }
+}
+
 /// A leader's heartbeat, as gateways pass it on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -65,7 +77,7 @@
     config: ElectionConfig,
     claimant: u64,
     newest: Option<Claim>,
-    read_to: Option<u64>,
+    read_to: Option<Place>,
     heartbeat: Option<Heartbeat>,
     /// When the leader was last heard, by whatever way.
     heard_at: Millis,
@@ -95,10 +107,18 @@
     }
 
     /// The topic was read up to `end`; `newest` is its last record, if this part held one.
-    pub fn read(&mut self, now: Millis, newest: Option<Claim>, end: u64) {
-        self.read_to = Some(self.read_to.map_or(end, |old| old.max(end)));
+    pub fn read(&mut self, now: Millis, newest: Option<Claim>, end: Place) {
+        self.read_to = Some(match self.read_to {
+            Some(old) if old.era == end.era => old.max(end),
+            _ => end,
+        });
         let Some(claim) = newest else { return };
-        if self.newest.as_ref().is_none_or(|old| claim.fence > old.fence) {
+        // One of its own that it reads in another era may have arrived there late, at a place that the store had given to
+        // another before: both would lead under one fence.
+        if claim.claimant == self.claimant && claim.place.era != end.era {
+            return;
+        }
+        if self.newest.as_ref().is_none_or(|old| claim.fence() > old.fence()) {
             self.heard_at = now;
             self.reached_at = now;
             self.claimed_at = None;
@@ -109,7 +129,7 @@
     /// A heartbeat has come, from the leader or passed on; tells whether it is news.
     pub fn heard(&mut self, now: Millis, heartbeat: Heartbeat) -> bool {
         let Heartbeat { fence, number, .. } = heartbeat;
-        let older_leader = self.newest.as_ref().is_some_and(|newest| fence < newest.fence);
+        let older_leader = self.newest.as_ref().is_some_and(|newest| fence < newest.fence());
         let known = self.heartbeat.is_some_and(|last| (fence, number) <= (last.fence, last.number));
         if older_leader || known {
             return false;
@@ -168,7 +188,8 @@
     /// The fence under which this gateway leads.
     pub fn leads(&self) -> Option<u64> {
         let newest = self.newest.as_ref()?;
-        (newest.claimant == self.claimant && newest.fence > self.deposed).then_some(newest.fence)
+        let fence = newest.fence();
+        (newest.claimant == self.claimant && fence > self.deposed).then_some(fence)
     }
 
     /// The newest leader's claim.
@@ -178,20 +199,22 @@
 
     /// The fence of the newest leader.
     pub fn fence(&self) -> Option<u64> {
-        self.newest.as_ref().map(|claim| claim.fence)
+        self.newest.as_ref().map(Claim::fence)
     }
 
     /// Whether to write a claim now, and the end of the topic that it depends on. `rank` is how many
     /// gateways come before this one.
-    pub fn claim(&mut self, now: Millis, rank: u64) -> Option<u64> {
+    pub fn claim(&mut self, now: Millis, rank: u64) -> Option<Place> {
         let end = self.read_to?;
         if self.leads().is_some() {
             return None;
         }
         // A claim that the store does not answer is a priced call that helps nobody.
         let answers_since = self.answers_since?;
-        // Records go after a while, so an empty end of a topic that was written to is no first start.
-        let silence_ms = if end == 0 { 0 } else { self.config.silence_ms };
+        // Records go after a while, so an empty end of a topic that was written to is no first start. One that the store has
+        // lost is none either.
+        let is_first = end.offset == 0 && self.newest.is_none() && self.heartbeat.is_none();
+        let silence_ms = if is_first { 0 } else { self.config.silence_ms };
         let silent = self.heard_at + silence_ms;
         let cut_off = self.reached_at.max(answers_since) + self.config.cut_off_ms;
         let due = silent.min(cut_off) + self.config.step_ms * rank;
--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`passing`] | what one gateway tells another of the store's records |
 //! | [`repeats`] | which records tell other gateways nothing new |
 //! | [`era`] | which copy of itself the store answers from |
+//! | [`place`] | what a place in a topic of the store means, and the fence of a claim there |
 //! | [`drains`] | which failure domains get no requests, by the operators' word |
 //! | [`residency`] | which regions may serve a request |
 //! | [`freshness`] | whether the configuration is young enough to honour keys |
@@ -63,6 +64,7 @@
 pub mod members;
 pub mod obstacles;
 pub mod passing;
+pub mod place;
 pub mod planner;
 pub mod quota;
 pub mod rate_limits;
--- a/crates/oliveworks-gateway-core/src/passing.rs
+++ b/crates/oliveworks-gateway-core/src/passing.rs
@@ -2,7 +2,8 @@
 //!
 //! A gateway that follows a topic keeps its last records, so that others can follow the topic through
 //! it: they ask from a place on, as they would ask the store, and places are the store's. Whoever is
-//! ahead of it, or so far behind that records are gone, is told so.
+//! ahead of it, or so far behind that records are gone, is told so; a place of an earlier era is far behind, and one of a
+//! later era ahead.
 //!
 //! Backend servers write their records anew every second or so, mostly as they were. Such a repeat tells
 //! nothing to a gateway that holds the record; only the leader goes by how young records are.
@@ -11,6 +12,9 @@
 
 use std::collections::VecDeque;
 
+use crate::era::Era;
+use crate::place::Place;
+
 /// Steps that are kept: at two or three a second, what a gateway misses that was away for ten seconds.
 const STEPS_MAX: usize = 32;
 /// Records that are kept beyond the newest step.
@@ -29,7 +33,7 @@
 
 #[derive(Clone, Debug)]
 struct Step<R> {
-    end: u64,
+    end: Place,
     records: Vec<Kept<R>>,
 }
 
@@ -37,15 +41,15 @@
 #[derive(Clone, Debug)]
 pub struct Passing<R> {
     /// From where on all records are kept.
-    start: u64,
+    start: Place,
     /// Where the next one will be; none before the topic was read.
-    next: Option<u64>,
+    next: Option<Place>,
     steps: VecDeque<Step<R>>,
 }
 
 impl<R> Default for Passing<R> {
     fn default() -> Passing<R> {
-        Passing { start: 0, next: None, steps: VecDeque::new() }
+        Passing { start: Place::new(Era::default(), 0), next: None, steps: VecDeque::new() }
     }
 }
 
@@ -53,10 +57,10 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Told<R> {
     /// The records from there on, perhaps none, and the next place.
-    Records(Vec<R>, u64),
+    Records(Vec<R>, Place),
     /// That is no longer kept, or nothing was held: the newest record of each key is to be told, as of
     /// this place.
-    Newest(u64),
+    Newest(Place),
     /// The asker is ahead: nothing that is told here proves anything to it.
     Behind,
     /// The topic was not read yet.
@@ -65,18 +69,21 @@
 
 impl<R: Clone> Passing<R> {
     /// Records that follow what was read before, and the place after them.
-    pub fn followed(&mut self, records: Vec<R>, next: u64) {
+    pub fn followed(&mut self, records: Vec<R>, next: Place) {
         let new = |record| Kept { record, is_repeat: false };
         self.followed_with_repeats(records.into_iter().map(new).collect(), next);
     }
 
     /// The same, of records that may be repeats.
-    pub fn followed_with_repeats(&mut self, records: Vec<Kept<R>>, next: u64) {
+    pub fn followed_with_repeats(&mut self, records: Vec<Kept<R>>, next: Place) {
+        if self.next.is_some_and(|known| known.era != next.era) {
+            self.steps.clear();
+            self.start = Place::new(next.era, 0);
+        }
+        self.next = Some(next);
         if records.is_empty() {
-            self.next = Some(next);
             return;
         }
-        self.next = Some(next);
         self.steps.push_back(Step { end: next, records });
         if let Some(old) = self.steps.iter_mut().rev().nth(REPEATS_STEPS) {
             old.records.retain(|kept| !kept.is_repeat);
@@ -92,34 +99,34 @@
     }
 
     /// The newest records of all keys were read, as of a place.
-    pub fn read_anew(&mut self, next: u64) {
+    pub fn read_anew(&mut self, next: Place) {
         self.steps.clear();
         self.start = next;
         self.next = Some(next);
     }
 
     /// The place after the last record.
-    pub fn next(&self) -> Option<u64> {
+    pub fn next(&self) -> Option<Place> {
         self.next
     }
 
     /// Whether more was read before than the newest records as of a place: they may lack what is known
     /// here, and so do not tell what has ended.
-    pub fn is_ahead_of(&self, place: u64) -> bool {
+    pub fn is_ahead_of(&self, place: Place) -> bool {
         self.next.is_some_and(|next| next > place)
     }
 
     /// What is told to whoever holds everything before a place: all but repeats.
-    pub fn since(&self, from: Option<u64>) -> Told<R> {
+    pub fn since(&self, from: Option<Place>) -> Told<R> {
         self.told_since(from, false)
     }
 
     /// The same, and also the repeats that are still kept.
-    pub fn since_with_repeats(&self, from: Option<u64>) -> Told<R> {
+    pub fn since_with_repeats(&self, from: Option<Place>) -> Told<R> {
         self.told_since(from, true)
     }
 
-    fn told_since(&self, from: Option<u64>, repeats: bool) -> Told<R> {
+    fn told_since(&self, from: Option<Place>, repeats: bool) -> Told<R> {
         let Some(next) = self.next else { return Told::Unread };
         match from {
             Some(from) if from > next => Told::Behind,
--- a/crates/oliveworks-gateway-core/src/sources.rs
+++ b/crates/oliveworks-gateway-core/src/sources.rs
@@ -12,6 +12,8 @@
 
 use std::net::SocketAddr;
 
+use crate::era::Era;
+
 /// Another gateway, as this one knows it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Known<'a> {
@@ -27,6 +29,8 @@
     pub informed: bool,
     /// Whether it did not answer lately.
     pub avoided: bool,
+    /// Which copy of itself the store answers it from, as far as it has heard.
+    pub era: Era,
 }
 
 /// This gateway.
@@ -38,6 +42,10 @@
     pub store_answers: bool,
     /// Whether it is time to see if the store answers again.
     pub retry_due: bool,
+    /// Which copy of itself the store answers from.
+    pub era: Era,
+    /// How many gateways in turn did not answer its last questions.
+    pub unanswered: u32,
 }
 
 /// Where to read.
@@ -49,18 +57,25 @@
     Gateway(SocketAddr),
 }
 
+/// Questions in turn without an answer after which a gateway whom the store answers asks that.
+const UNANSWERED_MAX: u32 = 2;
+
 /// Where this gateway reads next; `draw` is a random number.
 pub fn read_from(own: Own<'_>, others: &[Known<'_>], draw: u64) -> ReadFrom {
     if !own.store_answers && own.retry_due {
         return ReadFrom::Store;
     }
+    if own.store_answers && own.unanswered >= UNANSWERED_MAX {
+        return ReadFrom::Store;
+    }
     let near = || others.iter().filter(|other| other.near);
     let able = near().filter(|other| other.store_answers);
     let reader = able.min_by_key(|other| other.name);
     if own.store_answers && reader.is_none_or(|reader| own.name < reader.name) {
         return ReadFrom::Store;
     }
-    let answers = |other: &&Known<'_>| other.informed && !other.avoided;
+    // One that has not heard that the store came back from a copy has nothing to tell to one that has.
+    let answers = |other: &&Known<'_>| other.informed && !other.avoided && other.era >= own.era;
     let asked = reader
         .filter(answers)
         .or_else(|| drawn(near().filter(answers), draw))
--- a/crates/oliveworks-gateway-core/tests/decisions.rs
+++ b/crates/oliveworks-gateway-core/tests/decisions.rs
@@ -6,9 +6,11 @@
 use oliveworks_gateway_core::balance::{Balance, Candidate, Load, NoTarget, Target};
 use oliveworks_gateway_core::budget::{Budget, BudgetConfig};
 use oliveworks_gateway_core::election::{Claim, Election, ElectionConfig, Heartbeat};
+use oliveworks_gateway_core::era::Era;
 use oliveworks_gateway_core::events::{Pass, Progress, Splitter};
 use oliveworks_gateway_core::fan_out::Source;
 use oliveworks_gateway_core::freshness::Freshness;
+use oliveworks_gateway_core::place::Place;
 use oliveworks_gateway_core::suspensions::Suspensions;
 use proptest::prelude::*;
 use test_case::test_case;
@@ -329,6 +331,16 @@
     assert_eq!(balance.silent_at(target, 1_000, PASS_MS), expected);
 }
 
+/// A place in a topic of a store that names no era.
+fn place(offset: u64) -> Place {
+    Place::new(Era::default(), offset)
+}
+
+/// The claim that gives a fence there.
+fn claim(fence: u64, claimant: u64) -> Claim {
+    Claim { place: place(fence - 1), claimant }
+}
+
 fn election(claimant: u64) -> Election {
     Election::new(ElectionConfig::default(), claimant, 0)
 }
@@ -341,20 +353,20 @@
 fn the_first_start_needs_no_patience() {
     let mut first = election(1);
     assert_eq!(first.claim(0, 0), None, "nothing was read yet");
-    first.read(0, None, 0);
-    assert_eq!(first.claim(0, 0), Some(0));
+    first.read(0, None, place(0));
+    assert_eq!(first.claim(0, 0), Some(place(0)));
     assert_eq!(first.claim(1, 0), None, "one claim at a time");
 }
 
 #[test]
 fn a_silent_leader_is_replaced_by_rank() {
     let mut second = election(2);
-    second.read(0, Some(Claim { fence: 1, claimant: 1 }), 1);
+    second.read(0, Some(claim(1, 1)), place(1));
     assert!(second.heard(1_000, heartbeat(1, 0)));
     assert_eq!(second.claim(1_600, 0), None);
-    assert_eq!(second.claim(1_700, 0), Some(1));
+    assert_eq!(second.claim(1_700, 0), Some(place(1)));
     let mut third = election(3);
-    third.read(0, Some(Claim { fence: 1, claimant: 1 }), 1);
+    third.read(0, Some(claim(1, 1)), place(1));
     assert!(third.heard(1_000, heartbeat(1, 0)));
     assert_eq!(third.claim(1_700, 1), None, "the one before it goes first");
 }
@@ -362,16 +374,16 @@
 #[test]
 fn records_that_have_gone_are_no_first_start() {
     let mut late = election(4);
-    late.read(0, None, 9);
+    late.read(0, None, place(9));
     assert_eq!(late.claim(0, 0), None);
-    assert_eq!(late.claim(700, 0), Some(9));
+    assert_eq!(late.claim(700, 0), Some(place(9)));
 }
 
 /// A leader that was paused ends when it hears of, or is refused for, a higher fence.
 #[test]
 fn an_old_leader_steps_down() {
     let mut old = election(1);
-    old.read(0, Some(Claim { fence: 1, claimant: 1 }), 1);
+    old.read(0, Some(claim(1, 1)), place(1));
     assert_eq!(old.leads(), Some(1));
     let mut refused = old.clone();
     refused.fenced(1);
@@ -379,7 +391,7 @@
     let mut told = old.clone();
     assert!(told.heard(10, heartbeat(2, 0)));
     assert_eq!(told.leads(), None);
-    old.read(10, Some(Claim { fence: 2, claimant: 2 }), 2);
+    old.read(10, Some(claim(2, 2)), place(2));
     assert_eq!(old.leads(), None);
 }
 
@@ -387,8 +399,8 @@
 #[test]
 fn leadership_never_goes_back() {
     let mut election = election(1);
-    election.read(0, Some(Claim { fence: 5, claimant: 2 }), 5);
-    election.read(1, Some(Claim { fence: 3, claimant: 1 }), 5);
+    election.read(0, Some(claim(5, 2)), place(5));
+    election.read(1, Some(claim(3, 1)), place(5));
     assert_eq!((election.leads(), election.fence()), (None, Some(5)));
 }
 
@@ -396,12 +408,12 @@
 #[test]
 fn only_news_of_a_leader_counts_as_hearing_it() {
     let mut election = election(2);
-    election.read(0, Some(Claim { fence: 5, claimant: 1 }), 5);
+    election.read(0, Some(claim(5, 1)), place(5));
     assert!(election.heard(1_000, heartbeat(5, 8)));
     assert!(!election.heard(1_500, heartbeat(5, 8)), "the same once more");
     assert!(!election.heard(1_500, heartbeat(5, 7)), "an earlier one");
     assert!(!election.heard(1_500, heartbeat(4, 99)), "one of an earlier leader");
-    assert_eq!(election.claim(1_700, 0), Some(5));
+    assert_eq!(election.claim(1_700, 0), Some(place(5)));
 }
 
 /// A leader that lives without the store stays, unless the candidate itself reaches the store.
@@ -409,7 +421,7 @@
 #[test_case(false, None; "nobody reaches the store")]
 fn a_leader_without_the_store(answers: bool, expected: Option<u64>) {
     let mut election = election(2);
-    election.read(0, Some(Claim { fence: 5, claimant: 1 }), 5);
+    election.read(0, Some(claim(5, 1)), place(5));
     if !answers {
         election.store_failed();
     }
@@ -418,7 +430,7 @@
         let now = number * 100;
         election.heard(now, heartbeat);
         let claimed = election.claim(now, 0);
-        assert_eq!(claimed, expected.filter(|_| now == 2_500), "at {now} ms");
+        assert_eq!(claimed, expected.map(place).filter(|_| now == 2_500), "at {now} ms");
         if claimed.is_some() {
             return;
         }
@@ -429,7 +441,7 @@
 #[test]
 fn an_outage_that_ends_deposes_nobody() {
     let mut election = election(2);
-    election.read(0, Some(Claim { fence: 5, claimant: 1 }), 5);
+    election.read(0, Some(claim(5, 1)), place(5));
     election.store_failed();
     election.heard(9_900, Heartbeat { reaches_store: false, ..heartbeat(5, 0) });
     election.store_answered(10_000);
@@ -442,8 +454,8 @@
 #[test]
 fn a_pause_is_not_the_leaders_silence() {
     let mut election = election(2);
-    election.read(0, Some(Claim { fence: 5, claimant: 1 }), 5);
+    election.read(0, Some(claim(5, 1)), place(5));
     election.awake_since(4_000);
     assert_eq!(election.claim(4_100, 0), None);
-    assert_eq!(election.claim(4_700, 0), Some(5));
+    assert_eq!(election.claim(4_700, 0), Some(place(5)));
 }
--- a/crates/oliveworks-gateway-core/tests/drains.rs
+++ b/crates/oliveworks-gateway-core/tests/drains.rs
@@ -3,7 +3,14 @@
 use std::collections::BTreeSet;
 
 use oliveworks_gateway_core::drains::{Drains, Ended};
+use oliveworks_gateway_core::era::Era;
 use oliveworks_gateway_core::passing::Passing;
+use oliveworks_gateway_core::place::Place;
+
+/// A place in a topic of a store that names no era.
+fn place(offset: u64) -> Place {
+    Place::new(Era::default(), offset)
+}
 
 fn names(names: &[&str]) -> BTreeSet<String> {
     names.iter().map(|name| (*name).to_owned()).collect()
@@ -53,12 +60,12 @@
 #[test]
 fn newest_records_of_a_gateway_that_is_behind_are_told_apart() {
     let mut passing = Passing::default();
-    assert!(!passing.is_ahead_of(0), "nothing was read");
-    passing.followed(vec!["drain"], 8);
-    assert!(passing.is_ahead_of(7));
-    assert!(!passing.is_ahead_of(8));
-    passing.read_anew(9);
-    assert!(!passing.is_ahead_of(9));
+    assert!(!passing.is_ahead_of(place(0)), "nothing was read");
+    passing.followed(vec!["drain"], place(8));
+    assert!(passing.is_ahead_of(place(7)));
+    assert!(!passing.is_ahead_of(place(8)));
+    passing.read_anew(place(9));
+    assert!(!passing.is_ahead_of(place(9)));
 }
 
 /// A gateway that starts after a drain learns of its end from others, once, however often they tell and with
--- a/crates/oliveworks-gateway-core/tests/passing.rs
+++ b/crates/oliveworks-gateway-core/tests/passing.rs
@@ -4,8 +4,10 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use oliveworks_gateway_core::era::Era;
 use oliveworks_gateway_core::freshness::Freshness;
 use oliveworks_gateway_core::passing::{Kept, Passing, Told};
+use oliveworks_gateway_core::place::Place;
 use oliveworks_gateway_core::sources::{Known, Own, ReadFrom, read_from};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -62,6 +64,11 @@
     honoured: u64,
 }
 
+/// A place in a topic of a store that names no era.
+fn place(offset: u64) -> Place {
+    Place::new(Era::default(), offset)
+}
+
 fn address(gateway: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, gateway as u8], 7340))
 }
@@ -124,8 +131,8 @@
         let newest = records.iter().copied().max().unwrap_or(0);
         gateway.version = gateway.version.max(newest);
         match gateway.from {
-            None => gateway.passing.read_anew(next),
-            Some(_) => gateway.passing.followed(records, next),
+            None => gateway.passing.read_anew(place(next)),
+            Some(_) => gateway.passing.followed(records, place(next)),
         }
         gateway.from = Some(gateway.from.unwrap_or(0).max(next));
         match (answer.age_ms, self.variant) {
@@ -154,12 +161,15 @@
                     .age_ms(self.now)
                     .is_some_and(|age_ms| age_ms < 2_000),
                 avoided: self.rng.random_bool(0.1),
+                era: Era::default(),
             })
             .collect();
         let own = Own {
             name: &names[index],
             store_answers: self.gateways[index].store_answers,
             retry_due: self.now >= self.gateways[index].tried_at + 1_500,
+            era: Era::default(),
+            unanswered: 0,
         };
         match read_from(own, &others, self.rng.random()) {
             ReadFrom::Store => self.ask_store(index),
@@ -191,9 +201,9 @@
         let cut = self.cut.contains(&(index, other));
         let asked = &self.gateways[other];
         let age_ms = asked.freshness.age_ms(self.now);
-        let told = match asked.passing.since(self.gateways[index].from) {
-            Told::Records(records, next) => Some((records, next)),
-            Told::Newest(next) => Some((vec![asked.version], next)),
+        let told = match asked.passing.since(self.gateways[index].from.map(place)) {
+            Told::Records(records, next) => Some((records, next.offset)),
+            Told::Newest(next) => Some((vec![asked.version], next.offset)),
             Told::Behind | Told::Unread => None,
         };
         let told = told.filter(|_| !cut && age_ms.is_some());
@@ -253,18 +263,22 @@
 fn whoever_asks_gets_what_it_lacks() {
     let mut passing = Passing::default();
     assert_eq!(passing.since(None), Told::Unread);
-    passing.read_anew(10);
-    passing.followed(vec!['a', 'b'], 12);
-    passing.followed(vec![], 12);
-    passing.followed(vec!['c'], 13);
-    assert_eq!(passing.since(None), Told::Newest(13));
-    assert_eq!(passing.since(Some(9)), Told::Newest(13));
-    assert_eq!(passing.since(Some(10)), Told::Records(vec!['a', 'b', 'c'], 13));
-    assert_eq!(passing.since(Some(12)), Told::Records(vec!['c'], 13));
-    assert_eq!(passing.since(Some(13)), Told::Records(vec![], 13));
-    assert_eq!(passing.since(Some(14)), Told::Behind);
-    (0..100).for_each(|n| passing.followed(vec!['d'], 14 + n));
-    assert_eq!(passing.since(Some(13)), Told::Newest(113), "what is long ago is told anew");
+    passing.read_anew(place(10));
+    passing.followed(vec!['a', 'b'], place(12));
+    passing.followed(vec![], place(12));
+    passing.followed(vec!['c'], place(13));
+    assert_eq!(passing.since(None), Told::Newest(place(13)));
+    assert_eq!(passing.since(Some(place(9))), Told::Newest(place(13)));
+    assert_eq!(passing.since(Some(place(10))), Told::Records(vec!['a', 'b', 'c'], place(13)));
+    assert_eq!(passing.since(Some(place(12))), Told::Records(vec!['c'], place(13)));
+    assert_eq!(passing.since(Some(place(13))), Told::Records(vec![], place(13)));
+    assert_eq!(passing.since(Some(place(14))), Told::Behind);
+    (0..100).for_each(|n| passing.followed(vec!['d'], place(14 + n)));
+    assert_eq!(
+        passing.since(Some(place(13))),
+        Told::Newest(place(113)),
+        "what is long ago is told anew"
+    );
 }
 
 /// A reader before thousands of backend servers passes on what they say, not that they say it again.
@@ -272,21 +286,40 @@
 fn repeats_are_told_to_those_who_ask_for_them() {
     let kept = |record, is_repeat| Kept { record, is_repeat };
     let mut passing = Passing::default();
-    passing.read_anew(10);
-    passing.followed_with_repeats(vec![kept('a', true), kept('b', false)], 12);
-    passing.followed_with_repeats(vec![kept('a', true)], 13);
-    assert_eq!(passing.since(Some(10)), Told::Records(vec!['b'], 13));
-    assert_eq!(passing.since(Some(12)), Told::Records(vec![], 13));
-    assert_eq!(passing.since_with_repeats(Some(10)), Told::Records(vec!['a', 'b', 'a'], 13));
-    (0..5).for_each(|n| passing.followed_with_repeats(vec![kept('b', true)], 14 + n));
-    let late = passing.since_with_repeats(Some(10));
-    assert_eq!(late, Told::Records(vec!['b'; 5], 18), "old repeats are forgotten, news is not");
+    passing.read_anew(place(10));
+    passing.followed_with_repeats(vec![kept('a', true), kept('b', false)], place(12));
+    passing.followed_with_repeats(vec![kept('a', true)], place(13));
+    assert_eq!(passing.since(Some(place(10))), Told::Records(vec!['b'], place(13)));
+    assert_eq!(passing.since(Some(place(12))), Told::Records(vec![], place(13)));
+    assert_eq!(
+        passing.since_with_repeats(Some(place(10))),
+        Told::Records(vec!['a', 'b', 'a'], place(13))
+    );
+    (0..5).for_each(|n| passing.followed_with_repeats(vec![kept('b', true)], place(14 + n)));
+    let late = passing.since_with_repeats(Some(place(10)));
+    assert_eq!(
+        late,
+        Told::Records(vec!['b'; 5], place(18)),
+        "old repeats are forgotten, news is not"
+    );
 }
 
 fn known(name: &str, near: bool, store_answers: bool) -> Known<'_> {
     let number = name.bytes().last().unwrap_or_default();
     let address = address(number.into());
-    Known { name, address, near, store_answers, informed: true, avoided: false }
+    Known {
+        name,
+        address,
+        near,
+        store_answers,
+        informed: true,
+        avoided: false,
+        era: Era::default(),
+    }
+}
+
+fn own(name: &str, store_answers: bool) -> Own<'_> {
+    Own { name, store_answers, retry_due: false, era: Era::default(), unanswered: 0 }
 }
 
 #[test_case("a", true, ReadFrom::Store; "the first by name reads")]
@@ -299,9 +332,9 @@
         known("a0", true, false),
         known("a4", false, true),
     ];
-    let own = Own { name, store_answers, retry_due: false };
-    assert_eq!(read_from(own, &others, 0), expected);
-    let alone = read_from(Own { name, store_answers, retry_due: false }, &[], 0);
+    let this = own(name, store_answers);
+    assert_eq!(read_from(this, &others, 0), expected);
+    let alone = read_from(own(name, store_answers), &[], 0);
     assert_eq!(alone, ReadFrom::Store, "whoever knows nobody reads the store");
 }
 
@@ -309,10 +342,10 @@
 #[test]
 fn who_gets_no_answer_asks_another() {
     let silent = Known { avoided: true, ..known("b1", true, true) };
-    let own = Own { name: "c", store_answers: true, retry_due: false };
-    let asked = read_from(own, &[silent.clone(), known("d4", false, true)], 0);
+    let this = own("c", true);
+    let asked = read_from(this, &[silent.clone(), known("d4", false, true)], 0);
     assert_eq!(asked, ReadFrom::Gateway(address(b'4'.into())));
-    assert_eq!(read_from(own, &[silent], 0), ReadFrom::Store);
+    assert_eq!(read_from(this, &[silent], 0), ReadFrom::Store);
 }
 
 /// A store that is silent leaves its reader without an answer for seconds: the others ask whoever knows
@@ -320,15 +353,16 @@
 #[test]
 fn a_reader_whose_proof_is_old_is_not_asked() {
     let old = Known { informed: false, ..known("b1", true, true) };
-    let own = Own { name: "c", store_answers: true, retry_due: false };
-    let near = read_from(own, &[old.clone(), known("d2", true, true), known("x3", false, true)], 9);
+    let this = own("c", true);
+    let near =
+        read_from(this, &[old.clone(), known("d2", true, true), known("x3", false, true)], 9);
     assert_eq!(near, ReadFrom::Gateway(address(b'2'.into())));
-    let far = read_from(own, &[old.clone(), known("x3", false, true)], 9);
+    let far = read_from(this, &[old.clone(), known("x3", false, true)], 9);
     assert_eq!(far, ReadFrom::Gateway(address(b'3'.into())));
-    let alone = read_from(own, std::slice::from_ref(&old), 9);
+    let alone = read_from(this, std::slice::from_ref(&old), 9);
     assert_eq!(alone, ReadFrom::Store, "nobody knows more");
     let turned_away = Known { store_answers: false, ..old };
-    let next = read_from(own, &[turned_away, known("d2", true, true)], 9);
+    let next = read_from(this, &[turned_away, known("d2", true, true)], 9);
     assert_eq!(next, ReadFrom::Store, "it is the first that the store answers");
 }
 
@@ -337,7 +371,7 @@
 fn a_domain_that_the_store_turns_away_asks_another() {
     let turned_away = |name| Known { informed: false, ..known(name, true, false) };
     let others = [turned_away("a1"), turned_away("b2"), known("z3", false, true)];
-    let first = Own { name: "a0", store_answers: false, retry_due: false };
+    let first = own("a0", false);
     assert_eq!(read_from(first, &others, 5), ReadFrom::Gateway(address(b'3'.into())));
     let due = Own { retry_due: true, ..first };
     assert_eq!(read_from(due, &others, 5), ReadFrom::Store, "now and then it tries the store");
--- /dev/null
+++ b/crates/oliveworks-gateway-core/tests/place.rs
@@ -0,0 +1,87 @@
+//! Places in topics of a store that may come back from an older copy, and who leads by them.
+
+use oliveworks_gateway_core::election::{Claim, Election, ElectionConfig, Heartbeat};
+use oliveworks_gateway_core::era::Era;
+use oliveworks_gateway_core::place::Place;
+use test_case::test_case;
+
+/// Whole numbers of JSON are exact up to here.
+const EXACT_MAX: u64 = 1 << 53;
+/// Epochs of groups that one fence has room for.
+const EPOCHS_OF_FENCE: u64 = 1_000_000;
+
+fn place(era: u64, offset: u64) -> Place {
+    Place::new(Era(era), offset)
+}
+
+fn claim(place: Place, claimant: u64) -> Claim {
+    Claim { place, claimant }
+}
+
+fn election(claimant: u64) -> Election {
+    Election::new(ElectionConfig::default(), claimant, 0)
+}
+
+/// The offsets of claims that the store lost were given out again, and with them their fences.
+#[test_case(place(1, 60), place(2, 0); "of the next era, from the start")]
+#[test_case(place(1, 1_000_000), place(2, 5); "after many claims")]
+#[test_case(place(0, 9), place(1, 3); "the store begins to name eras")]
+fn a_later_place_has_a_higher_fence(earlier: Place, later: Place) {
+    assert!(earlier < later);
+    assert!(earlier.fence() < later.fence());
+}
+
+#[test]
+fn a_store_that_names_no_era_gives_small_fences() {
+    assert_eq!(place(0, 4).fence(), 5);
+}
+
+#[test_case(place(4_095, 1_000_000); "the highest era told apart")]
+#[test_case(place(u64::MAX, 1_000_000); "one beyond")]
+fn epochs_of_a_fence_are_exact_on_the_wire(place: Place) {
+    assert!(place.fence() < EXACT_MAX / EPOCHS_OF_FENCE);
+}
+
+/// It claimed for ever at the end that the topic had had.
+#[test]
+fn a_claim_is_made_where_the_shorter_topic_ends() {
+    let mut election = election(1);
+    election.read(0, Some(claim(place(1, 60), 2)), place(1, 61));
+    assert_eq!(election.claim(1_000, 0), Some(place(1, 61)));
+    election.refused(1_000);
+    election.read(1_100, Some(claim(place(1, 54), 3)), place(2, 55));
+    assert_eq!(election.claim(2_000, 0), Some(place(2, 55)));
+    election.read(2_010, Some(claim(place(2, 55), 1)), place(2, 56));
+    assert_eq!(election.leads(), Some(place(2, 55).fence()));
+}
+
+/// The store has lost its record, not the hosts its fence.
+#[test]
+fn a_leader_whose_claim_was_lost_leads_on_until_another_claims() {
+    let mut leader = election(1);
+    leader.read(0, Some(claim(place(1, 60), 1)), place(1, 61));
+    leader.read(100, None, place(2, 55));
+    assert_eq!(leader.leads(), Some(place(1, 60).fence()));
+    leader.read(5_000, Some(claim(place(2, 55), 2)), place(2, 56));
+    assert_eq!(leader.leads(), None);
+}
+
+/// The place had been given to another before, which may lead under the same fence.
+#[test]
+fn a_claim_that_arrives_in_a_later_era_does_not_lead() {
+    let mut late = election(1);
+    late.read(0, None, place(1, 5));
+    assert_eq!(late.claim(1_000, 0), Some(place(1, 5)));
+    late.read(3_000, Some(claim(place(1, 5), 1)), place(2, 6));
+    assert_eq!(late.leads(), None);
+}
+
+/// An empty end was taken for the first start, and the leader was replaced.
+#[test]
+fn an_empty_topic_is_no_first_start_where_a_leader_is_known() {
+    let mut election = election(1);
+    election.heard(10, Heartbeat { fence: 61, number: 1, table: 0, reaches_store: true });
+    election.read(20, None, place(2, 0));
+    assert_eq!(election.claim(30, 0), None);
+    assert_eq!(election.claim(1_000, 0), Some(place(2, 0)));
+}
--- a/crates/oliveworks-gateway/src/dialect.rs
+++ b/crates/oliveworks-gateway/src/dialect.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use oliveworks_gateway_core::backend_servers::{BackendServer, BackendServerId, Holding};
 use oliveworks_gateway_core::configuration::Configuration;
+use oliveworks_gateway_core::election::Claim;
 use oliveworks_gateway_core::era::Era;
+use oliveworks_gateway_core::place::Place;
 use oliveworks_gateway_core::planner::{Order, Outcome};
 use oliveworks_gateway_core::rate_limits::Rate;
 use serde::{Deserialize, Serialize};
@@ -63,12 +65,7 @@
         why: String,
     },
     /// Who leads from here on.
-    Leader {
-        /// Its fence.
-        fence: u64,
-        /// Who wrote it.
-        claimant: u64,
-    },
+    Leader(Claim),
     /// Something else, or something that cannot be understood.
     Unknown(String),
 }
@@ -93,17 +90,17 @@
     pub records: Vec<Record>,
     /// The key to continue after, if there are more.
     pub after: Option<String>,
-    /// Where the topic ended.
+    /// The offset at which the topic ended.
     pub end: u64,
 }
 
 /// What a read of a topic found.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Tail {
-    /// Records, perhaps none, and where to go on.
+    /// Records, perhaps none, and the offset to go on from.
     Records(Vec<Record>, u64),
-    /// The place is no longer kept; the first that is.
-    Expired(u64),
+    /// The offset is not kept; the first that is, if the store says so.
+    Expired(Option<u64>),
     /// The store turned the call away.
     Refused(u16),
 }
@@ -111,7 +108,7 @@
 /// How a claim to lead was answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Claimed {
-    /// It is written; this is its fence.
+    /// It is written at this offset.
     Written(u64),
     /// Another was written meanwhile.
     Lost,
@@ -238,7 +235,7 @@
     /// # Errors
     /// If they cannot be understood.
     fn page(&self, topic: Topic, status: u16, body: &[u8]) -> Result<Page, Malformed>;
-    /// Reads a topic on from a place; the store may wait for a record.
+    /// Reads a topic on from an offset; the store may wait for a record.
     fn tail(&self, topic: Topic, from: u64, wait_ms: u64) -> Call;
     /// Reads what it answers to a read from `from`.
     ///
@@ -246,7 +243,7 @@
     /// If it cannot be understood.
     fn tailed(&self, topic: Topic, from: u64, status: u16, body: &[u8]) -> Result<Tail, Malformed>;
     /// Claims to lead if the topic still ends at `end`.
-    fn claim(&self, end: u64, claimant: u64) -> Call;
+    fn claim(&self, end: Place, claimant: u64) -> Call;
     /// Reads what it answers.
     ///
     /// # Errors
--- a/crates/oliveworks-gateway/src/follow.rs
+++ b/crates/oliveworks-gateway/src/follow.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use oliveworks_gateway_core::Millis;
+use oliveworks_gateway_core::place::Place;
 use oliveworks_gateway_core::sources::ReadFrom;
 use tokio::time::{sleep, timeout};
 
@@ -28,10 +29,12 @@
     client: Client,
     asking: Option<Asking>,
     topic: Topic,
-    from: Option<u64>,
+    place: Option<Place>,
     pause_ms: u64,
     /// Where the last step was made, as lines tell it.
     read_from: Option<ReadFrom>,
+    /// How many gateways in turn did not answer.
+    unanswered: u32,
 }
 
 /// What one step of following brought.
@@ -53,13 +56,20 @@
 pub enum ToldBy {
     /// The store.
     Store,
-    /// Another gateway, whose proof that nothing is newer was so old, if it had one.
+    /// Another gateway.
     Gateway {
-        /// The age of its proof when it answered.
+        /// The age of its proof that nothing is newer when it answered; none without one.
         proof_age_ms: Option<u64>,
     },
 }
 
+impl Step {
+    /// A call to the store that brought nothing, not even a proof.
+    fn without_news(sent: Millis) -> Step {
+        Step { records: Vec::new(), snapshot: false, sent, held_ms: 0, told_by: ToldBy::Store }
+    }
+}
+
 impl Follower {
     /// Follows a topic that was not read yet.
     pub fn new(gateway: &Rc<Gateway>, topic: Topic) -> Follower {
@@ -67,22 +77,24 @@
             client: Client::new(gateway),
             asking: None,
             topic,
-            from: None,
+            place: None,
             pause_ms: RETRY_MS.0,
             read_from: None,
+            unanswered: 0,
         }
     }
 
     /// The place up to which everything was read.
-    pub fn from(&self) -> Option<u64> {
-        self.from
+    pub fn place(&self) -> Option<Place> {
+        self.place
     }
 
     /// Makes one step, through the store or another gateway; on failure, says so and pauses.
     /// `wait_ms` is how long the store may hold it back.
     pub async fn step(&mut self, wait_ms: u64) -> Option<Step> {
         let gateway = self.client.gateway().clone();
-        let read_from = sources::next(&gateway);
+        self.forget_former_place(&gateway);
+        let read_from = self.next_source(&gateway);
         self.tell_read_from(&gateway, read_from);
         let step = async {
             match read_from {
@@ -94,6 +106,23 @@
         gateway.unless_resumed(step).await.flatten()
     }
 
+    /// Forgets a place of another era: the store has given its offset out again.
+    fn forget_former_place(&mut self, gateway: &Gateway) {
+        let Some(place) = self.place.filter(|place| place.era != gateway.era()) else { return };
+        Event::new("place_is_void")
+            .debug("topic", self.topic)
+            .with("offset", place.offset)
+            .with("of_era", place.era.0)
+            .with("era", gateway.era().0)
+            .write();
+        self.place = None;
+    }
+
+    /// Where the next step is made.
+    fn next_source(&self, gateway: &Gateway) -> ReadFrom {
+        sources::next(gateway, self.unanswered)
+    }
+
     /// A line when the topic is read elsewhere than with the last step.
     fn tell_read_from(&mut self, gateway: &Gateway, read_from: ReadFrom) {
         if self.read_from.replace(read_from) == Some(read_from) {
@@ -107,8 +136,8 @@
             .debug("topic", self.topic)
             .with("address", address.to_string())
             .with("is_store", read_from == ReadFrom::Store)
-            .with("place", self.from)
-            .with("era", gateway.store_era.get().era().0)
+            .with("offset", self.place.map(|place| place.offset))
+            .with("era", gateway.era().0)
             .write();
     }
 
@@ -116,9 +145,9 @@
         gateway.store_tried_at.set(gateway.now());
         let tries = sources::tries_the_store(gateway);
         let step = async {
-            match self.from {
+            match self.place {
                 None => self.snapshot().await,
-                Some(from) => self.tail(from, if tries { 0 } else { wait_ms }).await,
+                Some(place) => self.tail(place, if tries { 0 } else { wait_ms }).await,
             }
         };
         let step = match tries {
@@ -131,6 +160,7 @@
         match step {
             Ok(step) => {
                 self.pause_ms = RETRY_MS.0;
+                self.unanswered = 0;
                 gateway.store_answered();
                 gateway.store_proved_at.set(step.sent);
                 Some(step)
@@ -149,7 +179,9 @@
         gateway.count("questions_asked");
         match self.ask(gateway, address).await {
             Ok(answer) => {
-                self.from = Some(answer.next);
+                self.unanswered = 0;
+                gateway.era_told_by_gateway(sent, answer.next.era, address);
+                self.place = Some(answer.next);
                 if let Some(ago) = answer.store_failed_ms_ago {
                     gateway.store_failed_elsewhere(sent.saturating_sub(ago));
                 }
@@ -163,6 +195,7 @@
             }
             Err(why) => {
                 self.asking = None;
+                self.unanswered += 1;
                 sources::avoid(gateway, address, self.topic, &why);
                 None
             }
@@ -178,9 +211,12 @@
         // The planner goes by how young records are, so a leader wants them all.
         let leads = gateway.election.borrow().leads().is_some();
         let repeats = leads || gateway.doubts_any_host();
-        let answer = asking.ask(self.topic, self.from, repeats).await?;
+        let answer = asking.ask(self.topic, self.place, repeats).await?;
         self.asking = Some(asking);
         let answer = answer.ok_or("it has nothing to tell")?;
+        if answer.next.era < gateway.era() {
+            return Err("it has not heard that the store came back from a copy".to_owned());
+        }
         let known = self.client.gateway().passing(self.topic).borrow();
         if answer.snapshot && known.is_ahead_of(answer.next) {
             // What it lacks may be newer than what it knows, and has not ended.
@@ -197,7 +233,7 @@
         let mut first_end = None;
         if self.topic == Topic::Leaders {
             // Its last records are enough, and there is no key to ask the newest ones for.
-            return self.tail(0, 0).await;
+            return self.tail(Place::new(gateway.era(), 0), 0).await;
         }
         loop {
             let call = gateway.dialect.newest(self.topic, after.as_deref());
@@ -206,21 +242,30 @@
                 gateway.dialect.page(self.topic, status, &body).map_err(|e| e.to_string())?;
             records.extend(page.records);
             // Pages are no snapshot: what changed since the first is read again.
-            first_end.get_or_insert(page.end);
+            let end = *first_end.get_or_insert(Place::new(gateway.era(), page.end));
+            if end.era != gateway.era() {
+                return Err("the store came back from a copy between two pages".to_owned());
+            }
             after = page.after;
             if after.is_none() {
                 break;
             }
         }
-        self.from = first_end;
+        self.place = first_end;
         Ok(Step { records, snapshot: true, sent, held_ms: 0, told_by: ToldBy::Store })
     }
 
-    async fn tail(&mut self, from: u64, wait_ms: u64) -> Result<Step, String> {
+    async fn tail(&mut self, place: Place, wait_ms: u64) -> Result<Step, String> {
         let gateway = self.client.gateway().clone();
         let sent = gateway.now();
+        let from = place.offset;
         let call = gateway.dialect.tail(self.topic, from, wait_ms);
         let (status, body) = self.client.call(&call, wait_ms).await?;
+        let era = gateway.era();
+        if era != place.era && from != 0 {
+            // What the answer holds does not follow what was read before.
+            return Ok(Step::without_news(sent));
+        }
         let tail = gateway
             .dialect
             .tailed(self.topic, from, status, &body)
@@ -228,7 +273,7 @@
         match tail {
             Tail::Records(records, next) => {
                 let held_ms = if records.is_empty() { wait_ms } else { 0 };
-                self.from = Some(next);
+                self.place = Some(Place::new(era, next));
                 Ok(Step { records, snapshot: false, sent, held_ms, told_by: ToldBy::Store })
             }
             Tail::Expired(first) => {
@@ -237,14 +282,12 @@
                     .with("from", from)
                     .with("first", first)
                     .write();
-                self.from = (self.topic == Topic::Leaders).then_some(first);
-                Ok(Step {
-                    records: Vec::new(),
-                    snapshot: false,
-                    sent,
-                    held_ms: 0,
-                    told_by: ToldBy::Store,
-                })
+                let first = first.filter(|first| self.topic == Topic::Leaders && *first > from);
+                if self.topic == Topic::Leaders && first.is_none() && from == 0 {
+                    return Err("it does not say which is the first record it keeps".to_owned());
+                }
+                self.place = first.map(|first| Place::new(era, first));
+                Ok(Step::without_news(sent))
             }
             Tail::Refused(status) => Err(format!("refused with {status}")),
         }
--- a/crates/oliveworks-gateway/src/heartbeat.rs
+++ b/crates/oliveworks-gateway/src/heartbeat.rs
@@ -8,6 +8,7 @@
 use oliveworks_gateway_core::crashers::Chain;
 use oliveworks_gateway_core::demand::{Looked, ModelKey};
 use oliveworks_gateway_core::election::Heartbeat;
+use oliveworks_gateway_core::era::Era;
 use oliveworks_gateway_core::fan_out::Source;
 use oliveworks_gateway_core::rate_limits::limits::Limit;
 use oliveworks_gateway_core::telling::{self, Count, Known, Telling};
@@ -45,6 +46,8 @@
     store_answers: bool,
     /// How old the sender's proof is that the store holds nothing newer; none without one.
     proof_age_ms: Option<u64>,
+    /// Which copy of itself the store answers from, as far as the sender has heard.
+    era: Era,
     /// Whose the next figures are.
     figures: Figures,
     /// Requests that are open.
@@ -126,6 +129,7 @@
         leader: leader.map(|(heartbeat, address)| LeaderSeen { heartbeat, address }),
         store_answers: gateway.reads_for_others(),
         proof_age_ms: gateway.freshness.get().age_ms(now),
+        era: gateway.era(),
         figures: Figures::OfGateway,
         telling,
         looked: gateway.demand.borrow().own(now).collect(),
@@ -272,6 +276,7 @@
         store_answers: beat.store_answers,
         // One that is older than this process is as good as none.
         proved_at: beat.proof_age_ms.and_then(|age_ms| now.checked_sub(age_ms)),
+        era: beat.era,
     };
     if peers.insert(beat.node.clone(), sender).is_none() {
         let (name, address) = (beat.node.as_str(), from.to_string());
@@ -288,6 +293,7 @@
             heard_at,
             store_answers: true,
             proved_at: None,
+            era: Era::default(),
         });
         if heard_at > peer.heard_at {
             peer.heard_at = heard_at;
--- a/crates/oliveworks-gateway/src/passing.rs
+++ b/crates/oliveworks-gateway/src/passing.rs
@@ -14,6 +14,7 @@
 use futures_util::{SinkExt, StreamExt};
 use log::{debug, warn};
 use oliveworks_gateway_core::passing::Told;
+use oliveworks_gateway_core::place::Place;
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
@@ -38,7 +39,7 @@
 struct Question {
     topic: Topic,
     /// The place up to which the asker holds everything; none if it holds nothing.
-    from: Option<u64>,
+    from: Option<Place>,
     /// Whether records are wanted that say what the asker holds already.
     repeats: bool,
 }
@@ -51,7 +52,7 @@
     /// Whether these are all newest records and not just what was added.
     pub snapshot: bool,
     /// The place after them.
-    pub next: u64,
+    pub next: Place,
     /// How long the question was held back.
     pub held_ms: u64,
     /// How old the proof was then that nothing is newer; none without one.
@@ -101,7 +102,7 @@
     pub async fn ask(
         &mut self,
         topic: Topic,
-        from: Option<u64>,
+        from: Option<Place>,
         repeats: bool,
     ) -> Result<Option<Answer>, String> {
         let question = Question { topic, from, repeats };
@@ -220,9 +221,7 @@
         }
         Topic::Leaders => {
             let claim = gateway.election.borrow().newest();
-            let record =
-                claim.map(|claim| Record::Leader { fence: claim.fence, claimant: claim.claimant });
-            record.into_iter().collect()
+            claim.map(Record::Leader).into_iter().collect()
         }
     }
 }
--- a/crates/oliveworks-gateway/src/readiness.rs
+++ b/crates/oliveworks-gateway/src/readiness.rs
@@ -51,7 +51,7 @@
         ("drained_failure_domains", drains.len() as u64),
         ("drained_open_requests", u64::from(open)),
         ("hosts", gateway.directory.borrow().len() as u64),
-        ("store_era", gateway.store_era.get().era().0),
+        ("store_era", gateway.era().0),
         ("configuration_version", version),
     ];
     let proof_age_ms = proof_age_ms.map(|age_ms| ("configuration_proof_age_ms", age_ms));
--- a/crates/oliveworks-gateway/src/records.rs
+++ b/crates/oliveworks-gateway/src/records.rs
@@ -9,9 +9,9 @@
 use oliveworks_gateway_core::backend_servers::BackendServer;
 use oliveworks_gateway_core::balance::Target;
 use oliveworks_gateway_core::configuration::{Configuration, Lookup};
-use oliveworks_gateway_core::election::Claim;
 use oliveworks_gateway_core::listing::{Listing, ListingConfig};
 use oliveworks_gateway_core::passing::Kept;
+use oliveworks_gateway_core::place::Place;
 use oliveworks_gateway_core::repeats::Repeats;
 use oliveworks_gateway_core::slow_start::cold::{Listed, Reading};
 use tokio::time::sleep;
@@ -29,7 +29,7 @@
 /// How long after the last new one the list counts as complete.
 const SERVERS_SETTLE_MS: u64 = 1_500;
 
-fn take_configuration(gateway: &Gateway, step: Step, next: Option<u64>) {
+fn take_configuration(gateway: &Gateway, step: Step, next: Option<Place>) {
     let mut drained_domains = BTreeSet::new();
     for record in step.records {
         match record {
@@ -41,8 +41,8 @@
                 Event::new("configuration")
                     .with("version", configuration.version)
                     .with("before", held)
-                    .with("next_place", next)
-                    .with("era", gateway.store_era.get().era().0)
+                    .with("next_offset", next.map(|next| next.offset))
+                    .with("era", gateway.era().0)
                     .debug("told_by", step.told_by)
                     .with("routes", configuration.routes.len())
                     .with("workspaces", configuration.workspaces.as_ref().map_or(0, Vec::len))
@@ -84,9 +84,9 @@
         // An answer with records proves only what was so when the call was sent, perhaps long ago:
         // the next call is answered at once and proves more.
         wait_ms = if step.records.is_empty() { longest_wait_ms } else { 0 };
-        keep(&gateway, Topic::Configuration, &step, follower.from());
-        take_configuration(&gateway, step, follower.from());
-        if follower.from().is_some() && gateway.lookup.borrow().is_some() {
+        keep(&gateway, Topic::Configuration, &step, follower.place());
+        take_configuration(&gateway, step, follower.place());
+        if follower.place().is_some() && gateway.lookup.borrow().is_some() {
             prove(&gateway, sent, held_ms, told_by);
         }
         gateway.news(Topic::Configuration).notify_waiters();
@@ -108,7 +108,7 @@
 }
 
 /// Keeps what a step brought for gateways that ask this one; `next` is the place after it.
-fn keep(gateway: &Gateway, topic: Topic, step: &Step, next: Option<u64>) {
+fn keep(gateway: &Gateway, topic: Topic, step: &Step, next: Option<Place>) {
     let mut passing = gateway.passing(topic).borrow_mut();
     match next {
         Some(next) if step.snapshot => passing.read_anew(next),
@@ -249,7 +249,7 @@
 }
 
 /// Keeps records of backend servers for gateways that ask this one, and wakes these if there is news for them.
-fn keep_servers(gateway: &Gateway, kept: Vec<Kept<Record>>, snapshot: bool, next: Option<u64>) {
+fn keep_servers(gateway: &Gateway, kept: Vec<Kept<Record>>, snapshot: bool, next: Option<Place>) {
     let news = snapshot || kept.iter().any(|kept| !kept.is_repeat);
     let mut passing = gateway.passing(Topic::BackendServers).borrow_mut();
     match next {
@@ -278,10 +278,10 @@
             let told_by = step.told_by;
             let snapshot = step.snapshot;
             let taken = take_servers(&gateway, &mut repeats, step);
-            keep_servers(&gateway, taken.kept, snapshot, follower.from());
+            keep_servers(&gateway, taken.kept, snapshot, follower.place());
             let pause_ms = listing.read(gateway.now(), taken.new);
             // Another gateway holds the next question back until it has news.
-            if follower.from().is_some() && told_by == ToldBy::Store {
+            if follower.place().is_some() && told_by == ToldBy::Store {
                 sleep(Duration::from_millis(pause_ms)).await;
             }
         }
@@ -294,20 +294,20 @@
     let mut follower = Follower::new(&gateway, Topic::Leaders);
     loop {
         let Some(step) = follower.step(LEADERS_WAIT_MS).await else { continue };
-        keep(&gateway, Topic::Leaders, &step, follower.from());
+        keep(&gateway, Topic::Leaders, &step, follower.place());
         let now = gateway.now();
         let mut newest = None;
         for record in step.records {
-            if let Record::Leader { fence, claimant } = record {
-                newest = Some(Claim { fence, claimant });
+            if let Record::Leader(claim) = record {
+                newest = Some(claim);
             }
         }
         if let Some(claim) = &newest {
             let own = claim.claimant == gateway.life;
-            Event::new("leader").with("fence", claim.fence).with("this_gateway", own).write();
+            Event::new("leader").with("fence", claim.fence()).with("this_gateway", own).write();
             gateway.news(Topic::Leaders).notify_waiters();
         }
-        if let Some(end) = follower.from() {
+        if let Some(end) = follower.place() {
             gateway.election.borrow_mut().read(now, newest, end);
         }
     }
--- a/crates/oliveworks-gateway/src/sources.rs
+++ b/crates/oliveworks-gateway/src/sources.rs
@@ -1,5 +1,6 @@
 //! Where this gateway reads the store's records: in the store, or through another gateway.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use oliveworks_gateway_core::Millis;
@@ -7,7 +8,7 @@
 
 use crate::dialect::Topic;
 use crate::events::Event;
-use crate::state::Gateway;
+use crate::state::{Gateway, Peer};
 
 /// Silence after which a gateway of this failure domain does not count as a reader, in ms: seven
 /// heartbeats.
@@ -23,13 +24,25 @@
 /// each such call is priced, and short beside the four seconds that a proof is good for.
 const STORE_AGAIN_MS: u64 = 1_500;
 
-/// Where the next step of a topic is made.
-pub fn next(gateway: &Gateway) -> ReadFrom {
-    let now = gateway.now();
+/// Where the next step of a topic is made, after so many questions in turn without an answer.
+pub fn next(gateway: &Gateway, unanswered: u32) -> ReadFrom {
+    let own = Own {
+        name: &gateway.settings.node,
+        store_answers: gateway.election.borrow().store_answers(),
+        retry_due: gateway.now() >= gateway.store_tried_at.get() + STORE_AGAIN_MS,
+        era: gateway.era(),
+        unanswered,
+    };
     let peers = gateway.peers.borrow();
+    read_from(own, &known(gateway, &peers), rand::random())
+}
+
+/// The gateways that were heard lately.
+fn known<'a>(gateway: &Gateway, peers: &'a BTreeMap<String, Peer>) -> Vec<Known<'a>> {
+    let now = gateway.now();
     let avoided = gateway.avoided.borrow();
     let domain = &gateway.settings.failure_domain;
-    let others = peers.iter().filter_map(|(name, peer)| {
+    let heard = peers.iter().filter_map(|(name, peer)| {
         let near = peer.failure_domain == *domain;
         let silent_ms = if near { NEAR_SILENT_MS } else { FAR_SILENT_MS };
         (now < peer.heard_at + silent_ms).then(|| Known {
@@ -39,14 +52,10 @@
             store_answers: peer.store_answers,
             informed: peer.proved_at.is_some_and(|at| is_young(gateway, now, at)),
             avoided: avoided.get(&peer.address).is_some_and(|at| now < at + AVOID_MS),
+            era: peer.era,
         })
     });
-    let own = Own {
-        name: &gateway.settings.node,
-        store_answers: gateway.election.borrow().store_answers(),
-        retry_due: now >= gateway.store_tried_at.get() + STORE_AGAIN_MS,
-    };
-    read_from(own, &others.collect::<Vec<_>>(), rand::random())
+    heard.collect()
 }
 
 impl Gateway {
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -16,7 +16,7 @@
 use oliveworks_gateway_core::demand::Demand;
 use oliveworks_gateway_core::drains::Drains;
 use oliveworks_gateway_core::election::{Election, ElectionConfig};
-use oliveworks_gateway_core::era::StoreEra;
+use oliveworks_gateway_core::era::{Era, StoreEra};
 use oliveworks_gateway_core::freshness::Freshness;
 use oliveworks_gateway_core::members::Members;
 use oliveworks_gateway_core::passing::Passing;
@@ -54,6 +54,8 @@
     pub store_answers: bool,
     /// Until when it knew then that the store held nothing newer than it; none if it did not tell.
     pub proved_at: Option<Millis>,
+    /// Which copy of itself the store answered from then, as far as it had heard.
+    pub era: Era,
 }
 
 /// How long after a stop begins new connections may still come: the platform asks once a second whether a
--- a/crates/oliveworks-gateway/src/store.rs
+++ b/crates/oliveworks-gateway/src/store.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 
 use oliveworks_gateway_core::election::Claim;
+use oliveworks_gateway_core::era::Told as EraTold;
+use oliveworks_gateway_core::place::Place;
 
 use crate::dialect::{Call, Claimed};
 use crate::events::Event;
@@ -53,7 +55,9 @@
             Ok(answer) => {
                 self.exchange = Some(open);
                 let era = self.gateway.dialect.store_era(&answer.headers);
-                self.gateway.hear_store_era(sent, &era, &call.target);
+                if self.gateway.hear_store_era(sent, &era, &call.target) == EraTold::Late {
+                    return Err("an answer of a former copy of the store".to_owned());
+                }
                 // One that the store may hold back tells of the wait for news, not of the store.
                 if extra_ms == 0 {
                     self.gateway.note_latency("store_call", self.gateway.now() - sent);
@@ -66,20 +70,24 @@
 }
 
 /// Claims to lead, if it is time.
-pub async fn claim_leadership(gateway: Rc<Gateway>, end: u64) {
+pub async fn claim_leadership(gateway: Rc<Gateway>, end: Place) {
     let mut client = Client::new(&gateway);
     let call = gateway.dialect.claim(end, gateway.life);
-    Event::new("claims_to_lead").with("end", end).write();
+    Event::new("claims_to_lead").with("end", end.offset).with("era", end.era.0).write();
     let answer = client.call(&call, 0).await;
     let claimed = answer.and_then(|(status, body)| {
         gateway.dialect.claimed(status, &body).map_err(|error| error.to_string())
     });
     let now = gateway.now();
     match claimed {
-        // The follower of the topic reads it back; nothing leads before that.
-        Ok(Claimed::Written(fence)) => {
-            let claim = Claim { fence, claimant: gateway.life };
-            gateway.election.borrow_mut().read(now, Some(claim), fence);
+        // Its record names the era in which the topic ended there: by another one nobody would know the same fence.
+        Ok(Claimed::Written(_)) if gateway.era() != end.era => {
+            gateway.election.borrow_mut().refused(now);
+        }
+        Ok(Claimed::Written(offset)) => {
+            let claim = Claim { place: Place::new(end.era, offset), claimant: gateway.life };
+            let next = Place::new(end.era, offset + 1);
+            gateway.election.borrow_mut().read(now, Some(claim), next);
         }
         Ok(Claimed::Lost) => gateway.election.borrow_mut().refused(now),
         Ok(Claimed::Refused(status)) => gateway.store_failed("claim", &status.to_string()),
