A store that lacks a version which others know proves nothing

Callers saw: 200 with a key that had been taken away, at a gateway that started after the store had come back from an older copy and before the operators had written again. Cause: what the store holds was taken for the newest there is. A copy holds older versions for a while; whoever starts in that time knows no better, and each read of it renewed the proof. Change: heartbeats tell the version that a gateway holds. A read proves that nothing is newer only if the store holds the newest version that any gateway knows; for at most 2.3 s, since a version that was never acknowledged is not written again. A gateway that starts waits up to 400 ms to hear one that holds a configuration, and takes its first state from the holder of the newest; one that lacks for 500 ms what another tells asks that one. Ruled out: that a gateway which starts waits until the store is known to be whole (nothing tells when that is, and each restart would cost seconds).

--- a/crates/oliveworks-gateway-core/src/era.rs
+++ b/crates/oliveworks-gateway-core/src/era.rs
@@ -9,6 +9,10 @@
 
 use crate::Millis;
 
+/// How long after its return those who write to the store may take to write again what its copy lacks, in ms. What is
+/// still missing then has gone.
+pub const REWRITE_MS: u64 = 2_300;
+
 /// An era of the store; later ones are higher.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`drains`] | which failure domains get no requests, by the operators' word |
 //! | [`residency`] | which regions may serve a request |
 //! | [`freshness`] | whether the configuration is young enough to honour keys |
+//! | [`versions`] | whether the store, or this gateway, lacks a version that others know |
 //! | [`backend_servers`] | what the platform's records say of backend servers |
 //! | [`listing`] | how soon the list of backend servers is read again |
 //! | [`planner`] | which hosts form each replica group, and every order |
@@ -78,6 +79,7 @@
 pub mod table;
 pub mod telling;
 pub mod timeliness;
+pub mod versions;
 
 /// A point on the process's steady clock, in milliseconds.
 pub type Millis = u64;
--- a/crates/oliveworks-gateway-core/src/sources.rs
+++ b/crates/oliveworks-gateway-core/src/sources.rs
@@ -31,6 +31,8 @@
     pub avoided: bool,
     /// Which copy of itself the store answers it from, as far as it has heard.
     pub era: Era,
+    /// The newest version of the configuration that it holds.
+    pub version: Option<u64>,
 }
 
 /// This gateway.
@@ -83,6 +85,15 @@
     asked.map_or(ReadFrom::Store, |other| ReadFrom::Gateway(other.address))
 }
 
+/// Whom a gateway asks that knows nothing yet: one that holds a newest version. The store may have come back from a copy that
+/// lacks what others know to be in force.
+pub fn first_asked(others: &[Known<'_>], draw: u64) -> Option<SocketAddr> {
+    let able = || others.iter().filter(|other| !other.avoided && other.version.is_some());
+    let newest = able().map(|other| (other.version, other.era)).max()?;
+    let holds_newest = able().filter(|other| (other.version, other.era) == newest);
+    drawn(holds_newest, draw).map(|other| other.address)
+}
+
 fn drawn<'a, 'b: 'a>(all: impl Iterator<Item = &'a Known<'b>>, draw: u64) -> Option<&'a Known<'b>> {
     let all: Vec<&Known<'_>> = all.collect();
     let count = all.len() as u64;
--- a/crates/oliveworks-gateway-core/tests/passing.rs
+++ b/crates/oliveworks-gateway-core/tests/passing.rs
@@ -8,7 +8,7 @@
 use oliveworks_gateway_core::freshness::Freshness;
 use oliveworks_gateway_core::passing::{Kept, Passing, Told};
 use oliveworks_gateway_core::place::Place;
-use oliveworks_gateway_core::sources::{Known, Own, ReadFrom, read_from};
+use oliveworks_gateway_core::sources::{Known, Own, ReadFrom, first_asked, read_from};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use test_case::test_case;
@@ -162,6 +162,7 @@
                     .is_some_and(|age_ms| age_ms < 2_000),
                 avoided: self.rng.random_bool(0.1),
                 era: Era::default(),
+                version: None,
             })
             .collect();
         let own = Own {
@@ -315,6 +316,7 @@
         informed: true,
         avoided: false,
         era: Era::default(),
+        version: None,
     }
 }
 
@@ -378,3 +380,36 @@
     let last = Own { name: "c9", ..first };
     assert_eq!(read_from(last, &others, 5), ReadFrom::Gateway(address(b'3'.into())));
 }
+
+/// It has not heard that the store came back from a copy, and had nothing to tell to one that has: whoever asked it waited in vain,
+/// and then asked the next one.
+#[test]
+fn a_gateway_that_knows_an_earlier_era_is_not_asked() {
+    let this = Own { era: Era(2), ..own("c", true) };
+    let behind = Known { era: Era(1), ..known("b1", true, true) };
+    let heard = Known { era: Era(2), ..known("d4", false, true) };
+    let asked = read_from(this, &[behind.clone(), heard], 0);
+    assert_eq!(asked, ReadFrom::Gateway(address(b'4'.into())));
+    assert_eq!(read_from(this, &[behind], 0), ReadFrom::Store);
+}
+
+/// Each question in vain takes half a second, and there is always another gateway to ask.
+#[test]
+fn after_questions_in_vain_the_store_is_read() {
+    let others = [known("b1", true, true), known("b2", true, true), known("b3", true, true)];
+    let in_vain = Own { unanswered: 2, ..own("c", true) };
+    assert_eq!(read_from(in_vain, &others, 0), ReadFrom::Store);
+    let turned_away = Own { store_answers: false, ..in_vain };
+    assert_ne!(read_from(turned_away, &others, 0), ReadFrom::Store);
+}
+
+/// It read the store, which had come back from a copy that lacked the newest version.
+#[test]
+fn a_gateway_that_starts_asks_one_that_holds_the_newest_version() {
+    let holds = |name, version, era| Known { version, era: Era(era), ..known(name, true, true) };
+    let others = [holds("b1", None, 2), holds("b2", Some(4), 2), holds("b3", Some(7), 1)];
+    assert_eq!(first_asked(&others, 0), Some(address(b'3'.into())));
+    assert_eq!(first_asked(&others[..1], 0), None);
+    let avoided = Known { avoided: true, ..others[2].clone() };
+    assert_eq!(first_asked(&[avoided, others[1].clone()], 0), Some(address(b'2'.into())));
+}
--- /dev/null
+++ b/crates/oliveworks-gateway-core/tests/versions.rs
@@ -0,0 +1,45 @@
+//! What a version that others know means for a read of the store, and for a gateway that lacks it.
+
+use oliveworks_gateway_core::era::REWRITE_MS;
+use oliveworks_gateway_core::versions::Lag;
+use test_case::test_case;
+
+#[test_case(Some(4), Some(4), true; "the newest that is known")]
+#[test_case(Some(7), Some(4), true; "a newer one")]
+#[test_case(None, None, true; "nobody knows any")]
+#[test_case(Some(4), Some(7), false; "an older one")]
+#[test_case(None, Some(7), false; "none at all")]
+fn a_store_proves_nothing_newer(stored: Option<u64>, known: Option<u64>, expected: bool) {
+    assert_eq!(Lag::default().proves(1_000, stored, known), expected);
+}
+
+/// A version that was never acknowledged is not written again, and keys would be refused for ever.
+#[test]
+fn a_version_that_is_not_written_again_is_waited_for_no_longer_than_that_takes() {
+    let mut lag = Lag::default();
+    assert!(!lag.proves(1_000, Some(4), Some(7)));
+    assert!(!lag.proves(1_000 + REWRITE_MS - 1, Some(4), Some(7)));
+    assert!(lag.proves(1_000 + REWRITE_MS, Some(4), Some(7)));
+}
+
+#[test]
+fn each_time_that_the_store_is_behind_counts_from_its_own_beginning() {
+    let mut lag = Lag::default();
+    assert!(!lag.proves(1_000, Some(4), Some(7)));
+    assert!(lag.proves(1_500, Some(7), Some(7)));
+    assert!(!lag.proves(9_000, Some(4), Some(7)), "a second copy");
+}
+
+#[test]
+fn a_gateway_asks_for_a_version_that_does_not_reach_it() {
+    let mut lag = Lag::default();
+    assert!(!lag.asks(1_000, Some(4), Some(7)), "it may be on its way");
+    assert!(lag.asks(1_600, Some(4), Some(7)));
+    assert!(!lag.asks(1_700, Some(7), Some(7)));
+    assert!(!lag.asks(1_800, Some(7), None));
+}
+
+#[test]
+fn a_gateway_that_holds_none_asks_at_once() {
+    assert!(Lag::default().asks(1_000, None, Some(7)));
+}
--- a/crates/oliveworks-gateway/src/eras.rs
+++ b/crates/oliveworks-gateway/src/eras.rs
@@ -55,11 +55,13 @@
 
     /// The store answers from another copy: what it holds is not known yet.
     fn begin_era(&self, era: Era, before: Option<Era>, told_by: &str) {
+        self.stored_version.set(None);
         self.count("store_eras");
         Event::new("store_era")
             .with("era", era.0)
             .with("before", before.map(|era| era.0))
             .with("told_by", told_by)
+            .with("version_held", self.version_held())
             .with("hosts_known", self.directory.borrow().len())
             .with("drains_in_force", self.drains.borrow().failure_domains().len())
             .write();
--- a/crates/oliveworks-gateway/src/follow.rs
+++ b/crates/oliveworks-gateway/src/follow.rs
@@ -33,6 +33,8 @@
     pause_ms: u64,
     /// Where the last step was made, as lines tell it.
     read_from: Option<ReadFrom>,
+    /// Whether anything was read in this life.
+    has_read: bool,
     /// How many gateways in turn did not answer.
     unanswered: u32,
 }
@@ -60,6 +62,8 @@
     Gateway {
         /// The age of its proof that nothing is newer when it answered; none without one.
         proof_age_ms: Option<u64>,
+        /// The newest version of the configuration that it knows the store to hold.
+        stored_version: Option<u64>,
     },
 }
 
@@ -80,6 +84,7 @@
             place: None,
             pause_ms: RETRY_MS.0,
             read_from: None,
+            has_read: false,
             unanswered: 0,
         }
     }
@@ -103,7 +108,9 @@
             }
         };
         // What was asked before a pause may have been answered for as long, or never.
-        gateway.unless_resumed(step).await.flatten()
+        let step = gateway.unless_resumed(step).await.flatten();
+        self.has_read |= self.place.is_some();
+        step
     }
 
     /// Forgets a place of another era: the store has given its offset out again.
@@ -120,7 +127,11 @@
 
     /// Where the next step is made.
     fn next_source(&self, gateway: &Gateway) -> ReadFrom {
-        sources::next(gateway, self.unanswered)
+        let first = match self.has_read {
+            true => None,
+            false => sources::first(gateway, self.unanswered),
+        };
+        first.map_or_else(|| sources::next(gateway, self.unanswered), ReadFrom::Gateway)
     }
 
     /// A line when the topic is read elsewhere than with the last step.
@@ -185,12 +196,13 @@
                 if let Some(ago) = answer.store_failed_ms_ago {
                     gateway.store_failed_elsewhere(sent.saturating_sub(ago));
                 }
+                let Answer { proof_age_ms, stored_version, .. } = answer;
                 Some(Step {
                     records: answer.records,
                     snapshot: answer.snapshot,
                     sent,
                     held_ms: answer.held_ms,
-                    told_by: ToldBy::Gateway { proof_age_ms: answer.proof_age_ms },
+                    told_by: ToldBy::Gateway { proof_age_ms, stored_version },
                 })
             }
             Err(why) => {
@@ -225,6 +237,16 @@
         Ok(answer)
     }
 
+    /// Asks a gateway for all newest records, beside the steps.
+    ///
+    /// # Errors
+    /// If it does not tell them, in words.
+    pub async fn newest_of(&mut self, address: SocketAddr) -> Result<Vec<Record>, String> {
+        let mut asking = Asking::open(address).await?;
+        let answer = asking.ask(self.topic, None, false).await?;
+        Ok(answer.ok_or("it has nothing to tell")?.records)
+    }
+
     async fn snapshot(&mut self) -> Result<Step, String> {
         let gateway = self.client.gateway().clone();
         let sent = gateway.now();
--- a/crates/oliveworks-gateway/src/heartbeat.rs
+++ b/crates/oliveworks-gateway/src/heartbeat.rs
@@ -48,6 +48,8 @@
     proof_age_ms: Option<u64>,
     /// Which copy of itself the store answers from, as far as the sender has heard.
     era: Era,
+    /// The newest version of the configuration that the sender holds.
+    version: Option<u64>,
     /// Whose the next figures are.
     figures: Figures,
     /// Requests that are open.
@@ -130,6 +132,7 @@
         store_answers: gateway.reads_for_others(),
         proof_age_ms: gateway.freshness.get().age_ms(now),
         era: gateway.era(),
+        version: gateway.version_held(),
         figures: Figures::OfGateway,
         telling,
         looked: gateway.demand.borrow().own(now).collect(),
@@ -277,6 +280,7 @@
         // One that is older than this process is as good as none.
         proved_at: beat.proof_age_ms.and_then(|age_ms| now.checked_sub(age_ms)),
         era: beat.era,
+        version: beat.version,
     };
     if peers.insert(beat.node.clone(), sender).is_none() {
         let (name, address) = (beat.node.as_str(), from.to_string());
@@ -294,6 +298,7 @@
             store_answers: true,
             proved_at: None,
             era: Era::default(),
+            version: None,
         });
         if heard_at > peer.heard_at {
             peer.heard_at = heard_at;
--- a/crates/oliveworks-gateway/src/lib.rs
+++ b/crates/oliveworks-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 //! | `follow`, `sources` | follow a topic of the store, through it or another gateway |
 //! | `records`, `missing` | take in what the topics tell |
 //! | `drains` | drains of failure domains |
+//! | `versions` | versions of the configuration that other gateways hold |
 //! | `passing` | passes the store's records on to other gateways |
 //! | `table`, `places` | groups that serve, and where requests can be sent |
 //! | `obstacles` | what keeps a request from a place |
@@ -65,3 +66,4 @@
 mod suspicions;
 mod table;
 mod timers;
+mod versions;
--- a/crates/oliveworks-gateway/src/passing.rs
+++ b/crates/oliveworks-gateway/src/passing.rs
@@ -57,6 +57,8 @@
     pub held_ms: u64,
     /// How old the proof was then that nothing is newer; none without one.
     pub proof_age_ms: Option<u64>,
+    /// The newest version of the configuration that the store is known to hold.
+    pub stored_version: Option<u64>,
     /// How long ago a call to the store last failed at a gateway that reads it.
     pub store_failed_ms_ago: Option<u64>,
 }
@@ -198,7 +200,15 @@
         Topic::Leaders => None,
     };
     let store_failed_ms_ago = gateway.store_failed_at.get().map(|at| now - at);
-    Some(Answer { records, snapshot, next, held_ms: 0, proof_age_ms, store_failed_ms_ago })
+    Some(Answer {
+        records,
+        snapshot,
+        next,
+        held_ms: 0,
+        proof_age_ms,
+        stored_version: gateway.stored_version.get(),
+        store_failed_ms_ago,
+    })
 }
 
 /// The newest record of each key, as this gateway holds them.
--- a/crates/oliveworks-gateway/src/process.rs
+++ b/crates/oliveworks-gateway/src/process.rs
@@ -63,9 +63,7 @@
         .with("life", gateway.life)
         .with("version", env!("CARGO_PKG_VERSION"))
         .write();
-    ntex::rt::spawn(records::follow_configuration(gateway.clone()));
-    ntex::rt::spawn(records::follow_servers(gateway.clone()));
-    ntex::rt::spawn(records::follow_leaders(gateway.clone()));
+    ntex::rt::spawn(records::follow(gateway.clone()));
     ntex::rt::spawn(passing::accept(gateway.clone(), questions));
     ntex::rt::spawn(peers::receive(gateway.clone(), socket.clone()));
     ntex::rt::spawn(peers::send(gateway.clone(), socket));
--- a/crates/oliveworks-gateway/src/records.rs
+++ b/crates/oliveworks-gateway/src/records.rs
@@ -17,10 +17,10 @@
 use tokio::time::sleep;
 
 use crate::dialect::{Record, Topic};
-use crate::drains;
 use crate::events::Event;
 use crate::follow::{Follower, Step, ToldBy};
 use crate::state::Gateway;
+use crate::{drains, versions};
 
 /// How long the store holds a read of the leaders' topic back.
 const LEADERS_WAIT_MS: u64 = 15_000;
@@ -73,18 +73,28 @@
     gateway.waits.borrow_mut().retain(|route| routes.contains(route));
 }
 
+/// Follows all topics, once other gateways had time to be heard.
+pub async fn follow(gateway: Rc<Gateway>) {
+    versions::others_heard(&gateway).await;
+    ntex::rt::spawn(follow_configuration(gateway.clone()));
+    ntex::rt::spawn(follow_servers(gateway.clone()));
+    ntex::rt::spawn(follow_leaders(gateway.clone()));
+}
+
 /// Follows the configuration.
-pub async fn follow_configuration(gateway: Rc<Gateway>) {
+async fn follow_configuration(gateway: Rc<Gateway>) {
     let mut follower = Follower::new(&gateway, Topic::Configuration);
     let longest_wait_ms = gateway.settings.configuration_wait_ms();
     let mut wait_ms = longest_wait_ms;
     loop {
+        take_from_others(&gateway, &mut follower).await;
         let Some(step) = follower.step(wait_ms).await else { continue };
         let (sent, held_ms, told_by) = (step.sent, step.held_ms, step.told_by);
         // An answer with records proves only what was so when the call was sent, perhaps long ago:
         // the next call is answered at once and proves more.
         wait_ms = if step.records.is_empty() { longest_wait_ms } else { 0 };
         keep(&gateway, Topic::Configuration, &step, follower.place());
+        gateway.note_stored(&step);
         take_configuration(&gateway, step, follower.place());
         if follower.place().is_some() && gateway.lookup.borrow().is_some() {
             prove(&gateway, sent, held_ms, told_by);
@@ -93,13 +103,27 @@
     }
 }
 
+/// Takes in a newer version that another gateway holds, if the store has not told it in time.
+async fn take_from_others(gateway: &Gateway, follower: &mut Follower) {
+    let records = versions::catch_up(gateway, follower).await;
+    if records.is_empty() {
+        return;
+    }
+    let told_by = ToldBy::Gateway { proof_age_ms: None, stored_version: None };
+    let step = Step { records, snapshot: false, sent: gateway.now(), held_ms: 0, told_by };
+    take_configuration(gateway, step, follower.place());
+}
+
 /// Notes how young the configuration is known to be.
 fn prove(gateway: &Gateway, sent: Millis, held_ms: u64, told_by: ToldBy) {
+    if !gateway.step_proves(gateway.now()) {
+        return;
+    }
     let mut freshness = gateway.freshness.get();
     match told_by {
         ToldBy::Store => freshness.proved(sent, held_ms),
-        ToldBy::Gateway { proof_age_ms: None } => return,
-        ToldBy::Gateway { proof_age_ms: Some(age_ms) } => {
+        ToldBy::Gateway { proof_age_ms: None, .. } => return,
+        ToldBy::Gateway { proof_age_ms: Some(age_ms), .. } => {
             freshness.passed_on(sent, held_ms, age_ms);
             gateway.store_heard_elsewhere((sent + held_ms).saturating_sub(age_ms));
         }
@@ -123,7 +147,7 @@
     let lag_ms = gateway.settings.record_lag_ms();
     match told_by {
         ToldBy::Store => false,
-        ToldBy::Gateway { proof_age_ms } => proof_age_ms.is_none_or(|age_ms| age_ms > lag_ms),
+        ToldBy::Gateway { proof_age_ms, .. } => proof_age_ms.is_none_or(|age_ms| age_ms > lag_ms),
     }
 }
 
@@ -265,7 +289,7 @@
 }
 
 /// Follows the list of backend servers.
-pub async fn follow_servers(gateway: Rc<Gateway>) {
+async fn follow_servers(gateway: Rc<Gateway>) {
     let mut follower = Follower::new(&gateway, Topic::BackendServers);
     let mut repeats = Repeats::default();
     let mut listing = Listing::new(ListingConfig {
@@ -290,7 +314,7 @@
 }
 
 /// Follows who leads.
-pub async fn follow_leaders(gateway: Rc<Gateway>) {
+async fn follow_leaders(gateway: Rc<Gateway>) {
     let mut follower = Follower::new(&gateway, Topic::Leaders);
     loop {
         let Some(step) = follower.step(LEADERS_WAIT_MS).await else { continue };
--- a/crates/oliveworks-gateway/src/sources.rs
+++ b/crates/oliveworks-gateway/src/sources.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use oliveworks_gateway_core::Millis;
-use oliveworks_gateway_core::sources::{Known, Own, ReadFrom, read_from};
+use oliveworks_gateway_core::sources::{Known, Own, ReadFrom, first_asked, read_from};
 
 use crate::dialect::Topic;
 use crate::events::Event;
@@ -24,6 +24,9 @@
 /// each such call is priced, and short beside the four seconds that a proof is good for.
 const STORE_AGAIN_MS: u64 = 1_500;
 
+/// Questions of a gateway that has read nothing yet, one after the other, before it reads the store.
+const FIRST_QUESTIONS: u32 = 2;
+
 /// Where the next step of a topic is made, after so many questions in turn without an answer.
 pub fn next(gateway: &Gateway, unanswered: u32) -> ReadFrom {
     let own = Own {
@@ -37,6 +40,15 @@
     read_from(own, &known(gateway, &peers), rand::random())
 }
 
+/// Whom a gateway asks that has read nothing yet, after so many questions in turn without an answer.
+pub fn first(gateway: &Gateway, unanswered: u32) -> Option<SocketAddr> {
+    if unanswered >= FIRST_QUESTIONS {
+        return None;
+    }
+    let peers = gateway.peers.borrow();
+    first_asked(&known(gateway, &peers), rand::random())
+}
+
 /// The gateways that were heard lately.
 fn known<'a>(gateway: &Gateway, peers: &'a BTreeMap<String, Peer>) -> Vec<Known<'a>> {
     let now = gateway.now();
@@ -53,6 +65,7 @@
             informed: peer.proved_at.is_some_and(|at| is_young(gateway, now, at)),
             avoided: avoided.get(&peer.address).is_some_and(|at| now < at + AVOID_MS),
             era: peer.era,
+            version: peer.version,
         })
     });
     heard.collect()
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -28,6 +28,7 @@
 use oliveworks_gateway_core::suspensions::Suspensions;
 use oliveworks_gateway_core::table::{Assembly, Change, Changes, Table};
 use oliveworks_gateway_core::telling::Pace;
+use oliveworks_gateway_core::versions::Lag;
 use oliveworks_runtime::clock::Clock;
 use oliveworks_runtime::latencies::Latencies;
 use tokio::sync::{Notify, watch};
@@ -56,6 +57,8 @@
     pub proved_at: Option<Millis>,
     /// Which copy of itself the store answered from then, as far as it had heard.
     pub era: Era,
+    /// The newest version of the configuration that it held then; none if it had none, or was not heard itself.
+    pub version: Option<u64>,
 }
 
 /// How long after a stop begins new connections may still come: the platform asks once a second whether a
@@ -103,6 +106,12 @@
     pub store_heard_at: Cell<Millis>,
     /// Which copy of itself the store answers from.
     pub store_era: Cell<StoreEra>,
+    /// The newest version of the configuration that the store is known to hold since it answers from that copy.
+    pub stored_version: Cell<Option<u64>>,
+    /// How long the store has been behind the newest version that any gateway knows.
+    pub store_lag: Cell<Lag>,
+    /// How long this gateway has been behind it.
+    pub own_lag: Cell<Lag>,
     /// How busy backend servers are.
     pub balance: RefCell<Balance>,
     /// Places that stand still or could not be reached.
@@ -221,6 +230,9 @@
             store_failed_at: Cell::new(None),
             store_heard_at: Cell::new(now),
             store_era: Cell::default(),
+            stored_version: Cell::new(None),
+            store_lag: Cell::default(),
+            own_lag: Cell::default(),
             balance: RefCell::default(),
             suspensions: RefCell::default(),
             crashers: RefCell::default(),
--- /dev/null
+++ b/crates/oliveworks-gateway/src/versions.rs
@@ -0,0 +1,111 @@
+//! Versions of the configuration that other gateways hold: what they prove of the store, and who is asked for a newer one.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use oliveworks_gateway_core::Millis;
+use rand::seq::IteratorRandom;
+use tokio::time::sleep;
+
+use crate::dialect::{Record, Topic};
+use crate::events::Event;
+use crate::follow::{Follower, Step, ToldBy};
+use crate::peers::PEER_MS;
+use crate::sources;
+use crate::state::Gateway;
+
+/// How long a gateway that starts waits to hear of one that holds a configuration, in ms: a few heartbeats. The store may
+/// have come back from a copy that lacks what the others know.
+const HEAR_OTHERS_MS: u64 = 400;
+/// The time between two looks whether one was heard, in ms.
+const LOOK_MS: u64 = 20;
+
+/// Waits until another gateway is heard that holds a configuration, or for long enough.
+pub async fn others_heard(gateway: &Rc<Gateway>) {
+    let own = gateway.settings.listen.peers.ip();
+    if gateway.settings.seeds.iter().all(|seed| seed.ip() == own) {
+        return;
+    }
+    let until = gateway.now() + HEAR_OTHERS_MS;
+    while gateway.now() < until && gateway.newest_told().is_none() {
+        sleep(Duration::from_millis(LOOK_MS)).await;
+    }
+}
+
+/// Asks another gateway for a version that the store has not told this one in time.
+pub async fn catch_up(gateway: &Gateway, follower: &mut Follower) -> Vec<Record> {
+    let mut lag = gateway.own_lag.get();
+    let is_due = lag.asks(gateway.now(), gateway.version_held(), gateway.newest_told());
+    gateway.own_lag.set(lag);
+    let Some(address) = gateway.holder_of_newest().filter(|_| is_due) else { return Vec::new() };
+    let records = match follower.newest_of(address).await {
+        Ok(records) => records,
+        Err(why) => {
+            sources::avoid(gateway, address, Topic::Configuration, &why);
+            return Vec::new();
+        }
+    };
+    gateway.count("versions_asked_of_gateways");
+    Event::new("asks_for_version")
+        .with("address", address.to_string())
+        .with("version_held", gateway.version_held())
+        .with("version_told", gateway.newest_told())
+        .write();
+    // Whether a drain lasts is for the log to say, which this gateway goes on reading from where it was.
+    records.into_iter().filter(|record| matches!(record, Record::Configuration(_))).collect()
+}
+
+impl Gateway {
+    /// The version of the configuration that this gateway holds.
+    pub fn version_held(&self) -> Option<u64> {
+        self.lookup.borrow().as_ref().map(|lookup| lookup.configuration.version)
+    }
+
+    /// The newest version that another gateway told lately that it holds.
+    pub fn newest_told(&self) -> Option<u64> {
+        let now = self.now();
+        let peers = self.peers.borrow();
+        let young = peers.values().filter(|peer| now < peer.heard_at + PEER_MS);
+        young.filter_map(|peer| peer.version).max()
+    }
+
+    /// A gateway that holds that version, unless none of them answers.
+    fn holder_of_newest(&self) -> Option<SocketAddr> {
+        let newest = self.newest_told()?;
+        let peers = self.peers.borrow();
+        let avoided = self.avoided.borrow();
+        let holders = peers.values().filter(|peer| peer.version == Some(newest));
+        let able = holders.filter(|peer| !avoided.contains_key(&peer.address));
+        able.map(|peer| peer.address).choose(&mut rand::rng())
+    }
+
+    /// Takes in which version the store is known to hold after a step.
+    pub fn note_stored(&self, step: &Step) {
+        let version = match step.told_by {
+            ToldBy::Gateway { stored_version, .. } => stored_version,
+            ToldBy::Store => step.records.iter().filter_map(version_of).max(),
+        };
+        let known = self.stored_version.get().filter(|_| !step.snapshot);
+        self.stored_version.set(version.max(known));
+    }
+
+    /// Whether a step proves that nothing is newer than what this gateway holds.
+    pub fn step_proves(&self, now: Millis) -> bool {
+        let known = self.version_held().max(self.newest_told());
+        let mut lag = self.store_lag.get();
+        let proves = lag.proves(now, self.stored_version.get(), known);
+        self.store_lag.set(lag);
+        if !proves {
+            self.count("reads_that_prove_nothing");
+        }
+        proves
+    }
+}
+
+fn version_of(record: &Record) -> Option<u64> {
+    match record {
+        Record::Configuration(configuration) => Some(configuration.version),
+        _ => None,
+    }
+}
