Drains that an older copy of the store lacks stay in force until it is read again

Callers and operators saw: a failure domain that was drained got requests as soon as the store had come back from a copy of before the drain. Cause: a drain that is not among all newest records has ended; an older copy is not all. A drain whose end the copy lacks is in force once more until its end is written again. Ruled out: keeping a drain until its own record ends it (one that nobody writes again would last for ever).

--- a/crates/oliveworks-gateway-core/src/drains.rs
+++ b/crates/oliveworks-gateway-core/src/drains.rs
@@ -7,6 +7,10 @@
 //! gateway then reads all newest records, and a drain that is not among them has ended. These come in
 //! pages, which are no snapshot; what changed since the first is read again right after them, so a drain
 //! that began or ended meanwhile is put right by the next read.
+//!
+//! A store that has come back from an older copy may lack drains until the operators have written again. They stay in force
+//! meanwhile, and end if a later read does not hold them. One whose end the copy lacks is in force once more until its end is
+//! written again: nothing is sent to a domain that the operators may want empty.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -16,6 +20,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Drains {
     since: BTreeMap<String, Millis>,
+    /// Those that the store was not seen to hold since it came back from an older copy.
+    unconfirmed: BTreeSet<String>,
     /// When drains ended lately.
     ended: BTreeMap<String, End>,
 }
@@ -44,6 +50,7 @@
 impl Drains {
     /// A failure domain is to be drained; tells whether that is new.
     pub fn begin(&mut self, now: Millis, failure_domain: &str) -> bool {
+        self.unconfirmed.remove(failure_domain);
         if self.holds(failure_domain) {
             return false;
         }
@@ -54,6 +61,7 @@
 
     /// A drain has ended; nothing if it was not known.
     pub fn end(&mut self, now: Millis, failure_domain: &str) -> Option<Ended> {
+        self.unconfirmed.remove(failure_domain);
         let (failure_domain, since) = self.since.remove_entry(failure_domain)?;
         self.ended.insert(failure_domain.clone(), End { at: now, seen: true });
         Some(Ended { failure_domain, known_for_ms: now.saturating_sub(since) })
@@ -61,11 +69,24 @@
 
     /// All newest records were read, and these are the drains among them: any other one has ended.
     pub fn read_anew(&mut self, now: Millis, drained: &BTreeSet<String>) -> Vec<Ended> {
+        self.unconfirmed.clear();
         let over: Vec<String> =
             self.since.keys().filter(|name| !drained.contains(*name)).cloned().collect();
         over.iter().filter_map(|name| self.end(now, name)).collect()
     }
 
+    /// The newest records of a store were read that may lack some, with these drains among them: the others stay in force
+    /// until it has been read again.
+    pub fn read_in_part(&mut self, drained: &BTreeSet<String>) {
+        let others = self.since.keys().filter(|name| !drained.contains(*name));
+        self.unconfirmed = others.cloned().collect();
+    }
+
+    /// Whether any drain is in force that the store was not seen to hold since it came back.
+    pub fn any_unconfirmed(&self) -> bool {
+        !self.unconfirmed.is_empty()
+    }
+
     /// Another gateway saw a drain end; tells whether that is news. This one may have started since, so that it never
     /// knew of the drain, and the records that it reads may be from before its end.
     pub fn ended_elsewhere(&mut self, failure_domain: &str, at: Millis) -> bool {
--- a/crates/oliveworks-gateway-core/src/era.rs
+++ b/crates/oliveworks-gateway-core/src/era.rs
@@ -57,6 +57,17 @@
         self.era.map(|_| self.known_since)
     }
 
+    /// Whether what the store lacks may still be written again: it came back so lately, or this gateway has just started and
+    /// cannot tell.
+    pub fn may_lack_records(&self, now: Millis) -> bool {
+        self.known_since().is_some_and(|since| now < since + REWRITE_MS)
+    }
+
+    /// Whether another gateway, which may have heard of the era later, may still hold on to what the store lacks.
+    pub fn others_may_hold_lost_records(&self, now: Millis) -> bool {
+        self.known_since().is_some_and(|since| now < since + 2 * REWRITE_MS)
+    }
+
     /// The store answered a call that was made at `sent` in an era.
     ///
     /// A lower one counts as well if the call was made since the known one is: a store that told one by mistake would
--- a/crates/oliveworks-gateway-core/tests/drains.rs
+++ b/crates/oliveworks-gateway-core/tests/drains.rs
@@ -96,3 +96,34 @@
     assert_eq!(drains.ended_within(400, 1_000), [("east".to_owned(), 100)]);
     assert!(drains.ended_within(1_400, 1_000).is_empty(), "no longer lately");
 }
+
+/// The copy that the store came back from lacked a drain, and that counted as its end.
+#[test]
+fn a_drain_that_the_store_lacks_stays_in_force_until_it_was_read_again() {
+    let mut drains = Drains::default();
+    drains.begin(100, "west");
+    drains.begin(200, "east");
+    drains.read_in_part(&names(&["east"]));
+    assert_eq!(drains.failure_domains(), names(&["east", "west"]));
+    assert!(drains.any_unconfirmed());
+    assert_eq!(drains.read_anew(5_000, &names(&["east"])), [ended("west", 4_900)]);
+    assert!(!drains.any_unconfirmed());
+}
+
+#[test]
+fn a_drain_that_is_written_again_is_no_longer_doubted() {
+    let mut drains = Drains::default();
+    drains.begin(100, "west");
+    drains.read_in_part(&names(&[]));
+    assert!(!drains.begin(1_000, "west"), "known since before");
+    assert!(!drains.any_unconfirmed());
+}
+
+#[test]
+fn a_drain_that_the_store_lacks_ends_by_its_own_record() {
+    let mut drains = Drains::default();
+    drains.begin(100, "west");
+    drains.read_in_part(&names(&[]));
+    assert_eq!(drains.end(700, "west"), Some(ended("west", 600)));
+    assert!(!drains.any_unconfirmed());
+}
--- a/crates/oliveworks-gateway/src/drains.rs
+++ b/crates/oliveworks-gateway/src/drains.rs
@@ -9,6 +9,7 @@
 use tokio::time::sleep;
 
 use crate::events::Event;
+use crate::follow::ToldBy;
 use crate::state::Gateway;
 
 /// The time between two lines on each drain, in ms: an operator who waits for a domain to be empty sees it
@@ -37,8 +38,30 @@
     ended.iter().for_each(|ended| take_end(gateway, ended, "its record is gone"));
 }
 
+/// Whether drains are in force that the store was not seen to hold since it came back from a copy, and what it lacked has
+/// been written again.
+pub fn must_read_anew(gateway: &Gateway) -> bool {
+    gateway.drains.borrow().any_unconfirmed()
+        && !gateway.store_may_lack_records()
+        && gateway.election.borrow().store_answers()
+}
+
 /// All newest records were read, with these drains among them.
-pub fn read_anew(gateway: &Gateway, drained: &BTreeSet<String>) {
+pub fn read_anew(gateway: &Gateway, drained: &BTreeSet<String>, told_by: ToldBy) {
+    let era = gateway.store_era.get();
+    let now = gateway.now();
+    match told_by {
+        ToldBy::Store if era.may_lack_records(now) => {
+            gateway.drains.borrow_mut().read_in_part(drained);
+            return;
+        }
+        // What another gateway tells is in force there, and may be missing in the store.
+        ToldBy::Gateway { .. } if era.others_may_hold_lost_records(now) => {
+            gateway.drains.borrow_mut().read_in_part(&BTreeSet::new());
+            return;
+        }
+        _ => {}
+    }
     let ended = gateway.drains.borrow_mut().read_anew(gateway.now(), drained);
     ended.iter().for_each(|ended| take_end(gateway, ended, "not among the newest records"));
 }
--- a/crates/oliveworks-gateway/src/eras.rs
+++ b/crates/oliveworks-gateway/src/eras.rs
@@ -19,6 +19,11 @@
         self.store_era.get().era()
     }
 
+    /// Whether the store may lack what was acknowledged before it came back from a copy.
+    pub fn store_may_lack_records(&self) -> bool {
+        self.store_era.get().may_lack_records(self.now())
+    }
+
     /// The store answered a call that was made at `sent`; tells what the era of its answer means.
     pub fn hear_store_era(&self, sent: Millis, named: &NamedEra, call: &str) -> Told {
         match named {
--- a/crates/oliveworks-gateway/src/follow.rs
+++ b/crates/oliveworks-gateway/src/follow.rs
@@ -37,6 +37,8 @@
     has_read: bool,
     /// How many gateways in turn did not answer.
     unanswered: u32,
+    /// Whether the store itself is to be read.
+    from_store: bool,
 }
 
 /// What one step of following brought.
@@ -86,6 +88,7 @@
             read_from: None,
             has_read: false,
             unanswered: 0,
+            from_store: false,
         }
     }
 
@@ -94,6 +97,12 @@
         self.place
     }
 
+    /// Reads all newest records with the next step, from the store itself if that answers.
+    pub fn read_anew(&mut self) {
+        self.place = None;
+        self.from_store = true;
+    }
+
     /// Makes one step, through the store or another gateway; on failure, says so and pauses.
     /// `wait_ms` is how long the store may hold it back.
     pub async fn step(&mut self, wait_ms: u64) -> Option<Step> {
@@ -127,6 +136,9 @@
 
     /// Where the next step is made.
     fn next_source(&self, gateway: &Gateway) -> ReadFrom {
+        if self.from_store && gateway.election.borrow().store_answers() {
+            return ReadFrom::Store;
+        }
         let first = match self.has_read {
             true => None,
             false => sources::first(gateway, self.unanswered),
@@ -172,6 +184,7 @@
             Ok(step) => {
                 self.pause_ms = RETRY_MS.0;
                 self.unanswered = 0;
+                self.from_store &= self.place.is_none();
                 gateway.store_answered();
                 gateway.store_proved_at.set(step.sent);
                 Some(step)
--- a/crates/oliveworks-gateway/src/records.rs
+++ b/crates/oliveworks-gateway/src/records.rs
@@ -22,6 +22,9 @@
 use crate::state::Gateway;
 use crate::{drains, versions};
 
+/// The longest that the store holds a read of the configuration back while it may lack records, in ms: drains that are not
+/// written again end soon after that time.
+const SETTLING_WAIT_MS: u64 = 300;
 /// How long the store holds a read of the leaders' topic back.
 const LEADERS_WAIT_MS: u64 = 15_000;
 /// The time between two reads of backend servers' records while new ones come.
@@ -62,7 +65,7 @@
         }
     }
     if step.snapshot {
-        drains::read_anew(gateway, &drained_domains);
+        drains::read_anew(gateway, &drained_domains, step.told_by);
     }
 }
 
@@ -88,11 +91,17 @@
     let mut wait_ms = longest_wait_ms;
     loop {
         take_from_others(&gateway, &mut follower).await;
+        if drains::must_read_anew(&gateway) {
+            follower.read_anew();
+        }
         let Some(step) = follower.step(wait_ms).await else { continue };
         let (sent, held_ms, told_by) = (step.sent, step.held_ms, step.told_by);
         // An answer with records proves only what was so when the call was sent, perhaps long ago:
         // the next call is answered at once and proves more.
         wait_ms = if step.records.is_empty() { longest_wait_ms } else { 0 };
+        if gateway.store_may_lack_records() {
+            wait_ms = wait_ms.min(SETTLING_WAIT_MS);
+        }
         keep(&gateway, Topic::Configuration, &step, follower.place());
         gateway.note_stored(&step);
         take_configuration(&gateway, step, follower.place());
