Hosts that an older copy of the store lacks or still lists

Callers saw: refusals of everything whose hosts the copy did not list yet, and requests to hosts that had left and that the copy listed once more. Cause: the list that the store tells after its return was taken for what there is. A record among all newest ones of a host that had gone before the era became known, in the same life, is not taken; its next record is, since a living host writes each heartbeat. Gateways that ask others want repeated records meanwhile. Hosts that said that they leave stay leaving in that life, as before. Ruled out: doubting the whole list until each host has written again (callers would be refused for a heartbeat and more).

--- a/crates/oliveworks-gateway/src/follow.rs
+++ b/crates/oliveworks-gateway/src/follow.rs
@@ -233,9 +233,10 @@
             Some(asking) => asking,
             None => Asking::open(address).await?,
         };
-        // The planner goes by how young records are, so a leader wants them all.
+        // The planner goes by how young records are, so a leader wants them all; and a host that the store listed from an older
+        // copy is known to live by its next record.
         let leads = gateway.election.borrow().leads().is_some();
-        let repeats = leads || gateway.doubts_any_host();
+        let repeats = leads || gateway.doubts_any_host() || gateway.store_may_lack_records();
         let answer = asking.ask(self.topic, self.place, repeats).await?;
         self.asking = Some(asking);
         let answer = answer.ok_or("it has nothing to tell")?;
--- a/crates/oliveworks-gateway/src/records.rs
+++ b/crates/oliveworks-gateway/src/records.rs
@@ -218,6 +218,10 @@
                 listed.insert(server.id.clone());
                 continue;
             }
+            Record::BackendServer(server) if step.snapshot && gateway.is_listed_by_copy(server) => {
+                gateway.count("records_of_gone_hosts");
+                continue;
+            }
             Record::BackendServer(server) => {
                 let starts_anew = starts_anew(gateway, server);
                 let was_missing = missing.found(&server.id);
@@ -252,12 +256,12 @@
                 is_repeat = repeats.is_repeat(now, &server.id, changed || is_back);
             }
             Record::BackendServerGone(id) => {
-                missing.lost(now, id.clone());
+                missing.dropped(now, id.clone());
                 repeats.gone(id);
             }
             Record::BackendServerUnusable { id, why } => {
                 warn!("servers: {id}: {why}");
-                missing.lost(now, id.clone());
+                missing.dropped(now, id.clone());
                 repeats.gone(id);
             }
             Record::Unknown(why) => warn!("servers: {why}"),
@@ -268,7 +272,7 @@
     if step.snapshot {
         for server in gateway.directory.borrow().iter() {
             if !listed.contains(&server.id) {
-                missing.lost(now, server.id.clone());
+                missing.absent(now, server.id.clone());
             }
         }
         gateway.directory_read.set(true);
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -37,7 +37,7 @@
 use crate::dialect::{Dialect, Record, TOPICS, Topic};
 use crate::events::Event;
 use crate::host_says::Leaving;
-use crate::missing::Missing;
+use crate::missing::{Gone, Missing};
 use crate::rate_limits::ToLimiter;
 use crate::settings::Settings;
 use crate::{members, slow_start};
@@ -85,9 +85,9 @@
     pub freshness: Cell<Freshness>,
     /// Backend servers that the platform lists.
     pub directory: RefCell<Directory>,
-    /// Backend servers that were taken out of the directory, and when: a leader that cannot reach
-    /// the store may not know yet.
-    pub gone: RefCell<HashMap<BackendServerId, Millis>>,
+    /// Backend servers that were taken out of the directory: a leader that cannot reach the store may not
+    /// know yet, and the store may list one once more from an older copy.
+    pub gone: RefCell<HashMap<BackendServerId, Gone>>,
     /// Whether the directory was read at all.
     pub directory_read: Cell<bool>,
     /// Backend servers that are missing from the list.
