From where a topic is read, and which hosts are gone, are decided in the core

Change: Following and Missing move to the core with their rules as they were; the adapter writes lines and passes records on. One difference: a host that only the copy lacked counts no longer as one that may have started again when it is written again, so it is not taken for cold. Evidence: path and core tests as before.

--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -9,6 +9,7 @@
 //! |---|---|
 //! | [`configuration`] | which service a request belongs to, and whose key it carries |
 //! | [`sources`] | which gateways read the store, and whom the others ask |
+//! | [`following`] | from where on a topic of the store is read, and through whom |
 //! | [`passing`] | what one gateway tells another of the store's records |
 //! | [`repeats`] | which records tell other gateways nothing new |
 //! | [`era`] | which copy of itself the store answers from |
@@ -18,6 +19,7 @@
 //! | [`freshness`] | whether the configuration is young enough to honour keys |
 //! | [`versions`] | whether the store, or this gateway, lacks a version that others know |
 //! | [`backend_servers`] | what the platform's records say of backend servers |
+//! | [`missing`] | when backend servers that are missing from the list are gone |
 //! | [`listing`] | how soon the list of backend servers is read again |
 //! | [`planner`] | which hosts form each replica group, and every order |
 //! | [`demand`] | how many requests for a model find a place |
@@ -59,10 +61,12 @@
 pub mod era;
 pub mod events;
 pub mod fan_out;
+pub mod following;
 pub mod freshness;
 pub mod listing;
 pub mod locality;
 pub mod members;
+pub mod missing;
 pub mod obstacles;
 pub mod passing;
 pub mod place;
--- a/crates/oliveworks-gateway-core/src/sources.rs
+++ b/crates/oliveworks-gateway-core/src/sources.rs
@@ -46,8 +46,6 @@
     pub retry_due: bool,
     /// Which copy of itself the store answers from.
     pub era: Era,
-    /// How many gateways in turn did not answer its last questions.
-    pub unanswered: u32,
 }
 
 /// Where to read.
@@ -62,12 +60,12 @@
 /// Questions in turn without an answer after which a gateway whom the store answers asks that.
 const UNANSWERED_MAX: u32 = 2;
 
-/// Where this gateway reads next; `draw` is a random number.
-pub fn read_from(own: Own<'_>, others: &[Known<'_>], draw: u64) -> ReadFrom {
+/// Where this gateway reads next, after so many questions in turn without an answer; `draw` is a random number.
+pub fn read_from(own: Own<'_>, others: &[Known<'_>], unanswered: u32, draw: u64) -> ReadFrom {
     if !own.store_answers && own.retry_due {
         return ReadFrom::Store;
     }
-    if own.store_answers && own.unanswered >= UNANSWERED_MAX {
+    if own.store_answers && unanswered >= UNANSWERED_MAX {
         return ReadFrom::Store;
     }
     let near = || others.iter().filter(|other| other.near);
--- a/crates/oliveworks-gateway-core/tests/passing.rs
+++ b/crates/oliveworks-gateway-core/tests/passing.rs
@@ -170,9 +170,8 @@
             store_answers: self.gateways[index].store_answers,
             retry_due: self.now >= self.gateways[index].tried_at + 1_500,
             era: Era::default(),
-            unanswered: 0,
         };
-        match read_from(own, &others, self.rng.random()) {
+        match read_from(own, &others, 0, self.rng.random()) {
             ReadFrom::Store => self.ask_store(index),
             ReadFrom::Gateway(at) => {
                 let other = (0..self.gateways.len()).find(|other| address(*other) == at);
@@ -321,7 +320,7 @@
 }
 
 fn own(name: &str, store_answers: bool) -> Own<'_> {
-    Own { name, store_answers, retry_due: false, era: Era::default(), unanswered: 0 }
+    Own { name, store_answers, retry_due: false, era: Era::default() }
 }
 
 #[test_case("a", true, ReadFrom::Store; "the first by name reads")]
@@ -335,8 +334,8 @@
         known("a4", false, true),
     ];
     let this = own(name, store_answers);
-    assert_eq!(read_from(this, &others, 0), expected);
-    let alone = read_from(own(name, store_answers), &[], 0);
+    assert_eq!(read_from(this, &others, 0, 0), expected);
+    let alone = read_from(own(name, store_answers), &[], 0, 0);
     assert_eq!(alone, ReadFrom::Store, "whoever knows nobody reads the store");
 }
 
@@ -345,9 +344,9 @@
 fn who_gets_no_answer_asks_another() {
     let silent = Known { avoided: true, ..known("b1", true, true) };
     let this = own("c", true);
-    let asked = read_from(this, &[silent.clone(), known("d4", false, true)], 0);
+    let asked = read_from(this, &[silent.clone(), known("d4", false, true)], 0, 0);
     assert_eq!(asked, ReadFrom::Gateway(address(b'4'.into())));
-    assert_eq!(read_from(this, &[silent], 0), ReadFrom::Store);
+    assert_eq!(read_from(this, &[silent], 0, 0), ReadFrom::Store);
 }
 
 /// A store that is silent leaves its reader without an answer for seconds: the others ask whoever knows
@@ -357,14 +356,14 @@
     let old = Known { informed: false, ..known("b1", true, true) };
     let this = own("c", true);
     let near =
-        read_from(this, &[old.clone(), known("d2", true, true), known("x3", false, true)], 9);
+        read_from(this, &[old.clone(), known("d2", true, true), known("x3", false, true)], 0, 9);
     assert_eq!(near, ReadFrom::Gateway(address(b'2'.into())));
-    let far = read_from(this, &[old.clone(), known("x3", false, true)], 9);
+    let far = read_from(this, &[old.clone(), known("x3", false, true)], 0, 9);
     assert_eq!(far, ReadFrom::Gateway(address(b'3'.into())));
-    let alone = read_from(this, std::slice::from_ref(&old), 9);
+    let alone = read_from(this, std::slice::from_ref(&old), 0, 9);
     assert_eq!(alone, ReadFrom::Store, "nobody knows more");
     let turned_away = Known { store_answers: false, ..old };
-    let next = read_from(this, &[turned_away, known("d2", true, true)], 9);
+    let next = read_from(this, &[turned_away, known("d2", true, true)], 0, 9);
     assert_eq!(next, ReadFrom::Store, "it is the first that the store answers");
 }
 
@@ -374,11 +373,11 @@
     let turned_away = |name| Known { informed: false, ..known(name, true, false) };
     let others = [turned_away("a1"), turned_away("b2"), known("z3", false, true)];
     let first = own("a0", false);
-    assert_eq!(read_from(first, &others, 5), ReadFrom::Gateway(address(b'3'.into())));
+    assert_eq!(read_from(first, &others, 0, 5), ReadFrom::Gateway(address(b'3'.into())));
     let due = Own { retry_due: true, ..first };
-    assert_eq!(read_from(due, &others, 5), ReadFrom::Store, "now and then it tries the store");
+    assert_eq!(read_from(due, &others, 0, 5), ReadFrom::Store, "now and then it tries the store");
     let last = Own { name: "c9", ..first };
-    assert_eq!(read_from(last, &others, 5), ReadFrom::Gateway(address(b'3'.into())));
+    assert_eq!(read_from(last, &others, 0, 5), ReadFrom::Gateway(address(b'3'.into())));
 }
 
 /// It has not heard that the store came back from a copy, and had nothing to tell to one that has: whoever asked it waited in vain,
@@ -388,19 +387,17 @@
     let this = Own { era: Era(2), ..own("c", true) };
     let behind = Known { era: Era(1), ..known("b1", true, true) };
     let heard = Known { era: Era(2), ..known("d4", false, true) };
-    let asked = read_from(this, &[behind.clone(), heard], 0);
+    let asked = read_from(this, &[behind.clone(), heard], 0, 0);
     assert_eq!(asked, ReadFrom::Gateway(address(b'4'.into())));
-    assert_eq!(read_from(this, &[behind], 0), ReadFrom::Store);
+    assert_eq!(read_from(this, &[behind], 0, 0), ReadFrom::Store);
 }
 
 /// Each question in vain takes half a second, and there is always another gateway to ask.
 #[test]
 fn after_questions_in_vain_the_store_is_read() {
     let others = [known("b1", true, true), known("b2", true, true), known("b3", true, true)];
-    let in_vain = Own { unanswered: 2, ..own("c", true) };
-    assert_eq!(read_from(in_vain, &others, 0), ReadFrom::Store);
-    let turned_away = Own { store_answers: false, ..in_vain };
-    assert_ne!(read_from(turned_away, &others, 0), ReadFrom::Store);
+    assert_eq!(read_from(own("c", true), &others, 2, 0), ReadFrom::Store);
+    assert_ne!(read_from(own("c", false), &others, 2, 0), ReadFrom::Store, "it is turned away");
 }
 
 /// It read the store, which had come back from a copy that lacked the newest version.
--- a/crates/oliveworks-gateway/src/follow.rs
+++ b/crates/oliveworks-gateway/src/follow.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use oliveworks_gateway_core::Millis;
+use oliveworks_gateway_core::following::Following;
 use oliveworks_gateway_core::place::Place;
 use oliveworks_gateway_core::sources::ReadFrom;
 use tokio::time::{sleep, timeout};
@@ -29,16 +30,10 @@
     client: Client,
     asking: Option<Asking>,
     topic: Topic,
-    place: Option<Place>,
+    following: Following,
     pause_ms: u64,
     /// Where the last step was made, as lines tell it.
     read_from: Option<ReadFrom>,
-    /// Whether anything was read in this life.
-    has_read: bool,
-    /// How many gateways in turn did not answer.
-    unanswered: u32,
-    /// Whether the store itself is to be read.
-    from_store: bool,
 }
 
 /// What one step of following brought.
@@ -83,24 +78,20 @@
             client: Client::new(gateway),
             asking: None,
             topic,
-            place: None,
+            following: Following::default(),
             pause_ms: RETRY_MS.0,
             read_from: None,
-            has_read: false,
-            unanswered: 0,
-            from_store: false,
         }
     }
 
     /// The place up to which everything was read.
     pub fn place(&self) -> Option<Place> {
-        self.place
+        self.following.place()
     }
 
     /// Reads all newest records with the next step, from the store itself if that answers.
     pub fn read_anew(&mut self) {
-        self.place = None;
-        self.from_store = true;
+        self.following.read_anew();
     }
 
     /// Makes one step, through the store or another gateway; on failure, says so and pauses.
@@ -108,7 +99,7 @@
     pub async fn step(&mut self, wait_ms: u64) -> Option<Step> {
         let gateway = self.client.gateway().clone();
         self.forget_former_place(&gateway);
-        let read_from = self.next_source(&gateway);
+        let read_from = sources::next(&gateway, &self.following);
         self.tell_read_from(&gateway, read_from);
         let step = async {
             match read_from {
@@ -117,33 +108,18 @@
             }
         };
         // What was asked before a pause may have been answered for as long, or never.
-        let step = gateway.unless_resumed(step).await.flatten();
-        self.has_read |= self.place.is_some();
-        step
+        gateway.unless_resumed(step).await.flatten()
     }
 
     /// Forgets a place of another era: the store has given its offset out again.
     fn forget_former_place(&mut self, gateway: &Gateway) {
-        let Some(place) = self.place.filter(|place| place.era != gateway.era()) else { return };
+        let Some(place) = self.following.forget_other_eras(gateway.era()) else { return };
         Event::new("place_is_void")
             .debug("topic", self.topic)
             .with("offset", place.offset)
             .with("of_era", place.era.0)
             .with("era", gateway.era().0)
             .write();
-        self.place = None;
-    }
-
-    /// Where the next step is made.
-    fn next_source(&self, gateway: &Gateway) -> ReadFrom {
-        if self.from_store && gateway.election.borrow().store_answers() {
-            return ReadFrom::Store;
-        }
-        let first = match self.has_read {
-            true => None,
-            false => sources::first(gateway, self.unanswered),
-        };
-        first.map_or_else(|| sources::next(gateway, self.unanswered), ReadFrom::Gateway)
     }
 
     /// A line when the topic is read elsewhere than with the last step.
@@ -159,7 +135,7 @@
             .debug("topic", self.topic)
             .with("address", address.to_string())
             .with("is_store", read_from == ReadFrom::Store)
-            .with("offset", self.place.map(|place| place.offset))
+            .with("offset", self.place().map(|place| place.offset))
             .with("era", gateway.era().0)
             .write();
     }
@@ -168,7 +144,7 @@
         gateway.store_tried_at.set(gateway.now());
         let tries = sources::tries_the_store(gateway);
         let step = async {
-            match self.place {
+            match self.place() {
                 None => self.snapshot().await,
                 Some(place) => self.tail(place, if tries { 0 } else { wait_ms }).await,
             }
@@ -183,8 +159,6 @@
         match step {
             Ok(step) => {
                 self.pause_ms = RETRY_MS.0;
-                self.unanswered = 0;
-                self.from_store &= self.place.is_none();
                 gateway.store_answered();
                 gateway.store_proved_at.set(step.sent);
                 Some(step)
@@ -203,9 +177,8 @@
         gateway.count("questions_asked");
         match self.ask(gateway, address).await {
             Ok(answer) => {
-                self.unanswered = 0;
                 gateway.era_told_by_gateway(sent, answer.next.era, address);
-                self.place = Some(answer.next);
+                self.following.gateway_told(answer.next);
                 if let Some(ago) = answer.store_failed_ms_ago {
                     gateway.store_failed_elsewhere(sent.saturating_sub(ago));
                 }
@@ -220,7 +193,7 @@
             }
             Err(why) => {
                 self.asking = None;
-                self.unanswered += 1;
+                self.following.gateway_did_not_tell();
                 sources::avoid(gateway, address, self.topic, &why);
                 None
             }
@@ -237,7 +210,7 @@
         // copy is known to live by its next record.
         let leads = gateway.election.borrow().leads().is_some();
         let repeats = leads || gateway.doubts_any_host() || gateway.store_may_lack_records();
-        let answer = asking.ask(self.topic, self.place, repeats).await?;
+        let answer = asking.ask(self.topic, self.place(), repeats).await?;
         self.asking = Some(asking);
         let answer = answer.ok_or("it has nothing to tell")?;
         if answer.next.era < gateway.era() {
@@ -287,7 +260,7 @@
                 break;
             }
         }
-        self.place = first_end;
+        self.following.store_told(first_end);
         Ok(Step { records, snapshot: true, sent, held_ms: 0, told_by: ToldBy::Store })
     }
 
@@ -309,7 +282,7 @@
         match tail {
             Tail::Records(records, next) => {
                 let held_ms = if records.is_empty() { wait_ms } else { 0 };
-                self.place = Some(Place::new(era, next));
+                self.following.store_told(Some(Place::new(era, next)));
                 Ok(Step { records, snapshot: false, sent, held_ms, told_by: ToldBy::Store })
             }
             Tail::Expired(first) => {
@@ -322,7 +295,7 @@
                 if self.topic == Topic::Leaders && first.is_none() && from == 0 {
                     return Err("it does not say which is the first record it keeps".to_owned());
                 }
-                self.place = first.map(|first| Place::new(era, first));
+                self.following.store_told(first.map(|first| Place::new(era, first)));
                 Ok(Step::without_news(sent))
             }
             Tail::Refused(status) => Err(format!("refused with {status}")),
--- a/crates/oliveworks-gateway/src/places.rs
+++ b/crates/oliveworks-gateway/src/places.rs
@@ -69,7 +69,7 @@
     pub fn leaves(&self, server: &str) -> bool {
         let directory = self.directory.borrow();
         directory.get(server).is_some_and(|server| server.draining)
-            || self.gone.borrow().contains_key(server)
+            || self.missing.borrow().has_gone(server)
     }
 
     /// Heads of groups that serve a model.
--- a/crates/oliveworks-gateway/src/records.rs
+++ b/crates/oliveworks-gateway/src/records.rs
@@ -20,7 +20,7 @@
 use crate::events::Event;
 use crate::follow::{Follower, Step, ToldBy};
 use crate::state::Gateway;
-use crate::{drains, versions};
+use crate::{drains, missing, versions};
 
 /// The longest that the store holds a read of the configuration back while it may lack records, in ms: drains that are not
 /// written again end soon after that time.
@@ -208,6 +208,7 @@
     let mut missing = gateway.missing.borrow_mut();
     let mut taken = Taken::default();
     let now = gateway.now();
+    let store_era = gateway.store_era.get();
     let mut listed = BTreeSet::new();
     for record in step.records {
         let mut is_repeat = false;
@@ -218,15 +219,15 @@
                 listed.insert(server.id.clone());
                 continue;
             }
-            Record::BackendServer(server) if step.snapshot && gateway.is_listed_by_copy(server) => {
+            Record::BackendServer(server)
+                if step.snapshot && missing.is_listed_by_copy(server, store_era) =>
+            {
                 gateway.count("records_of_gone_hosts");
                 continue;
             }
             Record::BackendServer(server) => {
                 let starts_anew = starts_anew(gateway, server);
-                let was_missing = missing.found(&server.id);
-                let was_gone = gateway.gone.borrow_mut().remove(&server.id).is_some();
-                let is_back = (was_missing || was_gone) && !starts_anew;
+                let is_back = missing.found(now, &server.id, store_era) && !starts_anew;
                 listed.insert(server.id.clone());
                 if let Some(planner) = gateway.planners.borrow_mut().get_mut(&server.service) {
                     planner.listed(now, server);
@@ -277,7 +278,7 @@
         }
         gateway.directory_read.set(true);
     }
-    missing.sweep(gateway);
+    missing::sweep(gateway, &mut missing);
     gateway.forget_gone();
     if let Some(slow_starts) = gateway.slow_starts.borrow_mut().as_mut() {
         slow_starts.records_read(step.sent);
@@ -322,7 +323,7 @@
                 sleep(Duration::from_millis(pause_ms)).await;
             }
         }
-        gateway.missing.borrow_mut().sweep(&gateway);
+        missing::sweep(&gateway, &mut gateway.missing.borrow_mut());
     }
 }
 
--- a/crates/oliveworks-gateway/src/sources.rs
+++ b/crates/oliveworks-gateway/src/sources.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 
 use oliveworks_gateway_core::Millis;
-use oliveworks_gateway_core::sources::{Known, Own, ReadFrom, first_asked, read_from};
+use oliveworks_gateway_core::following::Following;
+use oliveworks_gateway_core::sources::{Known, Own, ReadFrom};
 
 use crate::dialect::Topic;
 use crate::events::Event;
@@ -24,29 +25,16 @@
 /// each such call is priced, and short beside the four seconds that a proof is good for.
 const STORE_AGAIN_MS: u64 = 1_500;
 
-/// Questions of a gateway that has read nothing yet, one after the other, before it reads the store.
-const FIRST_QUESTIONS: u32 = 2;
-
-/// Where the next step of a topic is made, after so many questions in turn without an answer.
-pub fn next(gateway: &Gateway, unanswered: u32) -> ReadFrom {
+/// Where the next step of a topic is made.
+pub fn next(gateway: &Gateway, following: &Following) -> ReadFrom {
     let own = Own {
         name: &gateway.settings.node,
         store_answers: gateway.election.borrow().store_answers(),
         retry_due: gateway.now() >= gateway.store_tried_at.get() + STORE_AGAIN_MS,
         era: gateway.era(),
-        unanswered,
     };
     let peers = gateway.peers.borrow();
-    read_from(own, &known(gateway, &peers), rand::random())
-}
-
-/// Whom a gateway asks that has read nothing yet, after so many questions in turn without an answer.
-pub fn first(gateway: &Gateway, unanswered: u32) -> Option<SocketAddr> {
-    if unanswered >= FIRST_QUESTIONS {
-        return None;
-    }
-    let peers = gateway.peers.borrow();
-    first_asked(&known(gateway, &peers), rand::random())
+    following.source(own, &known(gateway, &peers), rand::random())
 }
 
 /// The gateways that were heard lately.
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -7,7 +7,7 @@
 
 use oliveworks_gateway_core::Millis;
 use oliveworks_gateway_core::admission::Admission;
-use oliveworks_gateway_core::backend_servers::{BackendServerId, Directory};
+use oliveworks_gateway_core::backend_servers::Directory;
 use oliveworks_gateway_core::backoff::Backoffs;
 use oliveworks_gateway_core::balance::{Balance, Target};
 use oliveworks_gateway_core::budget::{Budget, BudgetConfig};
@@ -19,6 +19,7 @@
 use oliveworks_gateway_core::era::{Era, StoreEra};
 use oliveworks_gateway_core::freshness::Freshness;
 use oliveworks_gateway_core::members::Members;
+use oliveworks_gateway_core::missing::Missing;
 use oliveworks_gateway_core::passing::Passing;
 use oliveworks_gateway_core::planner::Planner;
 use oliveworks_gateway_core::rate_limits::RateLimits;
@@ -37,7 +38,6 @@
 use crate::dialect::{Dialect, Record, TOPICS, Topic};
 use crate::events::Event;
 use crate::host_says::Leaving;
-use crate::missing::{Gone, Missing};
 use crate::rate_limits::ToLimiter;
 use crate::settings::Settings;
 use crate::{members, slow_start};
@@ -85,12 +85,10 @@
     pub freshness: Cell<Freshness>,
     /// Backend servers that the platform lists.
     pub directory: RefCell<Directory>,
-    /// Backend servers that were taken out of the directory: a leader that cannot reach the store may not
-    /// know yet, and the store may list one once more from an older copy.
-    pub gone: RefCell<HashMap<BackendServerId, Gone>>,
     /// Whether the directory was read at all.
     pub directory_read: Cell<bool>,
-    /// Backend servers that are missing from the list.
+    /// Backend servers that are missing from the list or gone: a leader that cannot reach the store may not know
+    /// yet.
     pub missing: RefCell<Missing>,
     /// The last records of each topic, for gateways that ask this one, and who waits for news.
     passing: HashMap<Topic, (RefCell<Passing<Record>>, Notify)>,
@@ -220,7 +218,6 @@
             drains: RefCell::default(),
             freshness: Cell::default(),
             directory: RefCell::default(),
-            gone: RefCell::default(),
             directory_read: Cell::new(false),
             missing: RefCell::default(),
             passing: TOPICS.into_iter().map(|topic| (topic, Default::default())).collect(),
