--- a/crates/oliveworks-gateway-core/src/era.rs
+++ b/crates/oliveworks-gateway-core/src/era.rs
@@ -60,12 +60,18 @@
     /// Whether what the store lacks may still be written again: it came back so lately, or this gateway has just started and
     /// cannot tell.
     pub fn may_lack_records(&self, now: Millis) -> bool {
-        self.known_since().is_some_and(|since| now < since + REWRITE_MS)
+        now < self.lacks_records_until()
     }
 
-    /// Whether another gateway, which may have heard of the era later, may still hold on to what the store lacks.
-    pub fn others_may_hold_lost_records(&self, now: Millis) -> bool {
-        self.known_since().is_some_and(|since| now < since + 2 * REWRITE_MS)
+    /// Until when the store may lack what is written again; 0 if it does not.
+    pub fn lacks_records_until(&self) -> Millis {
+        self.known_since().map_or(0, |since| since + REWRITE_MS)
+    }
+
+    /// The same as other gateways know it, which may have heard of the era later: until then they may hold on to what the store
+    /// lacks, or lack it themselves.
+    pub fn others_lack_records_until(&self) -> Millis {
+        self.known_since().map_or(0, |since| since + 2 * REWRITE_MS)
     }
 
     /// The store answered a call that was made at `sent` in an era.
--- a/crates/oliveworks-gateway-core/src/missing.rs
+++ b/crates/oliveworks-gateway-core/src/missing.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use crate::Millis;
-use crate::backend_servers::{BackendServer, BackendServerId, Born};
+use crate::backend_servers::{BackendServer, BackendServerId, Born, Directory};
 use crate::era::{REWRITE_MS, StoreEra};
 
 /// How many entries that are missing together mean that the store let them go.
@@ -18,28 +18,39 @@
 /// What is known of the store when the list is looked over.
 #[derive(Clone, Copy, Debug)]
 pub struct Look {
-    /// How many backend servers are listed, with those that are missing.
-    pub listed: usize,
     /// When a call to the store last failed.
     pub store_failed_at: Option<Millis>,
-    /// Which copy of itself the store answers from.
-    pub store_era: StoreEra,
+    /// Up to when it is known what the store told in the list.
+    pub read_at: Millis,
 }
 
 /// Since when a backend server is missing, and how that is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Loss {
     since: Millis,
-    /// Whether it is only not among all newest records.
-    is_absent: bool,
+    /// Until when it may only be missing in the copy that the store came back from; none if a record dropped it.
+    may_return_until: Option<Millis>,
 }
 
 /// A backend server that is gone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Gone {
     at: Millis,
-    /// When its life had begun, if its record said so.
+    /// The last that it wrote, if that is known.
+    last: Option<Last>,
+}
+
+/// The last record that a backend server wrote before it went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Last {
     born: Option<Born>,
+    number: Option<u64>,
+}
+
+impl Last {
+    fn of(server: &BackendServer) -> Last {
+        Last { born: server.holding.born, number: server.number }
+    }
 }
 
 /// A backend server that counts as gone from now on.
@@ -72,48 +83,66 @@
     /// A backend server is listed; tells whether it had been lost or gone, so that it may have started again meanwhile.
     ///
     /// One that the store lacked after it came back from an older copy was not lost.
-    pub fn found(&mut self, now: Millis, id: &str, store_era: StoreEra) -> bool {
+    pub fn found(&mut self, now: Millis, id: &str) -> bool {
         let was_gone = self.gone.remove(id).is_some();
         let lost = self.lost.remove(id);
-        let was_lost = lost.is_some_and(|l| !(l.is_absent && store_era.may_lack_records(now)));
-        was_gone || was_lost
+        was_gone || lost.is_some_and(|loss| loss.may_return_until.is_none_or(|until| now >= until))
     }
 
     /// A record says that a backend server is no longer listed, or not to be used.
     pub fn dropped(&mut self, now: Millis, id: BackendServerId) {
-        let loss = self.lost.entry(id).or_insert(Loss { since: now, is_absent: false });
-        loss.is_absent = false;
+        let loss = self.lost.entry(id).or_insert(Loss { since: now, may_return_until: None });
+        loss.may_return_until = None;
     }
 
-    /// A backend server is not among all newest records.
-    pub fn absent(&mut self, now: Millis, id: BackendServerId) {
-        self.lost.entry(id).or_insert(Loss { since: now, is_absent: true });
+    /// A backend server is not among all newest records, as the store holds them or another gateway knows them.
+    pub fn absent(
+        &mut self,
+        now: Millis,
+        id: BackendServerId,
+        store_era: StoreEra,
+        by_store: bool,
+    ) {
+        let until = match by_store {
+            true => store_era.lacks_records_until(),
+            false => store_era.others_lack_records_until(),
+        };
+        let loss = Loss { since: now, may_return_until: Some(until) };
+        let known = self.lost.entry(id).or_insert(loss);
+        known.may_return_until = known.may_return_until.map(|known| known.max(until));
     }
 
-    /// Whether a record among all newest ones is of a backend server that had gone before the store came back from an older
-    /// copy, in the same life: it may stand there since then, and the next record shows whether it lives.
-    pub fn is_listed_by_copy(&self, server: &BackendServer, store_era: StoreEra) -> bool {
+    /// Whether a record is no younger than the last one of a backend server that is gone, and so does not bring it back. `newest`
+    /// is whether it stands among all newest records.
+    ///
+    /// One that went before the store came back from an older copy may stand among all newest records since then, also with one
+    /// that was not read before. If it lives, it writes again.
+    pub fn is_old(&self, server: &BackendServer, newest: bool, store_era: StoreEra) -> bool {
         let Some(gone) = self.gone.get(&server.id) else { return false };
-        store_era.known_since().is_some_and(|since| gone.at <= since)
-            && !server.holding.is_of_later_life(gone.born)
+        let (born, number) = gone.last.map_or((None, None), |last| (last.born, last.number));
+        let lives = server.holding.born.zip(born);
+        if let Some((life, last_life)) = lives.filter(|(life, last_life)| life != last_life) {
+            return life < last_life;
+        }
+        let is_counted_before = server.number.zip(number).is_some_and(|(own, last)| own <= last);
+        let by_copy = newest && store_era.known_since().is_some_and(|since| gone.at <= since);
+        is_counted_before || by_copy
     }
 
-    /// Takes out those that are missing for long; `born` tells when the life of a backend server began.
-    pub fn sweep(
-        &mut self,
-        now: Millis,
-        look: Look,
-        born: impl Fn(&str) -> Option<Born>,
-    ) -> Vec<Left> {
-        if now < self.patient_until(look) {
+    /// Takes out those that are missing for long.
+    pub fn sweep(&mut self, now: Millis, look: Look, directory: &Directory) -> Vec<Left> {
+        if now < self.patient_until(look, directory.len()) {
             return Vec::new();
         }
-        let may_be_written_again = look.store_era.may_lack_records(now);
-        let over = self.lost.extract_if(.., |_, l| !(l.is_absent && may_be_written_again));
+        // One that wrote again may not have been read yet, by a gateway that was paused or cut off.
+        let is_over = |loss: &Loss| loss.may_return_until.is_none_or(|until| look.read_at >= until);
+        let over = self.lost.extract_if(.., |_, loss| is_over(loss));
         let left: Vec<Left> =
             over.map(|(id, loss)| Left { id, missing_ms: now - loss.since }).collect();
         for Left { id, .. } in &left {
-            self.gone.insert(id.clone(), Gone { at: now, born: born(id) });
+            let before = self.gone.get(id).and_then(|gone| gone.last);
+            let last = directory.get(id).map(Last::of).or(before);
+            self.gone.insert(id.clone(), Gone { at: now, last });
         }
         left
     }
@@ -125,8 +154,8 @@
     }
 
     /// Until when entries that went together may come back.
-    fn patient_until(&self, look: Look) -> Millis {
-        let many = self.lost.len() >= MANY && self.lost.len() * 100 >= look.listed * MANY_PERCENT;
+    fn patient_until(&self, look: Look, listed: usize) -> Millis {
+        let many = self.lost.len() >= MANY && self.lost.len() * 100 >= listed * MANY_PERCENT;
         match look.store_failed_at {
             Some(failed_at) if many => failed_at + REWRITE_MS,
             _ => 0,
--- a/crates/oliveworks-gateway-core/src/passing.rs
+++ b/crates/oliveworks-gateway-core/src/passing.rs
@@ -76,10 +76,6 @@
 
     /// The same, of records that may be repeats.
     pub fn followed_with_repeats(&mut self, records: Vec<Kept<R>>, next: Place) {
-        if self.next.is_some_and(|known| known.era != next.era) {
-            self.steps.clear();
-            self.start = Place::new(next.era, 0);
-        }
         self.next = Some(next);
         if records.is_empty() {
             return;
@@ -105,6 +101,11 @@
         self.next = Some(next);
     }
 
+    /// What was read is told no more: the store has come back from a copy, and the topic is read anew.
+    pub fn forget(&mut self) {
+        *self = Passing::default();
+    }
+
     /// The place after the last record.
     pub fn next(&self) -> Option<Place> {
         self.next
--- a/crates/oliveworks-gateway-core/src/versions.rs
+++ b/crates/oliveworks-gateway-core/src/versions.rs
@@ -17,9 +17,9 @@
 }
 
 impl Lag {
-    /// Notes both versions, and tells for how long the first has been behind the second; none if it is not.
-    fn note(&mut self, now: Millis, version: Option<u64>, known: Option<u64>) -> Option<u64> {
-        if version >= known {
+    /// Notes whether the version is behind, and tells for how long it has been; none if it is not.
+    fn note(&mut self, now: Millis, is_behind: bool) -> Option<u64> {
+        if !is_behind {
             self.since = None;
             return None;
         }
@@ -28,14 +28,21 @@
     }
 
     /// Whether a read of the store proves that nothing is newer, given the newest version that the store holds and the
-    /// newest that any gateway knows.
-    pub fn proves(&mut self, now: Millis, stored: Option<u64>, known: Option<u64>) -> bool {
-        self.note(now, stored, known).is_none_or(|behind_ms| behind_ms >= REWRITE_MS)
+    /// newest that any gateway knows. `is_deaf` is whether the others were not heard since the store came back.
+    pub fn proves(
+        &mut self,
+        now: Millis,
+        stored: Option<u64>,
+        known: Option<u64>,
+        is_deaf: bool,
+    ) -> bool {
+        let behind_ms = self.note(now, stored < known || is_deaf);
+        behind_ms.is_none_or(|behind_ms| behind_ms >= REWRITE_MS)
     }
 
     /// Whether to ask another gateway for the version that it tells, given the one held here. One that holds none asks at once.
     pub fn asks(&mut self, now: Millis, held: Option<u64>, told: Option<u64>) -> bool {
-        let behind_ms = self.note(now, held, told);
+        let behind_ms = self.note(now, held < told);
         behind_ms.is_some_and(|behind_ms| held.is_none() || behind_ms >= CATCH_UP_MS)
     }
 }
--- a/crates/oliveworks-gateway-core/tests/versions.rs
+++ b/crates/oliveworks-gateway-core/tests/versions.rs
@@ -10,24 +10,24 @@
 #[test_case(Some(4), Some(7), false; "an older one")]
 #[test_case(None, Some(7), false; "none at all")]
 fn a_store_proves_nothing_newer(stored: Option<u64>, known: Option<u64>, expected: bool) {
-    assert_eq!(Lag::default().proves(1_000, stored, known), expected);
+    assert_eq!(Lag::default().proves(1_000, stored, known, false), expected);
 }
 
 /// A version that was never acknowledged is not written again, and keys would be refused for ever.
 #[test]
 fn a_version_that_is_not_written_again_is_waited_for_no_longer_than_that_takes() {
     let mut lag = Lag::default();
-    assert!(!lag.proves(1_000, Some(4), Some(7)));
-    assert!(!lag.proves(1_000 + REWRITE_MS - 1, Some(4), Some(7)));
-    assert!(lag.proves(1_000 + REWRITE_MS, Some(4), Some(7)));
+    assert!(!lag.proves(1_000, Some(4), Some(7), false));
+    assert!(!lag.proves(1_000 + REWRITE_MS - 1, Some(4), Some(7), false));
+    assert!(lag.proves(1_000 + REWRITE_MS, Some(4), Some(7), false));
 }
 
 #[test]
 fn each_time_that_the_store_is_behind_counts_from_its_own_beginning() {
     let mut lag = Lag::default();
-    assert!(!lag.proves(1_000, Some(4), Some(7)));
-    assert!(lag.proves(1_500, Some(7), Some(7)));
-    assert!(!lag.proves(9_000, Some(4), Some(7)), "a second copy");
+    assert!(!lag.proves(1_000, Some(4), Some(7), false));
+    assert!(lag.proves(1_500, Some(7), Some(7), false));
+    assert!(!lag.proves(9_000, Some(4), Some(7), false), "a second copy");
 }
 
 #[test]
@@ -43,3 +43,13 @@
 fn a_gateway_that_holds_none_asks_at_once() {
     assert!(Lag::default().asks(1_000, None, Some(7)));
 }
+
+/// It was paused or cut off while the others learned of versions that the copy lacks.
+#[test]
+fn a_gateway_that_has_not_heard_the_others_since_the_store_came_back_takes_no_proof_from_it() {
+    let mut lag = Lag::default();
+    assert!(!lag.proves(1_000, Some(4), Some(4), true));
+    assert!(lag.proves(1_200, Some(4), Some(4), false));
+    assert!(!lag.proves(1_300, Some(4), Some(4), true));
+    assert!(lag.proves(1_300 + REWRITE_MS, Some(4), Some(4), true), "there may be no others");
+}
--- a/crates/oliveworks-gateway/src/drains.rs
+++ b/crates/oliveworks-gateway/src/drains.rs
@@ -56,7 +56,7 @@
             return;
         }
         // What another gateway tells is in force there, and may be missing in the store.
-        ToldBy::Gateway { .. } if era.others_may_hold_lost_records(now) => {
+        ToldBy::Gateway { .. } if now < era.others_lack_records_until() => {
             gateway.drains.borrow_mut().read_in_part(&BTreeSet::new());
             return;
         }
--- a/crates/oliveworks-gateway/src/eras.rs
+++ b/crates/oliveworks-gateway/src/eras.rs
@@ -6,7 +6,7 @@
 use oliveworks_gateway_core::Millis;
 use oliveworks_gateway_core::era::{Era, Told};
 
-use crate::dialect::NamedEra;
+use crate::dialect::{NamedEra, TOPICS};
 use crate::events::Event;
 use crate::state::Gateway;
 
@@ -61,6 +61,7 @@
     /// The store answers from another copy: what it holds is not known yet.
     fn begin_era(&self, era: Era, before: Option<Era>, told_by: &str) {
         self.stored_version.set(None);
+        TOPICS.iter().for_each(|topic| self.passing(*topic).borrow_mut().forget());
         self.count("store_eras");
         Event::new("store_era")
             .with("era", era.0)
--- a/crates/oliveworks-gateway/src/heartbeat.rs
+++ b/crates/oliveworks-gateway/src/heartbeat.rs
@@ -282,6 +282,7 @@
         era: beat.era,
         version: beat.version,
     };
+    gateway.gateway_heard_at.set(Some(now));
     if peers.insert(beat.node.clone(), sender).is_none() {
         let (name, address) = (beat.node.as_str(), from.to_string());
         Event::new("peer_heard").with("peer", name).with("address", address).write();
--- a/crates/oliveworks-gateway/src/missing.rs
+++ b/crates/oliveworks-gateway/src/missing.rs
@@ -12,11 +12,10 @@
         gateway.directory.borrow_mut().forget_leaving(&id);
     }
     let look = Look {
-        listed: gateway.directory.borrow().len(),
         store_failed_at: gateway.store_failed_at.get(),
-        store_era: gateway.store_era.get(),
+        read_at: gateway.list_read_at.get(),
     };
-    let left = missing.sweep(now, look, |id| gateway.directory.borrow().born(id));
+    let left = missing.sweep(now, look, &gateway.directory.borrow());
     for Left { id, missing_ms } in left {
         Event::new("host_gone").with("host", &*id).with("missing_ms", missing_ms).write();
         gateway.directory.borrow_mut().remove(&id);
--- a/crates/oliveworks-gateway/src/records.rs
+++ b/crates/oliveworks-gateway/src/records.rs
@@ -219,15 +219,13 @@
                 listed.insert(server.id.clone());
                 continue;
             }
-            Record::BackendServer(server)
-                if step.snapshot && missing.is_listed_by_copy(server, store_era) =>
-            {
+            Record::BackendServer(server) if missing.is_old(server, step.snapshot, store_era) => {
                 gateway.count("records_of_gone_hosts");
                 continue;
             }
             Record::BackendServer(server) => {
                 let starts_anew = starts_anew(gateway, server);
-                let is_back = missing.found(now, &server.id, store_era) && !starts_anew;
+                let is_back = missing.found(now, &server.id) && !starts_anew;
                 listed.insert(server.id.clone());
                 if let Some(planner) = gateway.planners.borrow_mut().get_mut(&server.service) {
                     planner.listed(now, server);
@@ -271,13 +269,15 @@
         taken.kept.push(Kept { record, is_repeat });
     }
     if step.snapshot {
+        let by_store = step.told_by == ToldBy::Store;
         for server in gateway.directory.borrow().iter() {
             if !listed.contains(&server.id) {
-                missing.absent(now, server.id.clone());
+                missing.absent(now, server.id.clone(), store_era, by_store);
             }
         }
         gateway.directory_read.set(true);
     }
+    note_list_read(gateway, step.sent, step.held_ms, step.told_by);
     missing::sweep(gateway, &mut missing);
     gateway.forget_gone();
     if let Some(slow_starts) = gateway.slow_starts.borrow_mut().as_mut() {
@@ -286,6 +286,18 @@
     taken
 }
 
+/// Notes up to when the list is known: another gateway may not have heard the store for a while.
+fn note_list_read(gateway: &Gateway, sent: Millis, held_ms: u64, told_by: ToldBy) {
+    let read_at = match told_by {
+        ToldBy::Store => sent,
+        ToldBy::Gateway { proof_age_ms: Some(age_ms), .. } => {
+            (sent + held_ms).saturating_sub(age_ms)
+        }
+        ToldBy::Gateway { proof_age_ms: None, .. } => return,
+    };
+    gateway.list_read_at.set(gateway.list_read_at.get().max(read_at));
+}
+
 /// Keeps records of backend servers for gateways that ask this one, and wakes these if there is news for them.
 fn keep_servers(gateway: &Gateway, kept: Vec<Kept<Record>>, snapshot: bool, next: Option<Place>) {
     let news = snapshot || kept.iter().any(|kept| !kept.is_repeat);
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -85,6 +85,8 @@
     pub freshness: Cell<Freshness>,
     /// Backend servers that the platform lists.
     pub directory: RefCell<Directory>,
+    /// Up to when it is known what the store told of backend servers.
+    pub list_read_at: Cell<Millis>,
     /// Whether the directory was read at all.
     pub directory_read: Cell<bool>,
     /// Backend servers that are missing from the list or gone: a leader that cannot reach the store may not know
@@ -104,6 +106,8 @@
     pub store_heard_at: Cell<Millis>,
     /// Which copy of itself the store answers from.
     pub store_era: Cell<StoreEra>,
+    /// When another gateway was last heard itself.
+    pub gateway_heard_at: Cell<Option<Millis>>,
     /// The newest version of the configuration that the store is known to hold since it answers from that copy.
     pub stored_version: Cell<Option<u64>>,
     /// How long the store has been behind the newest version that any gateway knows.
@@ -218,6 +222,7 @@
             drains: RefCell::default(),
             freshness: Cell::default(),
             directory: RefCell::default(),
+            list_read_at: Cell::new(0),
             directory_read: Cell::new(false),
             missing: RefCell::default(),
             passing: TOPICS.into_iter().map(|topic| (topic, Default::default())).collect(),
@@ -227,6 +232,7 @@
             store_failed_at: Cell::new(None),
             store_heard_at: Cell::new(now),
             store_era: Cell::default(),
+            gateway_heard_at: Cell::new(None),
             stored_version: Cell::new(None),
             store_lag: Cell::default(),
             own_lag: Cell::default(),
--- a/crates/oliveworks-gateway/src/versions.rs
+++ b/crates/oliveworks-gateway/src/versions.rs
@@ -90,11 +90,18 @@
         self.stored_version.set(version.max(known));
     }
 
+    /// Whether there are other gateways, and none was heard since the store came back from a copy that may lack records.
+    fn is_deaf(&self) -> bool {
+        let since = self.store_era.get().known_since().filter(|_| self.store_may_lack_records());
+        let heard_at = self.gateway_heard_at.get();
+        heard_at.zip(since).is_some_and(|(heard_at, since)| heard_at < since)
+    }
+
     /// Whether a step proves that nothing is newer than what this gateway holds.
     pub fn step_proves(&self, now: Millis) -> bool {
         let known = self.version_held().max(self.newest_told());
         let mut lag = self.store_lag.get();
-        let proves = lag.proves(now, self.stored_version.get(), known);
+        let proves = lag.proves(now, self.stored_version.get(), known, self.is_deaf());
         self.store_lag.set(lag);
         if !proves {
             self.count("reads_that_prove_nothing");
