--- a/crates/oliveworks-gateway-core/src/missing.rs
+++ b/crates/oliveworks-gateway-core/src/missing.rs
@@ -75,6 +75,16 @@
         self.lost.contains_key(id)
     }
 
+    /// How many are missing.
+    pub fn len(&self) -> usize {
+        self.lost.len()
+    }
+
+    /// Whether none is missing.
+    pub fn is_empty(&self) -> bool {
+        self.lost.is_empty()
+    }
+
     /// Whether a backend server is gone, and remembered.
     pub fn has_gone(&self, id: &str) -> bool {
         self.gone.contains_key(id)
--- a/crates/oliveworks-gateway-core/src/versions.rs
+++ b/crates/oliveworks-gateway-core/src/versions.rs
@@ -17,6 +17,11 @@
 }
 
 impl Lag {
+    /// For how long a version has been behind, in ms; none if it is not.
+    pub fn behind_ms(&self, now: Millis) -> Option<u64> {
+        self.since.map(|since| now.saturating_sub(since))
+    }
+
     /// Notes whether the version is behind, and tells for how long it has been; none if it is not.
     fn note(&mut self, now: Millis, is_behind: bool) -> Option<u64> {
         if !is_behind {
--- a/crates/oliveworks-gateway/src/versions.rs
+++ b/crates/oliveworks-gateway/src/versions.rs
@@ -101,13 +101,31 @@
     pub fn step_proves(&self, now: Millis) -> bool {
         let known = self.version_held().max(self.newest_told());
         let mut lag = self.store_lag.get();
+        let behind_ms = lag.behind_ms(now);
         let proves = lag.proves(now, self.stored_version.get(), known, self.is_deaf());
         self.store_lag.set(lag);
+        match (proves, behind_ms) {
+            (false, None) => self.tell_store_lag("store_lacks_version", known, 0),
+            (true, Some(behind_ms)) if lag.behind_ms(now).is_none() => {
+                self.tell_store_lag("store_holds_version_again", known, behind_ms);
+            }
+            _ => {}
+        }
         if !proves {
             self.count("reads_that_prove_nothing");
         }
         proves
     }
+
+    /// A line when the store begins or ceases to be behind what gateways know.
+    fn tell_store_lag(&self, kind: &str, known: Option<u64>, after_ms: u64) {
+        Event::new(kind)
+            .with("version_stored", self.stored_version.get())
+            .with("version_known", known)
+            .with("heard_no_other", self.is_deaf())
+            .with("after_ms", after_ms)
+            .write();
+    }
 }
 
 fn version_of(record: &Record) -> Option<u64> {
