The reader of a failure domain reads on until the one that takes over has read the store

Cause: a gateway that starts says that the store answers it before it has asked, and the first by name counts as the reader; the one that read until then asked others, who asked it in turn, and nobody read the store until the new one had, or had given up (a second, with a store that is silent to it). Change: heartbeats tell who reads the store itself; whoever reads goes on until one that comes before it by name does so too. Ruled out: that only a gateway which the store has answered is counted on (who asks others never was answered, so that a lost reader would be followed by all of its domain at once).

--- a/crates/oliveworks-gateway-core/src/sources.rs
+++ b/crates/oliveworks-gateway-core/src/sources.rs
@@ -3,7 +3,8 @@
 //! Calls to the store are priced and limited, so one gateway of each failure domain reads it and the
 //! others ask that one. Nobody elects it: it is the first by name among those that say that the
 //! store answers them, and when it falls silent or is turned away, the next takes over as soon as it
-//! hears so. A store that is silent shows late, so who asks goes by the age of proofs: a reader whose
+//! hears so. One that comes before it by name takes over once it has read the store itself, and not when it is first heard:
+//! until then nobody would read. A store that is silent shows late, so who asks goes by the age of proofs: a reader whose
 //! own is old is not asked while another gateway, of whatever failure domain, has a young one. Whoever
 //! finds none reads the store itself. Rejected: every gateway reads it (with 53
 //! gateways 7,717 calls in 48 s, of the day's worth 0.077), two readers of a failure domain (15 gateways:
@@ -25,6 +26,8 @@
     pub near: bool,
     /// Whether the store answers it.
     pub store_answers: bool,
+    /// Whether it reads the store itself.
+    pub reads: bool,
     /// Whether its proof that nothing is newer is young.
     pub informed: bool,
     /// Whether it did not answer lately.
@@ -42,6 +45,8 @@
     pub name: &'a str,
     /// Whether the store answers it.
     pub store_answers: bool,
+    /// Whether it reads the store itself.
+    pub reads: bool,
     /// Whether it is time to see if the store answers again.
     pub retry_due: bool,
     /// Which copy of itself the store answers from.
@@ -69,8 +74,12 @@
         return ReadFrom::Store;
     }
     let near = || others.iter().filter(|other| other.near);
-    let able = near().filter(|other| other.store_answers);
-    let reader = able.min_by_key(|other| other.name);
+    let able = || near().filter(|other| other.store_answers);
+    let reads = able().filter(|other| other.reads).min_by_key(|other| other.name);
+    let reader = match own.reads {
+        true => reads,
+        false => reads.or_else(|| able().min_by_key(|other| other.name)),
+    };
     if own.store_answers && reader.is_none_or(|reader| own.name < reader.name) {
         return ReadFrom::Store;
     }
--- a/crates/oliveworks-gateway-core/tests/passing.rs
+++ b/crates/oliveworks-gateway-core/tests/passing.rs
@@ -47,9 +47,18 @@
     passing: Passing<u64>,
     answer: Option<OnTheWay>,
     store_answers: bool,
+    /// When a call was sent that the store answered.
+    store_told_at: Option<u64>,
     tried_at: u64,
 }
 
+impl Gateway {
+    /// Whether it reads the store itself, as heartbeats say.
+    fn reads(&self, now: u64) -> bool {
+        self.store_told_at.is_some_and(|at| now < at + 2_000)
+    }
+}
+
 struct World {
     rng: ChaCha8Rng,
     now: u64,
@@ -136,7 +145,10 @@
         }
         gateway.from = Some(gateway.from.unwrap_or(0).max(next));
         match (answer.age_ms, self.variant) {
-            (None, _) => gateway.freshness.proved(answer.sent, answer.held_ms),
+            (None, _) => {
+                gateway.store_told_at = Some(answer.sent);
+                gateway.freshness.proved(answer.sent, answer.held_ms);
+            }
             (Some(age_ms), Variant::FromArrival) => gateway.freshness.passed_on(now, 0, age_ms),
             (Some(age_ms), _) => {
                 gateway.freshness.passed_on(answer.sent, answer.held_ms, age_ms);
@@ -156,6 +168,7 @@
                 address: address(other),
                 near: other % 2 == index % 2,
                 store_answers: self.gateways[other].store_answers,
+                reads: self.gateways[other].reads(self.now),
                 informed: self.gateways[other]
                     .freshness
                     .age_ms(self.now)
@@ -168,6 +181,7 @@
         let own = Own {
             name: &names[index],
             store_answers: self.gateways[index].store_answers,
+            reads: self.gateways[index].reads(self.now),
             retry_due: self.now >= self.gateways[index].tried_at + 1_500,
             era: Era::default(),
         };
@@ -312,6 +326,7 @@
         address,
         near,
         store_answers,
+        reads: false,
         informed: true,
         avoided: false,
         era: Era::default(),
@@ -320,7 +335,7 @@
 }
 
 fn own(name: &str, store_answers: bool) -> Own<'_> {
-    Own { name, store_answers, retry_due: false, era: Era::default() }
+    Own { name, store_answers, reads: false, retry_due: false, era: Era::default() }
 }
 
 #[test_case("a", true, ReadFrom::Store; "the first by name reads")]
@@ -410,3 +425,20 @@
     let avoided = Known { avoided: true, ..others[2].clone() };
     assert_eq!(first_asked(&[avoided, others[1].clone()], 0), Some(address(b'2'.into())));
 }
+
+/// The first by name was taken for the reader before it had read anything, and nobody read the store meanwhile.
+#[test]
+fn the_reader_reads_on_until_the_first_by_name_has_read_the_store() {
+    let reader = Own { reads: true, ..own("b", true) };
+    let starts = known("a1", true, true);
+    assert_eq!(
+        read_from(reader, &[starts.clone(), known("c2", true, true)], 0, 0),
+        ReadFrom::Store
+    );
+    let has_read = Known { reads: true, ..starts.clone() };
+    let asked = read_from(reader, &[has_read, known("c2", true, true)], 0, 0);
+    assert_eq!(asked, ReadFrom::Gateway(address(b'1'.into())));
+    let others = [starts, Known { reads: true, ..known("b2", true, true) }];
+    assert_eq!(read_from(own("c", true), &others, 0, 0), ReadFrom::Gateway(address(b'2'.into())));
+    assert_eq!(read_from(own("a0", true), &others, 0, 0), ReadFrom::Store, "it comes first");
+}
--- a/crates/oliveworks-gateway-core/tests/restored_store/gateway.rs
+++ b/crates/oliveworks-gateway-core/tests/restored_store/gateway.rs
@@ -68,6 +68,7 @@
     pub heard_at: u64,
     pub near: bool,
     pub store_answers: bool,
+    pub reads: bool,
     pub proved_at: Option<u64>,
     pub era: Era,
     pub version: Option<u64>,
@@ -94,6 +95,7 @@
     pub store_answers: bool,
     pub store_failed_at: Option<u64>,
     tried_at: u64,
+    store_told_at: Option<u64>,
     list_read_at: u64,
     /// Hosts that it saw leave or go, by id and life.
     pub left: BTreeSet<(String, Option<Born>)>,
@@ -148,6 +150,7 @@
             store_answers: true,
             store_failed_at: None,
             tried_at: 0,
+            store_told_at: None,
             list_read_at: 0,
             left: BTreeSet::new(),
         }
@@ -168,6 +171,7 @@
         Own {
             name: name(self.index),
             store_answers: self.store_answers,
+            reads: self.reads(now),
             retry_due: now >= self.tried_at + STORE_AGAIN_MS,
             era: self.era.era(),
         }
@@ -180,6 +184,7 @@
             address: address(*index),
             near: peer.near,
             store_answers: peer.store_answers,
+            reads: peer.reads,
             informed: peer.proved_at.is_some_and(|at| now < at + INFORMED_MS),
             avoided: self.avoided.get(index).is_some_and(|at| now < at + AVOID_MS),
             era: peer.era,
@@ -223,7 +228,13 @@
         self.election.store_failed();
     }
 
+    /// Whether it reads the store itself, as its heartbeats say.
+    pub fn reads(&self, now: u64) -> bool {
+        self.store_answers && self.store_told_at.is_some_and(|at| now < at + INFORMED_MS)
+    }
+
     pub fn store_answered(&mut self, now: u64) {
+        self.store_told_at = Some(now);
         self.store_answers = true;
         self.election.store_answered(now);
     }
--- a/crates/oliveworks-gateway-core/tests/restored_store/world.rs
+++ b/crates/oliveworks-gateway-core/tests/restored_store/world.rs
@@ -244,6 +244,7 @@
             heard_at: now,
             near: false,
             store_answers: gateway.store_answers,
+            reads: gateway.reads(now),
             proved_at: gateway.freshness.age_ms(now).and_then(|age| now.checked_sub(age)),
             era: gateway.era.era(),
             version: gateway.version,
--- a/crates/oliveworks-gateway/src/follow.rs
+++ b/crates/oliveworks-gateway/src/follow.rs
@@ -160,7 +160,7 @@
             Ok(step) => {
                 self.pause_ms = RETRY_MS.0;
                 gateway.store_answered();
-                gateway.store_proved_at.set(step.sent);
+                gateway.store_proved_at.set(Some(step.sent));
                 Some(step)
             }
             Err(why) => {
--- a/crates/oliveworks-gateway/src/heartbeat.rs
+++ b/crates/oliveworks-gateway/src/heartbeat.rs
@@ -44,6 +44,8 @@
     leader: Option<LeaderSeen>,
     /// Whether the store answers the sender, and it goes on reading it.
     store_answers: bool,
+    /// Whether the sender reads the store itself.
+    reads_store: bool,
     /// How old the sender's proof is that the store holds nothing newer; none without one.
     proof_age_ms: Option<u64>,
     /// Which copy of itself the store answers from, as far as the sender has heard.
@@ -130,6 +132,7 @@
         failure_domain: gateway.settings.failure_domain.clone(),
         leader: leader.map(|(heartbeat, address)| LeaderSeen { heartbeat, address }),
         store_answers: gateway.reads_for_others(),
+        reads_store: gateway.reads_store(),
         proof_age_ms: gateway.freshness.get().age_ms(now),
         era: gateway.era(),
         version: gateway.version_held(),
@@ -277,6 +280,7 @@
         failure_domain: beat.failure_domain.clone(),
         heard_at: now,
         store_answers: beat.store_answers,
+        reads_store: beat.reads_store,
         // One that is older than this process is as good as none.
         proved_at: beat.proof_age_ms.and_then(|age_ms| now.checked_sub(age_ms)),
         era: beat.era,
@@ -297,6 +301,7 @@
             failure_domain: told.failure_domain.clone(),
             heard_at,
             store_answers: true,
+            reads_store: false,
             proved_at: None,
             era: Era::default(),
             version: None,
--- a/crates/oliveworks-gateway/src/readiness.rs
+++ b/crates/oliveworks-gateway/src/readiness.rs
@@ -50,6 +50,7 @@
     let now = [
         ("drained_failure_domains", drains.len() as u64),
         ("drained_open_requests", u64::from(open)),
+        ("gateways_heard", gateway.peers.borrow().len() as u64),
         ("hosts_missing", gateway.missing.borrow().len() as u64),
         ("hosts", gateway.directory.borrow().len() as u64),
         ("store_era", gateway.era().0),
--- a/crates/oliveworks-gateway/src/sources.rs
+++ b/crates/oliveworks-gateway/src/sources.rs
@@ -30,6 +30,7 @@
     let own = Own {
         name: &gateway.settings.node,
         store_answers: gateway.election.borrow().store_answers(),
+        reads: gateway.reads_store(),
         retry_due: gateway.now() >= gateway.store_tried_at.get() + STORE_AGAIN_MS,
         era: gateway.era(),
     };
@@ -50,6 +51,7 @@
             address: peer.address,
             near,
             store_answers: peer.store_answers,
+            reads: peer.reads_store,
             informed: peer.proved_at.is_some_and(|at| is_young(gateway, now, at)),
             avoided: avoided.get(&peer.address).is_some_and(|at| now < at + AVOID_MS),
             era: peer.era,
@@ -65,6 +67,12 @@
     pub fn reads_for_others(&self) -> bool {
         self.election.borrow().store_answers() && !self.is_stopping()
     }
+
+    /// Whether this gateway reads the store now.
+    pub fn reads_store(&self) -> bool {
+        let proved_at = self.store_proved_at.get();
+        proved_at.is_some_and(|at| is_young(self, self.now(), at)) && self.reads_for_others()
+    }
 }
 
 /// Whether a proof that the store held nothing newer then is as young as a reader's should be: it is
@@ -77,7 +85,7 @@
 /// it may leave unanswered is not to keep this one from asking them for long.
 pub fn tries_the_store(gateway: &Gateway) -> bool {
     let now = gateway.now();
-    let proven = is_young(gateway, now, gateway.store_proved_at.get());
+    let proven = gateway.store_proved_at.get().is_some_and(|at| is_young(gateway, now, at));
     let peers = gateway.peers.borrow();
     let informed = |at: Option<Millis>| at.is_some_and(|at| is_young(gateway, now, at));
     !proven && peers.values().any(|peer| informed(peer.proved_at))
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -53,6 +53,8 @@
     pub heard_at: Millis,
     /// Whether the store answered it when it was last heard here, and it went on reading it.
     pub store_answers: bool,
+    /// Whether it read the store itself then.
+    pub reads_store: bool,
     /// Until when it knew then that the store held nothing newer than it; none if it did not tell.
     pub proved_at: Option<Millis>,
     /// Which copy of itself the store answered from then, as far as it had heard.
@@ -99,7 +101,7 @@
     /// When this gateway last called the store to follow a topic.
     pub store_tried_at: Cell<Millis>,
     /// When the last call that the store answered to this gateway was sent.
-    pub store_proved_at: Cell<Millis>,
+    pub store_proved_at: Cell<Option<Millis>>,
     /// When a call to the store last failed, here or at a gateway that was asked.
     pub store_failed_at: Cell<Option<Millis>>,
     /// When the store last answered, this gateway or one that was asked.
@@ -228,7 +230,7 @@
             passing: TOPICS.into_iter().map(|topic| (topic, Default::default())).collect(),
             avoided: RefCell::default(),
             store_tried_at: Cell::new(0),
-            store_proved_at: Cell::new(0),
+            store_proved_at: Cell::new(None),
             store_failed_at: Cell::new(None),
             store_heard_at: Cell::new(now),
             store_era: Cell::default(),
