A line on an ended host names the parts of the prompt

Nothing decides by it yet. Ruled out: the text of the header as it stands (its length is the caller's choice).

--- a/crates/oliveworks-gateway/src/crashers.rs
+++ b/crates/oliveworks-gateway/src/crashers.rs
@@ -20,12 +20,15 @@
 use ring::digest::{Context, SHA256};
 
 use crate::connection::ReceivedRequest;
-use crate::dialect::RequestInfo;
+use crate::dialect::{PartId, RequestInfo, SharedParts};
 use crate::events::Event;
 use crate::exchange::{Exchange, NoConnection};
 use crate::places::Place;
 use crate::state::Gateway;
 
+/// Maximum number of a prompt's parts in a log line.
+const LOGGED_PARTS_MAX: usize = 16;
+
 /// Returns the fingerprint of a request, computed from its host name, workspace, method, target,
 /// model and body. Values that differ between retries of the same request are left out, as are
 /// values that only influence placement: the service changes with the configuration and, where it
@@ -61,6 +64,18 @@
     request.0[..6].iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
+/// Returns the ids of a prompt's parts, for log lines; `None` without a list of parts.
+fn part_names(parts: &SharedParts) -> Option<String> {
+    match parts {
+        SharedParts::Absent => None,
+        SharedParts::Named(ids) => {
+            let ids = ids.iter().take(LOGGED_PARTS_MAX).map(PartId::to_string);
+            Some(ids.collect::<Vec<_>>().join(","))
+        }
+        SharedParts::Unreadable(list) => Some(format!("unreadable: {list}")),
+    }
+}
+
 /// A failed run of a request.
 pub struct FailedRun<'a> {
     /// Place of the run.
@@ -73,6 +88,8 @@
     pub failure: Failure,
     /// Request id of the run.
     pub id: &'a str,
+    /// Parts of the prompt.
+    pub parts: &'a SharedParts,
 }
 
 impl Gateway {
@@ -99,6 +116,7 @@
             .with("host", &*place.server)
             .with("request", run.id)
             .with("same_request", short_name(request))
+            .with("parts", part_names(run.parts))
             .with("ends_in_a_row", ends)
             .with("ends_needed", assessment.map(|known| known.needed))
             .with("shares_last_end", assessment.map(|known| known.shares_last_end))
--- a/crates/oliveworks-gateway/src/dialect.rs
+++ b/crates/oliveworks-gateway/src/dialect.rs
@@ -116,6 +116,28 @@
     Refused(u16),
 }
 
+/// Id of a part of a prompt. Requests that name the same id contain the same part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct PartId(pub u128);
+
+impl fmt::Display for PartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+/// Parts of a prompt that other requests may contain as well, as named by the caller.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum SharedParts {
+    /// The caller names no parts.
+    #[default]
+    Absent,
+    /// Ids of the parts, in the order of the prompt; possibly empty.
+    Named(Vec<PartId>),
+    /// The list cannot be parsed. Contains its beginning.
+    Unreadable(String),
+}
+
 /// Properties of a request, read from its headers.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RequestInfo {
@@ -129,9 +151,8 @@
     pub model: Option<String>,
     /// Number of tokens in the prompt.
     pub prompt_tokens: u32,
-    /// Text in which the caller describes the parts of the prompt, in the format of the platform.
-    /// Equal prompts have equal texts.
-    pub prompt: Option<String>,
+    /// Parts of the prompt that other requests may contain as well.
+    pub shared_parts: SharedParts,
     /// Last event received by the caller.
     pub last_event: Option<u64>,
 }
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -307,7 +307,8 @@
                 AttemptOutcome::Failed { failure, gone } => (failure, gone),
             };
             let id = &self.asked.id;
-            let run = FailedRun { place: &place, sent: now, first_event, failure, id };
+            let parts = &self.asked.shared_parts;
+            let run = FailedRun { place: &place, sent: now, first_event, failure, id, parts };
             let gone = gone || self.has_ended(&run).await;
             let now = self.gateway.now();
             self.log.push(format!("{} {failure:?} at {} ms", place.server, now - self.received));
