Evidence against requests that crash hosts is held by their features

What callers saw: requests with one part in their prompts, no two alike, crashed one host after the other; all others of the model were refused or late meanwhile. The evidence was held by a request's whole content, so similar requests had nothing in common: no chain grew beyond the ends of one caller. Change: one set of rules, on keys of a run: its content, its body in its workspace, each part of its prompt, and each part within its workspace. A completed run clears all of its features at all gateways; a shared feature that completed within the last minute is not even a suspect, so that parts which most requests share hold nobody back. Features that are always at the same ends are convicted together: only a request with all of them is refused, one with some of them is tried alone, and its outcome tells them apart. So the crashes of one workspace do not convict a part in the others. Tests of single requests and their bounds are unchanged but for the types.

--- a/crates/oliveworks-gateway-core/src/crashers/chain.rs
+++ b/crates/oliveworks-gateway-core/src/crashers/chain.rs
@@ -1,9 +1,9 @@
-//! Chains of ends: the ends of backend servers that count against one request, and their exchange
+//! Chains of ends: the ends of backend servers that count against one feature, and their exchange
 //! between gateways.
 
 use serde::{Deserialize, Serialize};
 
-use super::{Fingerprint, SAME_END_MS};
+use super::{Feature, SAME_END_MS};
 use crate::Millis;
 use crate::balance::Target;
 
@@ -78,7 +78,7 @@
     }
 }
 
-/// Weighted ends that count against a request, in halves of an end.
+/// Weighted ends that count against a feature, in halves of an end.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Evidence(u32);
 
@@ -94,24 +94,24 @@
     }
 }
 
-/// A gateway's report of a request.
+/// A gateway's report of a feature.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Chain {
-    /// The request under which the backend servers ended.
-    pub request: Fingerprint,
-    /// Ends under the request that the reporting gateway knows, oldest first.
+    /// The feature of the requests under which the backend servers ended.
+    pub feature: Feature,
+    /// Ends under these requests that the reporting gateway knows, oldest first.
     pub ends: Vec<ReportedEnd>,
     /// Time since the last completed run, in ms, if known. Earlier ends do not count against the
-    /// request.
+    /// feature.
     pub survived_ago_ms: Option<u64>,
-    /// Time since the start of a run, in ms, if other gateways must not run the request in the
+    /// Time since the start of a run, in ms, if other gateways must not run such requests in the
     /// meantime.
     pub tried_ago_ms: Option<u64>,
-    /// Whether the request is convicted.
+    /// Whether the feature is convicted.
     pub is_convicted: bool,
 }
 
-/// The state of a request. Two gateways that have exchanged all reports have the same state.
+/// The state of a feature. Two gateways that have exchanged all reports have the same state.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Record {
     /// The ends, in the order of their times.
@@ -124,25 +124,46 @@
     released_at: Millis,
     /// Start of the latest run whose result is awaited.
     tried_at: Option<Millis>,
+    /// Time of the last end, or of the completed run that cleared it.
+    kept_since: Millis,
     pub is_convicted: bool,
     /// Time at which this gateway learned of a change that has to be reported.
     pub report_since: Option<Millis>,
 }
 
 impl Record {
-    /// Creates the state of a request whose conviction has expired.
+    /// Creates the state of a feature without an end.
+    pub fn survived_at(survived_at: Option<Millis>) -> Record {
+        Record { survived_at, kept_since: survived_at.unwrap_or(0), ..Record::default() }
+    }
+
+    /// Creates the state of a feature whose conviction has expired.
     pub fn released(now: Millis, carried: u32) -> Record {
-        Record { carried, released_at: now, ..Record::default() }
+        Record { carried, released_at: now, kept_since: now, ..Record::default() }
+    }
+
+    /// Returns whether a completed run shows that an end does not count against the feature.
+    pub fn has_cleared(&self, end: &End) -> bool {
+        self.survived_at.is_some_and(|survived_at| end.at <= survived_at + REPORT_DELAY_MAX_MS)
     }
 
-    /// Records that a backend server ended under the request. Returns whether the end was unknown,
-    /// or known with less weight.
+    /// Returns the time of the last completed run.
+    pub fn last_survival(&self) -> Option<Millis> {
+        self.survived_at
+    }
+
+    /// Returns the time from which the state is kept for a while.
+    pub fn kept_since(&self) -> Millis {
+        self.kept_since
+    }
+
+    /// Records that a backend server ended under such a request. Returns whether the end was
+    /// unknown, or known with less weight.
     pub fn ended(&mut self, end: End) -> bool {
-        let is_cleared =
-            self.survived_at.is_some_and(|survived_at| end.at <= survived_at + REPORT_DELAY_MAX_MS);
-        if is_cleared || end.at < self.released_at {
+        if self.has_cleared(&end) || end.at < self.released_at {
             return false;
         }
+        self.kept_since = self.kept_since.max(end.at);
         if let Some(known) = self.ends.iter_mut().find(|known| known.is_same(&end)) {
             let is_stronger = known.halves() < end.halves();
             known.had_delivered &= end.had_delivered;
@@ -155,19 +176,24 @@
         surplus == 0 || index > 0
     }
 
-    /// Records a completed run, and returns whether this was unknown.
+    /// Records a completed run. Returns whether it is the first one, or clears ends: other gateways
+    /// have to know of such a run.
     pub fn survived(&mut self, at: Millis) -> bool {
         if self.survived_at.is_some_and(|known| at <= known + REPORT_DELAY_MAX_MS) {
             return false;
         }
+        let is_news = self.survived_at.is_none() || !self.ends.is_empty() || self.carried > 0;
         self.survived_at = Some(at);
         self.ends.retain(|end| end.at > at);
         self.is_convicted &= !self.ends.is_empty();
         self.carried = 0;
-        true
+        if is_news {
+            self.kept_since = self.kept_since.max(at);
+        }
+        is_news
     }
 
-    /// Returns the evidence against the request. Ends at the same moment count as one, and ends
+    /// Returns the evidence against the feature. Ends at the same moment count as one, and ends
     /// that another request explains have less weight.
     pub fn evidence(&self, is_explained: impl Fn(Target) -> bool) -> Evidence {
         let mut halves = self.carried * FULL_WEIGHT;
@@ -197,6 +223,16 @@
         self.ends.iter().map(|end| end.host)
     }
 
+    /// Returns whether all ends of another feature are ends of this one as well.
+    pub fn has_all_hosts_of(&self, other: &Record) -> bool {
+        other.hosts().all(|host| self.hosts().any(|own| own == host))
+    }
+
+    /// Returns the number of ends that still count after an expired conviction.
+    pub fn carried(&self) -> u32 {
+        self.carried
+    }
+
     /// Records the start of a run, and returns whether this was unknown.
     pub fn tried(&mut self, at: Millis) -> bool {
         let is_new = self.tried_at.is_none_or(|known| at > known + REPORT_DELAY_MAX_MS);
@@ -239,7 +275,7 @@
     /// Returns the report for other gateways. Ends from before the start of this process are
     /// omitted: their age is unknown here, and they would seem more recent with each gateway that
     /// forwards them.
-    pub fn report(&self, now: Millis, request: Fingerprint) -> Option<Chain> {
+    pub fn report(&self, now: Millis, feature: Feature) -> Option<Chain> {
         let dated = self.ends.iter().filter(|end| end.at > 0);
         let ends: Vec<ReportedEnd> = dated.map(|end| end.reported(now)).collect();
         let survived_at = self.survived_at.filter(|at| *at > 0);
@@ -250,6 +286,6 @@
             return None;
         }
         let is_convicted = self.is_convicted;
-        Some(Chain { request, ends, survived_ago_ms, tried_ago_ms, is_convicted })
+        Some(Chain { feature, ends, survived_ago_ms, tried_ago_ms, is_convicted })
     }
 }
--- a/crates/oliveworks-gateway-core/tests/crashers.rs
+++ b/crates/oliveworks-gateway-core/tests/crashers.rs
@@ -4,22 +4,22 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use oliveworks_gateway_core::balance::Target;
-use oliveworks_gateway_core::crashers::{Chain, Crashers, Fingerprint, Standing};
+use oliveworks_gateway_core::crashers::{Chain, Crashers, Features, Fingerprint, Standing};
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use test_case::test_case;
 
-fn request(number: u64) -> Fingerprint {
+fn request(number: u64) -> Features {
     let mut bytes = [0; 16];
     bytes[..8].copy_from_slice(&number.to_le_bytes());
-    Fingerprint(bytes)
+    Fingerprint(bytes).into()
 }
 
 const GUILTY: u64 = 0;
 
 fn is_convicted(crashers: &mut Crashers, now: u64, number: u64) -> bool {
-    matches!(crashers.standing(now, request(number)), Standing::Convicted { .. })
+    matches!(crashers.standing(now, &request(number)), Standing::Convicted { .. })
 }
 
 #[test]
@@ -27,7 +27,7 @@
     let mut crashers = Crashers::default();
     for (end, host) in [(1_000, 1), (2_000, 2), (3_000, 3)] {
         assert!(!is_convicted(&mut crashers, end, GUILTY));
-        crashers.host_ended(end, request(GUILTY), Target(host), 0);
+        crashers.host_ended(end, &request(GUILTY), Target(host), 0);
     }
     assert!(is_convicted(&mut crashers, 3_000, GUILTY));
 }
@@ -38,19 +38,19 @@
 fn ends_at_one_moment_count_once() {
     let mut crashers = Crashers::default();
     for host in 0..100 {
-        crashers.host_ended(1_000 + host, request(GUILTY), Target(host), 0);
+        crashers.host_ended(1_000 + host, &request(GUILTY), Target(host), 0);
     }
-    assert_eq!(crashers.standing(1_200, request(GUILTY)), Standing::Suspect { ends: 1 });
+    assert_eq!(crashers.standing(1_200, &request(GUILTY)), Standing::Suspect { ends: 1 });
 }
 
 #[test]
 fn a_request_that_survives_restarts_its_chain() {
     let mut crashers = Crashers::default();
-    crashers.host_ended(1_000, request(GUILTY), Target(1), 0);
-    crashers.host_ended(2_000, request(GUILTY), Target(2), 0);
-    crashers.survived(2_500, request(GUILTY));
-    crashers.host_ended(3_000, request(GUILTY), Target(3), 0);
-    assert_eq!(crashers.standing(3_000, request(GUILTY)), Standing::Suspect { ends: 1 });
+    crashers.host_ended(1_000, &request(GUILTY), Target(1), 0);
+    crashers.host_ended(2_000, &request(GUILTY), Target(2), 0);
+    crashers.survived(2_500, &request(GUILTY));
+    crashers.host_ended(3_000, &request(GUILTY), Target(3), 0);
+    assert_eq!(crashers.standing(3_000, &request(GUILTY)), Standing::Suspect { ends: 1 });
 }
 
 /// The chain of a request is the sequence of ends of backend servers on which the request ran. An
@@ -63,11 +63,11 @@
     let (mut crashers, mut other) = (Crashers::default(), Crashers::default());
     for (end, host) in [(1_000, 1), (2_000, 2), (3_000, 3)] {
         for number in [GUILTY, 1] {
-            crashers.host_ended(end, request(number), Target(host), 0);
+            crashers.host_ended(end, &request(number), Target(host), 0);
         }
     }
     assert!(!is_convicted(&mut crashers, 3_000, GUILTY));
-    crashers.host_ended(4_000, request(GUILTY), Target(4), 0);
+    crashers.host_ended(4_000, &request(GUILTY), Target(4), 0);
     for chain in crashers.chains_to_report(3_900) {
         other.apply_report(4_010, chain);
     }
@@ -83,16 +83,16 @@
 fn unrelated_ends_require_a_longer_chain() {
     let mut crashers = Crashers::default();
     for host in 50..60 {
-        crashers.host_ended(900, request(7), Target(host), 0);
+        crashers.host_ended(900, &request(7), Target(host), 0);
     }
     for (end, host) in [(1_500, 1), (2_500, 2), (3_500, 3)] {
-        crashers.host_ended(end, request(GUILTY), Target(host), 0);
+        crashers.host_ended(end, &request(GUILTY), Target(host), 0);
     }
     assert!(
         !is_convicted(&mut crashers, 3_500, GUILTY),
         "ten hosts ended at one moment before the chain"
     );
-    crashers.host_ended(4_500, request(GUILTY), Target(4), 0);
+    crashers.host_ended(4_500, &request(GUILTY), Target(4), 0);
     assert!(is_convicted(&mut crashers, 4_500, GUILTY));
 }
 
@@ -104,15 +104,15 @@
     let (mut one, mut other) = (Crashers::default(), Crashers::default());
     for (end, host) in [(1_000, 1), (2_000, 2)] {
         for number in [GUILTY, 1] {
-            one.host_ended(end, request(number), Target(host), 0);
+            one.host_ended(end, &request(number), Target(host), 0);
         }
     }
     one.chains_to_report(2_000)
         .into_iter()
         .for_each(|chain| assert!(other.apply_report(2_100, chain)));
-    one.host_ended(3_000, request(GUILTY), Target(3), 0);
-    other.host_ended(3_000, request(GUILTY), Target(4), 0);
-    one.host_ended(3_000, request(1), Target(3), 0);
+    one.host_ended(3_000, &request(GUILTY), Target(3), 0);
+    other.host_ended(3_000, &request(GUILTY), Target(4), 0);
+    one.host_ended(3_000, &request(1), Target(3), 0);
     for chain in one.chains_to_report(3_050) {
         other.apply_report(3_060, chain);
     }
@@ -131,14 +131,14 @@
 fn a_conviction_ends_with_a_trial() {
     let mut crashers = Crashers::default();
     for (end, host) in [(1_000, 1), (2_000, 2), (3_000, 3)] {
-        crashers.host_ended(end, request(GUILTY), Target(host), 0);
+        crashers.host_ended(end, &request(GUILTY), Target(host), 0);
     }
-    let Standing::Convicted { until } = crashers.standing(3_000, request(GUILTY)) else {
+    let Standing::Convicted { until } = crashers.standing(3_000, &request(GUILTY)) else {
         panic!("not convicted");
     };
     assert!(is_convicted(&mut crashers, until - 1, GUILTY));
-    assert_eq!(crashers.standing(until, request(GUILTY)), Standing::Suspect { ends: 2 });
-    crashers.host_ended(until + 900, request(GUILTY), Target(4), 0);
+    assert_eq!(crashers.standing(until, &request(GUILTY)), Standing::Suspect { ends: 2 });
+    crashers.host_ended(until + 900, &request(GUILTY), Target(4), 0);
     assert!(is_convicted(&mut crashers, until + 900, GUILTY));
 }
 
@@ -148,27 +148,27 @@
 fn the_trial_is_a_single_run() {
     let (mut one, mut other) = (Crashers::default(), Crashers::default());
     for (end, host) in [(1_000, 1), (2_000, 2), (3_000, 3)] {
-        one.host_ended(end, request(GUILTY), Target(host), 0);
+        one.host_ended(end, &request(GUILTY), Target(host), 0);
     }
     one.chains_to_report(3_100)
         .into_iter()
         .for_each(|chain| assert!(other.apply_report(3_100, chain)));
-    let Standing::Convicted { until } = one.standing(3_100, request(GUILTY)) else {
+    let Standing::Convicted { until } = one.standing(3_100, &request(GUILTY)) else {
         panic!("not convicted");
     };
-    let standing = one.standing(until, request(GUILTY));
-    assert!(!one.must_wait_for_trial(until, request(GUILTY)));
+    let standing = one.standing(until, &request(GUILTY));
+    assert!(!one.must_wait_for_trial(until, &request(GUILTY)));
     assert!(
-        one.placed(until, Target(4), request(GUILTY), standing),
+        one.placed(until, Target(4), &request(GUILTY), standing),
         "other gateways must not run their copies during the trial"
     );
-    assert!(one.must_wait_for_trial(until, request(GUILTY)));
-    other.standing(until, request(GUILTY));
-    assert!(!other.must_wait_for_trial(until, request(GUILTY)));
+    assert!(one.must_wait_for_trial(until, &request(GUILTY)));
+    other.standing(until, &request(GUILTY));
+    assert!(!other.must_wait_for_trial(until, &request(GUILTY)));
     for chain in one.chains_to_report(until + 5) {
         other.apply_report(until + 10, chain);
     }
-    assert!(other.must_wait_for_trial(until + 10, request(GUILTY)));
+    assert!(other.must_wait_for_trial(until + 10, &request(GUILTY)));
 }
 
 /// The number of remembered chains stays bounded when more requests lose their host than run in a
@@ -177,13 +177,14 @@
 fn the_weakest_chains_are_evicted_first() {
     let mut crashers = Crashers::default();
     for (end, host) in [(1_000, 1), (2_000, 2), (3_000, 3)] {
-        crashers.host_ended(end, request(GUILTY), Target(host), 0);
+        crashers.host_ended(end, &request(GUILTY), Target(host), 0);
     }
     for number in 1..10_000 {
-        crashers.host_ended(3_500, request(number), Target(4), 0);
+        crashers.host_ended(3_500, &request(number), Target(4), 0);
     }
     crashers.chains_to_report(3_600);
-    let known = (1..10_000).filter(|number| crashers.assess(request(*number)).is_some()).count();
+    let known =
+        (1..10_000).filter(|number| crashers.assess(3_500, &request(*number)).is_some()).count();
     assert!(known <= 4_096, "{known} requests are remembered");
     assert!(is_convicted(&mut crashers, 3_600, GUILTY));
 }
@@ -191,14 +192,14 @@
 #[test]
 fn a_chain_is_applied_once_and_not_reported_forever() {
     let (mut one, mut other) = (Crashers::default(), Crashers::default());
-    one.host_ended(1_000, request(GUILTY), Target(1), 0);
+    one.host_ended(1_000, &request(GUILTY), Target(1), 0);
     let reported = one.chains_to_report(1_000);
     assert!(
         other.apply_report(8_900, reported[0].clone()),
         "each gateway may have observed an end"
     );
-    assert_eq!(other.standing(8_900, request(GUILTY)), Standing::Suspect { ends: 1 });
-    one.host_ended(2_000, request(GUILTY), Target(2), 0);
+    assert_eq!(other.standing(8_900, &request(GUILTY)), Standing::Suspect { ends: 1 });
+    one.host_ended(2_000, &request(GUILTY), Target(2), 0);
     let reported = one.chains_to_report(2_000);
     assert_eq!(reported.len(), 1);
     assert!(other.apply_report(9_000, reported[0].clone()));
@@ -225,7 +226,7 @@
 fn a_gateway_that_starts_learns_who_is_convicted() {
     let (mut one, mut other) = (Crashers::default(), Crashers::default());
     for (end, host) in [(1_000, 1), (2_000, 2), (3_000, 3)] {
-        one.host_ended(end, request(GUILTY), Target(host), 0);
+        one.host_ended(end, &request(GUILTY), Target(host), 0);
     }
     let reported = one.chains_to_report(60_000);
     assert_eq!(reported.len(), 1);
@@ -233,7 +234,7 @@
         other.apply_report(200_000, reported[0].clone()),
         "the clocks of the two gateways differ"
     );
-    let Standing::Convicted { until } = one.standing(60_000, request(GUILTY)) else {
+    let Standing::Convicted { until } = one.standing(60_000, &request(GUILTY)) else {
         panic!("not convicted");
     };
     let left = until - 60_000;
@@ -247,7 +248,7 @@
 fn an_end_from_before_the_process_start_is_not_forwarded() {
     let (mut one, mut other) = (Crashers::default(), Crashers::default());
     for (end, host) in [(1_000, 1), (2_000, 2), (3_000, 3)] {
-        one.host_ended(end, request(GUILTY), Target(host), 0);
+        one.host_ended(end, &request(GUILTY), Target(host), 0);
     }
     let reported = one.chains_to_report(60_000);
     assert!(other.apply_report(40, reported[0].clone()));
@@ -294,7 +295,7 @@
             true => all.collect(),
             false => all.filter(|host| !self.ended.contains(host)).collect(),
         };
-        let standing = self.gateways[gateway].standing(now, request(number));
+        let standing = self.gateways[gateway].standing(now, &request(number));
         let crashers = &self.gateways[gateway];
         let hosts_without = |is_present: fn(&Crashers, Target) -> bool| -> Vec<Target> {
             live_hosts.iter().copied().filter(|host| !is_present(crashers, *host)).collect()
@@ -310,7 +311,7 @@
             preferred_places.iter().find(|places| !places.is_empty()).unwrap_or(&live_hosts);
         let Some(host) = places.choose(&mut self.rng).copied() else { return };
         if standing != Standing::Clear {
-            self.gateways[gateway].placed(now, host, request(number), standing);
+            self.gateways[gateway].placed(now, host, &request(number), standing);
         }
         self.runs.insert(number, Run { host, gateway, sends: sends + 1, standing });
     }
@@ -319,7 +320,7 @@
     fn remove_run(&mut self, number: u64) -> Option<Run> {
         let run = self.runs.remove(&number)?;
         if run.standing != Standing::Clear {
-            self.gateways[run.gateway].left(run.host, request(number), run.standing);
+            self.gateways[run.gateway].left(run.host, &request(number), run.standing);
         }
         Some(run)
     }
@@ -332,7 +333,7 @@
             self.runs.iter().filter(|r| r.1.host == host).map(|r| *r.0).collect();
         for number in interrupted {
             let Some(Run { gateway, sends, .. }) = self.remove_run(number) else { continue };
-            self.gateways[gateway].host_ended(now, request(number), host, 0);
+            self.gateways[gateway].host_ended(now, &request(number), host, 0);
             self.exchange_chains(now);
             let gateway = match sends % SENDS == 0 {
                 true => self.rng.random_range(0..self.gateways.len()),
@@ -357,7 +358,7 @@
 
     fn finish(&mut self, now: u64, number: u64) {
         if let Some(run) = self.remove_run(number) {
-            self.gateways[run.gateway].survived(now, request(number));
+            self.gateways[run.gateway].survived(now, &request(number));
         }
     }
 }
--- a/crates/oliveworks-gateway-core/tests/crashers_under_load.rs
+++ b/crates/oliveworks-gateway-core/tests/crashers_under_load.rs
@@ -12,7 +12,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use oliveworks_gateway_core::balance::Target;
-use oliveworks_gateway_core::crashers::{Chain, Crashers, Fingerprint, SETTLED_MS, Standing};
+use oliveworks_gateway_core::crashers::{
+    Chain, Crashers, Features, Fingerprint, SETTLED_MS, Standing,
+};
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -44,14 +46,14 @@
 const LATE_SENDS_MAX: usize = 3;
 const LATE_AFTER_MS: u64 = 3_000;
 
-fn fingerprint(number: u64) -> Fingerprint {
+fn request(number: u64) -> Features {
     let mut bytes = [0; 16];
     bytes[..8].copy_from_slice(&number.to_le_bytes());
-    Fingerprint(bytes)
+    Fingerprint(bytes).into()
 }
 
 fn is_convicted(crashers: &mut Crashers, now: u64, number: u64) -> bool {
-    matches!(crashers.standing(now, fingerprint(number)), Standing::Convicted { .. })
+    matches!(crashers.standing(now, &request(number)), Standing::Convicted { .. })
 }
 
 /// A run of one copy of a request.
@@ -153,12 +155,12 @@
     }
 
     fn send(&mut self, number: u64, gateway: usize, sends: u32) {
-        let standing = self.gateways[gateway].standing(self.now, fingerprint(number));
+        let standing = self.gateways[gateway].standing(self.now, &request(number));
         if matches!(standing, Standing::Convicted { .. }) {
             self.convicted.insert(number);
             return;
         }
-        if self.gateways[gateway].must_wait_for_trial(self.now, fingerprint(number)) {
+        if self.gateways[gateway].must_wait_for_trial(self.now, &request(number)) {
             return;
         }
         let Some(head) = self.place(gateway, standing) else { return };
@@ -170,7 +172,7 @@
         };
         if standing != Standing::Clear {
             let host = self.heads[head].host;
-            self.gateways[gateway].placed(self.now, host, fingerprint(number), standing);
+            self.gateways[gateway].placed(self.now, host, &request(number), standing);
             self.report_at = self.now + STEP_MS;
         }
         if number < self.guilty {
@@ -186,7 +188,7 @@
         let run = self.runs.remove(&copy)?;
         if run.standing != Standing::Clear {
             let host = self.heads[run.head].host;
-            self.gateways[run.gateway].left(host, fingerprint(run.number), run.standing);
+            self.gateways[run.gateway].left(host, &request(run.number), run.standing);
         }
         Some(run)
     }
@@ -203,7 +205,7 @@
         for run in &lost {
             let delivered_ms = self.now.saturating_sub(run.first_event_at);
             let crashers = &mut self.gateways[run.gateway];
-            crashers.host_ended(self.now, fingerprint(run.number), host, delivered_ms);
+            crashers.host_ended(self.now, &request(run.number), host, delivered_ms);
         }
         // Ends of hosts are reported at once.
         self.report_at = self.now + STEP_MS;
@@ -271,7 +273,7 @@
                 self.ends.entry(run.number).or_default().push(self.now);
                 self.end(run.head);
             } else if let Some(run) = self.remove_run(copy) {
-                self.gateways[run.gateway].survived(self.now, fingerprint(run.number));
+                self.gateways[run.gateway].survived(self.now, &request(run.number));
             }
         }
         if crash_interval_ms.is_some_and(|interval_ms| self.now.is_multiple_of(interval_ms)) {
@@ -350,8 +352,8 @@
     let mut crashers = Crashers::default();
     for end in 0..ENDS_MAX as u64 {
         let now = 1_000 + end * 1_500;
-        crashers.host_ended(now, fingerprint(0), Target(end), 0);
-        crashers.host_ended(now + 700, fingerprint(100 + end), Target(100 + end), 0);
+        crashers.host_ended(now, &request(0), Target(end), 0);
+        crashers.host_ended(now + 700, &request(100 + end), Target(100 + end), 0);
     }
     assert!(is_convicted(&mut crashers, 9_000, 0));
 }
@@ -362,12 +364,12 @@
 fn a_conviction_outlasts_unrelated_ends() {
     let mut crashers = Crashers::default();
     for end in 0..3 {
-        crashers.host_ended(1_000 + end * 1_000, fingerprint(0), Target(end), 0);
+        crashers.host_ended(1_000 + end * 1_000, &request(0), Target(end), 0);
     }
     assert!(is_convicted(&mut crashers, 3_000, 0));
     for end in 0..10 {
         let now = 4_000 + end * 1_000;
-        crashers.host_ended(now, fingerprint(1 + end), Target(100 + end), 0);
+        crashers.host_ended(now, &request(1 + end), Target(100 + end), 0);
         assert!(is_convicted(&mut crashers, now, 0), "after {end} more ends");
     }
 }
@@ -378,7 +380,7 @@
     let mut gateways = vec![Crashers::default(); 3];
     for end in 0..3 {
         let now = 1_000 + end * 500;
-        gateways[end as usize].host_ended(now, fingerprint(0), Target(end), 0);
+        gateways[end as usize].host_ended(now, &request(0), Target(end), 0);
         let reported: Vec<Chain> =
             gateways.iter_mut().flat_map(|g| g.chains_to_report(now)).collect();
         for gateway in &mut gateways {
--- a/crates/oliveworks-gateway/src/crashers.rs
+++ b/crates/oliveworks-gateway/src/crashers.rs
@@ -1,26 +1,29 @@
-//! Requests that crash the backend servers they run at: identifies them by fingerprint, finds out
+//! Requests that crash the backend servers they run at: identifies them by their features, finds out
 //! whether a host ended during one, and reports them to the other gateways.
 //!
 //! The terms are those of [`oliveworks_gateway_core::crashers`]. The *standing* of a request is the
 //! evidence against it:
 //!
-//! - A request is *clear* if there is no evidence against it.
-//! - A request is a *suspect* if a backend server ended under it, and a *strong suspect* if more
-//!   than one did.
-//! - A request is *convicted* if enough backend servers ended under it one after the other and none
-//!   of its runs completed. A convicted request is not sent until the conviction ends.
+//! - A request is *clear* if there is no evidence against its features.
+//! - A request is a *suspect* if a backend server ended under one of its features, and a *strong
+//!   suspect* if more than one did.
+//! - A feature is *convicted* if enough backend servers ended under it one after the other and no
+//!   run completed. A request with a convicted feature is not sent until the conviction ends.
 //!
-//! A *trial* is a run of a request whose copies must not run side by side. The copies are rejected
-//! while the outcome of the trial is awaited.
+//! A *trial* is a run of a request whose like must not run side by side. Other requests with the
+//! feature are rejected while the outcome of the trial is awaited.
 
 use oliveworks_gateway_core::Millis;
 use oliveworks_gateway_core::attempts::Failure;
 use oliveworks_gateway_core::balance::Target;
-use oliveworks_gateway_core::crashers::{Chain, Fingerprint, Standing};
+use oliveworks_gateway_core::crashers::{
+    Chain, Features, Fingerprint, PartId, Standing, WorkspaceHash,
+};
 use ring::digest::{Context, SHA256};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::connection::ReceivedRequest;
-use crate::dialect::{PartId, RequestInfo, SharedParts};
+use crate::dialect::{RequestInfo, SharedParts};
 use crate::events::Event;
 use crate::exchange::{Exchange, NoConnection};
 use crate::places::Place;
@@ -29,29 +32,44 @@
 /// Maximum number of a prompt's parts in a log line.
 const LOGGED_PARTS_MAX: usize = 16;
 
-/// Returns the fingerprint of a request, computed from its host name, workspace, method, target,
-/// model and body. Values that differ between retries of the same request are left out, as are
-/// values that only influence placement: the service changes with the configuration and, where it
-/// is split, with the id of the try, and parts of a prompt are hints.
-pub fn fingerprint(
+/// Returns the features of a request. Values that differ between retries of the same request are
+/// left out of its content, as are values that only influence placement: the service changes with
+/// the configuration and, where it is split, with the id of the try, and a caller may name other
+/// parts of the same prompt.
+pub fn features(
     request: &ReceivedRequest,
     asked: &RequestInfo,
     workspace: Option<&str>,
-) -> Fingerprint {
-    let parts: [&[u8]; 6] = [
+) -> Features {
+    let workspace = workspace.unwrap_or_default();
+    let content: [&[u8]; 6] = [
         request.header("host").unwrap_or_default().as_bytes(),
-        workspace.unwrap_or_default().as_bytes(),
+        workspace.as_bytes(),
         request.method.as_str().as_bytes(),
         request.target.as_bytes(),
         asked.model.as_deref().unwrap_or_default().as_bytes(),
         &request.body,
     ];
+    let mut features = Features::from(fingerprint(&content));
+    if !request.body.is_empty() {
+        features = features.with_body(fingerprint(&[workspace.as_bytes(), &request.body]));
+    }
+    match &asked.shared_parts {
+        SharedParts::Named(parts) => {
+            features.with_parts(WorkspaceHash(xxh3_64(workspace.as_bytes())), parts)
+        }
+        SharedParts::Absent | SharedParts::Unreadable(_) => features,
+    }
+}
+
+/// Returns the hash of a sequence of values.
+fn fingerprint(values: &[&[u8]]) -> Fingerprint {
     let mut context = Context::new(&SHA256);
-    for part in parts {
-        // The length is included so that two requests never become equal by a different split into
-        // parts.
-        context.update(&(part.len() as u64).to_le_bytes());
-        context.update(part);
+    for value in values {
+        // The length is included so that two sequences never become equal by a different split into
+        // values.
+        context.update(&(value.len() as u64).to_le_bytes());
+        context.update(value);
     }
     let digest = context.finish();
     let mut short = [0; 16];
@@ -59,11 +77,6 @@
     Fingerprint(short)
 }
 
-/// Returns the first bytes of a fingerprint in hex, for log lines.
-fn short_name(request: Fingerprint) -> String {
-    request.0[..6].iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
 /// Returns the ids of a prompt's parts, for log lines; `None` without a list of parts.
 fn part_names(parts: &SharedParts) -> Option<String> {
     match parts {
@@ -96,7 +109,7 @@
     /// Returns whether the backend server of a run ended during it: the connection broke off, and
     /// nothing listens at the address afterwards. A leaving server ends as planned. A server that
     /// accepts connections again, or is silent, was slow, cut off, or only reset its connections.
-    pub async fn server_ended_during(&self, request: Fingerprint, run: &FailedRun<'_>) -> bool {
+    pub async fn server_ended_during(&self, request: &Features, run: &FailedRun<'_>) -> bool {
         let place = run.place;
         if run.failure != Failure::Lost || place.is_leaving || self.is_leaving(&place.server) {
             return false;
@@ -108,16 +121,16 @@
         }
         let (now, target) = (self.now(), place.candidate.target);
         let delivered_ms = run.first_event.map(|at| now.saturating_sub(at));
-        let ends =
-            self.crashers.borrow_mut().host_ended(now, request, target, delivered_ms.unwrap_or(0));
+        self.crashers.borrow_mut().host_ended(now, request, target, delivered_ms.unwrap_or(0));
         self.count("hosts_ended_under_requests");
-        let assessment = self.crashers.borrow().assess(request);
+        let assessment = self.crashers.borrow().assess(now, request);
         Event::new("host_ended_under_request")
             .with("host", &*place.server)
             .with("request", run.id)
-            .with("same_request", short_name(request))
+            .with("same_request", request.content().to_string())
             .with("parts", part_names(run.parts))
-            .with("ends_in_a_row", ends)
+            .with("most_suspected", assessment.map(|known| known.feature.to_string()))
+            .with("ends_in_a_row", assessment.map_or(0, |known| known.ends))
             .with("ends_needed", assessment.map(|known| known.needed))
             .with("shares_last_end", assessment.map(|known| known.shares_last_end))
             .with("ran_ms", now.saturating_sub(run.sent))
@@ -134,14 +147,14 @@
         self.send_heartbeat_now();
     }
 
-    /// Logs the requests that have been convicted.
+    /// Logs the features that have been convicted.
     pub fn log_convictions(&self) {
         let convicted = self.crashers.borrow_mut().take_new_convictions();
-        for request in convicted {
+        for feature in convicted {
             self.count("convicted_crashers");
-            let assessment = self.crashers.borrow().assess(request);
+            let assessment = self.crashers.borrow().assess_feature(self.now(), feature);
             Event::new("crasher_convicted")
-                .with("same_request", short_name(request))
+                .with("feature", feature.to_string())
                 .with("ends_in_a_row", assessment.map(|known| known.ends))
                 .with("ends_needed", assessment.map(|known| known.needed))
                 .write();
@@ -150,7 +163,7 @@
     }
 
     /// Returns the standing of a request.
-    pub fn standing(&self, request: Fingerprint) -> Standing {
+    pub fn standing(&self, request: &Features) -> Standing {
         if !self.settings.requests.refuse_crashers {
             return Standing::Clear;
         }
@@ -160,30 +173,32 @@
     }
 
     /// Logs the rejection of a request during which several backend servers ended in a row.
-    pub fn log_crasher_refusal(&self, request: Fingerprint, id: &str, for_ms: u64) {
+    pub fn log_crasher_refusal(&self, request: &Features, id: &str, for_ms: u64) {
         self.count("refused_crashers");
+        let assessment = self.crashers.borrow().assess(self.now(), request);
         Event::new("crasher_refused")
             .with("request", id)
-            .with("same_request", short_name(request))
+            .with("same_request", request.content().to_string())
+            .with("feature", assessment.map(|known| known.feature.to_string()))
             .with("for_ms", for_ms)
             .write();
     }
 
     /// Records that a request ran to completion.
-    pub fn record_completion(&self, request: Fingerprint) {
+    pub fn record_completion(&self, request: &Features) {
         self.crashers.borrow_mut().survived(self.now(), request);
     }
 
     /// Processes a report of another gateway on backend servers that ended during a request.
     pub fn process_crasher_report(&self, chain: Chain) {
-        let request = chain.request;
+        let feature = chain.feature;
         if !self.crashers.borrow_mut().apply_report(self.now(), chain) {
             return;
         }
         self.report_crashers();
-        let assessment = self.crashers.borrow().assess(request);
+        let assessment = self.crashers.borrow().assess_feature(self.now(), feature);
         Event::new("crasher_told")
-            .with("same_request", short_name(request))
+            .with("feature", feature.to_string())
             .with("ends_in_a_row", assessment.map_or(0, |known| known.ends))
             .write();
     }
@@ -196,7 +211,7 @@
     }
 
     /// Waits until a request is convicted, and returns the end of the conviction.
-    async fn wait_for_conviction(&self, request: Fingerprint) -> Millis {
+    async fn wait_for_conviction(&self, request: &Features) -> Millis {
         loop {
             let news = self.convictions.notified();
             if let Standing::Convicted { until } = self.standing(request) {
@@ -211,7 +226,7 @@
     /// request, so that a backend server that has not begun to process the request survives.
     pub async fn unless_convicted<T>(
         &self,
-        request: Fingerprint,
+        request: &Features,
         future: impl Future<Output = T>,
     ) -> Result<T, Millis> {
         tokio::select! {
@@ -222,13 +237,17 @@
     }
 
     /// Returns whether copies of a request wait for the outcome of one that is running.
-    pub fn must_wait_for_trial(&self, request: Fingerprint) -> bool {
+    pub fn must_wait_for_trial(&self, request: &Features) -> bool {
         let is_off = !self.settings.requests.refuse_crashers;
         !is_off && self.crashers.borrow().must_wait_for_trial(self.now(), request)
     }
 
     /// Registers a run of a suspect request until the returned value is dropped.
-    pub fn suspect_run(&self, request: Fingerprint, target: Target) -> Option<SuspectRun<'_>> {
+    pub fn suspect_run<'a>(
+        &'a self,
+        request: &'a Features,
+        target: Target,
+    ) -> Option<SuspectRun<'a>> {
         let standing = self.standing(request);
         if standing == Standing::Clear {
             return None;
@@ -245,7 +264,7 @@
 /// A registered run of a suspect request.
 pub struct SuspectRun<'a> {
     gateway: &'a Gateway,
-    request: Fingerprint,
+    request: &'a Features,
     target: Target,
     standing: Standing,
 }
--- a/crates/oliveworks-gateway/src/dialect.rs
+++ b/crates/oliveworks-gateway/src/dialect.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use oliveworks_gateway_core::backend_servers::{BackendServer, BackendServerId, Holding};
 use oliveworks_gateway_core::configuration::Configuration;
+use oliveworks_gateway_core::crashers::PartId;
 use oliveworks_gateway_core::election::Claim;
 use oliveworks_gateway_core::era::Era;
 use oliveworks_gateway_core::planner::{Order, Outcome};
@@ -116,16 +117,6 @@
     Refused(u16),
 }
 
-/// Id of a part of a prompt. Requests that name the same id contain the same part.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct PartId(pub u128);
-
-impl fmt::Display for PartId {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:x}", self.0)
-    }
-}
-
 /// Parts of a prompt that other requests may contain as well, as named by the caller.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum SharedParts {
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -12,7 +12,7 @@
 use oliveworks_gateway_core::attempts::{Attempts, Failure, Next, Terms, Verdict};
 use oliveworks_gateway_core::balance::{NoTarget, Target};
 use oliveworks_gateway_core::configuration::{Lookup, Repeat, Route, Unmatched};
-use oliveworks_gateway_core::crashers::Fingerprint;
+use oliveworks_gateway_core::crashers::Features;
 use oliveworks_gateway_core::demand::ModelKey;
 use oliveworks_gateway_core::events::Progress;
 use oliveworks_gateway_core::obstacles::NoPlace;
@@ -21,7 +21,7 @@
 use attempt::AttemptOutcome;
 
 use crate::connection::{Connection, Disconnected, ReceivedRequest};
-use crate::crashers::{FailedRun, fingerprint};
+use crate::crashers::{FailedRun, features};
 use crate::dialect::{Headers, RequestInfo};
 use crate::events::Event;
 use crate::places::Place;
@@ -72,8 +72,8 @@
     priority: Option<u8>,
     received: Millis,
     deadline: Millis,
-    /// Fingerprint of the request's content, equal for all copies of the same request.
-    fingerprint: Fingerprint,
+    /// Features of the request, by which requests that crash backend servers are detected.
+    features: Rc<Features>,
     attempts: Attempts,
     tried_targets: Vec<Target>,
     /// Position in the event stream up to which the caller has received events.
@@ -204,7 +204,7 @@
     });
     let workspace = found.workspace.map(|workspace| workspace.name.clone());
     Ok(Job {
-        fingerprint: fingerprint(request, &asked, workspace.as_deref()),
+        features: Rc::new(features(request, &asked, workspace.as_deref())),
         pass_ms: pass_ms.unwrap_or(0),
         model: asked.model.clone().filter(|_| grouped),
         workspace,
@@ -248,12 +248,12 @@
                     )
                     .await;
             }
-            let (gateway, fingerprint) = (self.gateway, self.fingerprint);
-            let standing = gateway.standing(fingerprint);
-            if gateway.must_wait_for_trial(fingerprint) {
+            let (gateway, features) = (self.gateway, self.features.clone());
+            let standing = gateway.standing(&features);
+            if gateway.must_wait_for_trial(&features) {
                 return self.reject_copy(connection).await;
             }
-            let found = match gateway.unless_convicted(fingerprint, self.place(standing)).await {
+            let found = match gateway.unless_convicted(&features, self.place(standing)).await {
                 Ok(found) => found,
                 Err(until) => return self.reject_crasher(connection, until).await,
             };
@@ -266,7 +266,7 @@
                 Err(none) => return self.reject_without_place(connection, &none).await,
             };
             // A copy of the request may have been sent while this one waited for a place.
-            if gateway.must_wait_for_trial(fingerprint) {
+            if gateway.must_wait_for_trial(&features) {
                 return self.reject_copy(connection).await;
             }
             let repeat = self.attempts.next_is_repeat();
@@ -285,11 +285,11 @@
                 first_event: Cell::new(None),
                 failed: false,
             };
-            let suspect_run = gateway.suspect_run(fingerprint, target);
+            let suspect_run = gateway.suspect_run(&features, target);
             let pending_send = gateway.pending_send(target);
             let sent_before = self.attempts.sent();
             let attempt = self.attempt(connection, &place, pending_send, &outstanding.first_event);
-            let tried = gateway.unless_convicted(fingerprint, attempt).await;
+            let tried = gateway.unless_convicted(&features, attempt).await;
             outstanding.failed = tried.as_ref().is_ok_and(|tried| self.is_penalized(target, tried));
             let first_event = outstanding.first_event.get();
             drop(outstanding);
--- a/crates/oliveworks-gateway/src/relay/attempt.rs
+++ b/crates/oliveworks-gateway/src/relay/attempt.rs
@@ -282,7 +282,7 @@
             Err(failure) => return AttemptOutcome::Failed { failure, gone: false },
         };
         if response.status().is_success() {
-            self.gateway.record_completion(self.fingerprint);
+            self.gateway.record_completion(&self.features);
         }
         let status = StatusCode::from_u16(response.status().as_u16());
         let status = status.unwrap_or(StatusCode::BAD_GATEWAY);
@@ -348,7 +348,7 @@
         if !splitter.rest().is_empty() {
             return AttemptOutcome::Failed { failure: Failure::Lost, gone: false };
         }
-        self.gateway.record_completion(self.fingerprint);
+        self.gateway.record_completion(&self.features);
         if !self.head_sent && self.forward(connection, &headers, &[]).await.is_err() {
             return AttemptOutcome::CallerGone;
         }
--- a/crates/oliveworks-gateway/src/relay/crashers.rs
+++ b/crates/oliveworks-gateway/src/relay/crashers.rs
@@ -22,8 +22,8 @@
             return false;
         }
         let gateway = self.gateway;
-        let ended = gateway.server_ended_during(self.fingerprint, run).await;
-        if !ended || !gateway.standing(self.fingerprint).is_strong_suspect() {
+        let ended = gateway.server_ended_during(&self.features, run).await;
+        if !ended || !gateway.standing(&self.features).is_strong_suspect() {
             return ended;
         }
         // The pause leaves time for two kinds of reports before the request is sent again: ends
@@ -64,7 +64,7 @@
         self.log.push("backend servers ended under the same request".into());
         let now = self.gateway.now();
         let for_ms = until.saturating_sub(now);
-        self.gateway.log_crasher_refusal(self.fingerprint, &self.asked.id, for_ms);
+        self.gateway.log_crasher_refusal(&self.features, &self.asked.id, for_ms);
         let verdict = self.attempts.verdict(now);
         self.give_up(connection, verdict, for_ms).await
     }
