Two requests that crash hosts at once are convicted as before

Change: a content or a body whose evidence is overwhelming (five ends, or four hosts without a delivery) is refused whatever else explains its ends, as before; a part of a prompt is not, since a request may have both.

--- a/crates/oliveworks-gateway-core/src/crashers/conviction.rs
+++ b/crates/oliveworks-gateway-core/src/crashers/conviction.rs
@@ -143,16 +143,21 @@
         {
             return false;
         }
+        let evidence = self.evidence(feature, record);
+        self.is_overwhelming(feature, record)
+            || evidence >= Evidence::of_ends(self.needed(now, feature, record))
+                && !self.shares_last_end(now, feature)
+    }
+
+    /// Returns whether the evidence convicts a feature whatever else explains it.
+    fn is_overwhelming(&self, feature: Feature, record: &Record) -> bool {
         // A request that merely runs beside a crasher rarely reaches this number: it runs at one
         // target at a time and has often begun to deliver when the crasher ends that target.
         // Requests with a shared feature run at many targets.
         let ended_many_hosts =
             !feature.is_shared() && record.ended_hosts() >= CONVICTED_AFTER_HOSTS;
-        let evidence = self.evidence(feature, record);
-        ended_many_hosts
-            || evidence >= Evidence::of_ends(CONVICTED_AFTER_MAX)
-            || evidence >= Evidence::of_ends(self.needed(now, feature, record))
-                && !self.shares_last_end(now, feature)
+        let max = Evidence::of_ends(CONVICTED_AFTER_MAX);
+        ended_many_hosts || self.evidence(feature, record) >= max
     }
 
     /// Ends an expired conviction.
@@ -170,7 +175,10 @@
         let convicted = request.iter().filter_map(|feature| {
             let record = self.records.get(&feature)?;
             let is_convicted = record.is_convicted || self.is_due(now, feature, record);
-            (is_convicted && self.has_all_causes(now, request, record))
+            // No request has the contents or bodies of two others, so none has all causes if one of
+            // them is always at the same ends.
+            let is_certain = !feature.is_part() && self.is_overwhelming(feature, record);
+            (is_convicted && (is_certain || self.has_all_causes(now, request, record)))
                 .then(|| record.last_end() + CONVICTED_MS)
         });
         convicted.max()
@@ -180,7 +188,7 @@
     fn has_all_causes(&self, now: Millis, request: &Features, convicted: &Record) -> bool {
         let evidence = convicted.evidence(|_| false);
         let mut causes = self.suspects(now).filter(|(_, record)| {
-            record.has_all_hosts_of(convicted) && record.evidence(|_| false) >= evidence
+            record.evidence(|_| false) >= evidence && record.has_all_hosts_of(convicted)
         });
         causes.all(|(feature, _)| request.has(feature))
     }
