Replay: all callers move to one gateway

The users' news: most new connections of a region may go to one gateway for some seconds. Replays the recorded load at 5, 13 and 121 gateways, all callers at one from 1.5 s on; measured from 3 s later on. Not replayed: processor time of one gateway at the rate of all, and the equal shares of cold hosts.

--- a/crates/oliveworks-gateway-core/tests/worst_load/main.rs
+++ b/crates/oliveworks-gateway-core/tests/worst_load/main.rs
@@ -3,5 +3,6 @@
 
 mod domains;
 mod load;
+mod one_gateway;
 mod replay;
 mod world;
