A line when a convicted feature is cleared

Operators saw when a feature was convicted and whom that refused, not when a completed run cleared it. Line crasher_cleared and counter cleared_crashers, at each gateway that held the conviction.

--- a/crates/oliveworks-gateway-core/src/crashers.rs
+++ b/crates/oliveworks-gateway-core/src/crashers.rs
@@ -154,6 +154,8 @@
     known_ends: VecDeque<(Millis, Target)>,
     /// Features convicted since the last call of [`Crashers::take_new_convictions`].
     new_convictions: Vec<Feature>,
+    /// Convicted features that were cleared since the last call of [`Crashers::take_cleared`].
+    newly_cleared: Vec<Feature>,
 }
 
 impl Crashers {
@@ -192,7 +194,9 @@
         }
         ends.iter().for_each(|end| self.record_end(end.at, end.host));
         let record = self.record_mut(chain.feature);
+        let was_convicted = record.is_convicted;
         let mut is_new = survived.is_some_and(|at| record.survived(at));
+        let is_newly_cleared = was_convicted && !record.is_convicted;
         let must_answer = ends.iter().any(|end| record.has_cleared(end));
         for end in ends {
             is_new |= record.ended(end);
@@ -210,6 +214,9 @@
         if is_newly_convicted {
             self.new_convictions.push(chain.feature);
         }
+        if is_newly_cleared {
+            self.newly_cleared.push(chain.feature);
+        }
         is_new || is_newly_convicted
     }
 
@@ -221,11 +228,14 @@
             if feature.is_shared() {
                 self.sound.completed(now, feature);
             }
-            if let Some(record) = self.records.get_mut(&feature)
-                && record.survived(now)
-            {
+            let Some(record) = self.records.get_mut(&feature) else { continue };
+            let was_convicted = record.is_convicted;
+            if record.survived(now) {
                 record.must_report(now, News::Own);
             }
+            if was_convicted && !record.is_convicted {
+                self.newly_cleared.push(feature);
+            }
         }
     }
 
@@ -274,6 +284,11 @@
         std::mem::take(&mut self.new_convictions)
     }
 
+    /// Returns the convicted features that were cleared by a completed run since the last call.
+    pub fn take_cleared(&mut self) -> Vec<Feature> {
+        std::mem::take(&mut self.newly_cleared)
+    }
+
     /// Returns the chains to report to other gateways, most important first: recent changes, and at
     /// intervals all convicted features, for gateways that have started or were cut off.
     pub fn chains_to_report(&mut self, now: Millis) -> Vec<Chain> {
--- a/crates/oliveworks-gateway-core/tests/crashing_parts.rs
+++ b/crates/oliveworks-gateway-core/tests/crashing_parts.rs
@@ -12,7 +12,7 @@
 use crash_world::{GATEWAYS, STEP_MS, Traffic, World};
 use oliveworks_gateway_core::balance::Target;
 use oliveworks_gateway_core::crashers::{
-    Chain, Crashers, Features, Fingerprint, PartId, Standing, WorkspaceHash,
+    Chain, Crashers, Feature, Features, Fingerprint, PartId, Standing, WorkspaceHash,
 };
 use test_case::test_case;
 
@@ -259,6 +259,7 @@
     assert!(crashers.must_wait_for_trial(3_300, &request(11, 3, &[CRASHING_PART])));
     crashers.left(Target(20), &other, standing);
     crashers.survived(3_900, &other);
+    assert_eq!(crashers.take_cleared(), [Feature::Part(PartId(CRASHING_PART))]);
     assert_eq!(crashers.standing(4_000, &request(12, 3, &[CRASHING_PART])), Standing::Clear);
     assert!(is_convicted(&mut crashers, 4_000, &request(13, 1, &[CRASHING_PART])));
 }
--- a/crates/oliveworks-gateway/src/crashers.rs
+++ b/crates/oliveworks-gateway/src/crashers.rs
@@ -147,8 +147,13 @@
         self.send_heartbeat_now();
     }
 
-    /// Logs the features that have been convicted.
+    /// Logs the features that have been convicted, and those that have been cleared since.
     pub fn log_convictions(&self) {
+        let cleared = self.crashers.borrow_mut().take_cleared();
+        for feature in cleared {
+            self.count("cleared_crashers");
+            Event::new("crasher_cleared").with("feature", feature.to_string()).write();
+        }
         let convicted = self.crashers.borrow_mut().take_new_convictions();
         for feature in convicted {
             self.count("convicted_crashers");
@@ -187,6 +192,7 @@
     /// Records that a request ran to completion.
     pub fn record_completion(&self, request: &Features) {
         self.crashers.borrow_mut().survived(self.now(), request);
+        self.log_convictions();
     }
 
     /// Processes a report of another gateway on backend servers that ended during a request.
