A wrong conviction does not protect a part that crashes hosts

Cause: if all gateways start at once they have forgotten which parts are sound. Change: a feature with less evidence explains no ends of one with more, and requests with a shared feature run one at a time from the second host on whatever explains its ends.

--- a/crates/oliveworks-gateway-core/src/crashers/chain.rs
+++ b/crates/oliveworks-gateway-core/src/crashers/chain.rs
@@ -279,12 +279,10 @@
         self.tried_at.is_some_and(|at| at >= self.last_change() && now < at + TRIAL_TIMEOUT_MS)
     }
 
-    /// Returns whether requests with the feature must not run side by side. Ends that another
-    /// feature explains do not count. This also applies after the conviction has expired.
-    pub fn runs_one_by_one_unless(&self, is_explained: impl Fn(Target) -> bool) -> bool {
-        let begun = self.ends.iter().filter(|end| !end.had_delivered);
-        let hosts = begun.filter(|end| !is_explained(end.host)).count();
-        self.carried > 0 || hosts >= ONE_BY_ONE_AFTER_HOSTS
+    /// Returns whether requests with the feature must not run side by side. This also applies after
+    /// the conviction has expired.
+    pub fn runs_one_by_one(&self) -> bool {
+        self.carried > 0 || self.ended_hosts() >= ONE_BY_ONE_AFTER_HOSTS
     }
 
     /// Returns the number of backend servers that ended before the run there had been delivering
--- a/crates/oliveworks-gateway-core/src/crashers/conviction.rs
+++ b/crates/oliveworks-gateway-core/src/crashers/conviction.rs
@@ -28,12 +28,14 @@
     }
 
     /// Returns the backend servers that ended under convicted features other than `except`. A
-    /// feature with the same ends explains none of them: either one may be the cause.
+    /// feature with less evidence explains none of them, so that a wrong conviction does not protect
+    /// a crasher; neither does a feature with the same ends, because either one may be the cause.
     fn explained(&self, except: Feature, record: &Record) -> HashSet<Target> {
+        let evidence = record.evidence(|_| false);
         let convicted = self.records.iter().filter(|(_, other)| other.is_convicted);
         let explaining = convicted.filter(|(feature, other)| {
             let has_same_ends = other.has_all_hosts_of(record) && record.has_all_hosts_of(other);
-            **feature != except && !has_same_ends
+            **feature != except && other.evidence(|_| false) >= evidence && !has_same_ends
         });
         explaining.flat_map(|(_, other)| other.hosts()).collect()
     }
@@ -58,14 +60,7 @@
     /// Returns whether requests with a feature must not run side by side.
     pub(super) fn runs_one_by_one(&self, now: Millis, feature: Feature) -> bool {
         let Some(record) = self.records.get(&feature) else { return false };
-        if !feature.is_shared() {
-            return record.runs_one_by_one_unless(|_| false);
-        }
-        if self.is_known_sound(now, feature, record) {
-            return false;
-        }
-        let explained = self.explained(feature, record);
-        record.runs_one_by_one_unless(|host| explained.contains(&host))
+        record.runs_one_by_one() && !self.is_known_sound(now, feature, record)
     }
 
     /// Returns the number of ends required to convict a feature. More are required if backend
--- a/crates/oliveworks-gateway-core/tests/crashing_parts.rs
+++ b/crates/oliveworks-gateway-core/tests/crashing_parts.rs
@@ -229,6 +229,25 @@
     }
 }
 
+/// If all gateways start at once, the conviction is forgotten and the part is detected anew.
+#[test_case(150; "often")]
+#[test_case(1_500; "rarely")]
+fn gateways_that_all_start_at_once_detect_a_part_again(arrival_interval_ms: u64) {
+    const START_MS: u64 = 20_000;
+    for seed in 0..seeds() {
+        let mut world = World::new(seed, Parts { case: Case::OnePart, arrival_interval_ms });
+        while world.now < DURATION_MS {
+            world.step(None);
+            if world.now == START_MS {
+                (0..GATEWAYS).for_each(|gateway| world.restart(gateway));
+            }
+        }
+        let sent = world.sent[&0].iter();
+        let late = sent.filter(|at| **at > START_MS + LATE_AFTER_MS).count();
+        assert!(late <= LATE_SENDS_MAX, "seed {seed}: {late} late sends");
+    }
+}
+
 fn request(number: u64, workspace: u64, parts: &[u128]) -> Features {
     let parts: Vec<PartId> = parts.iter().copied().map(PartId).collect();
     Features::from(content(number)).with_parts(WorkspaceHash(workspace), &parts)
