--- a/crates/oliveworks-gateway-core/src/crashers.rs
+++ b/crates/oliveworks-gateway-core/src/crashers.rs
@@ -22,7 +22,7 @@
 //! conviction.
 //!
 //! A part that most requests share is at nearly every end. Completed runs clear it again and again,
-//! and for [`KNOWN_SOUND_MS`] after one of them it is not even a suspect. Features that are always at
+//! and for a minute after one of them it is not even a suspect. Features that are always at
 //! the same ends cannot be told apart. They are convicted together: a request with all of them is not
 //! sent any more, and one with some of them is tried alone. If it completes, its features are
 //! cleared; if it crashes its backend server, its features explain more ends than the others.
@@ -54,12 +54,12 @@
 /// a request that merely runs beside a crasher, two ends are about as likely as not; three ends
 /// without a single completed run are not chance.
 const CONVICTED_AFTER: u32 = 3;
-/// Evidence that convicts a request.
+/// Evidence that convicts a feature.
 const CONVICTING_EVIDENCE: Evidence = Evidence::of_ends(CONVICTED_AFTER);
 /// Maximum number of ends required for a conviction if backend servers also end for other reasons.
 /// Each further end costs a group and everything that runs there.
 const CONVICTED_AFTER_MAX: u32 = 5;
-/// Number of ended backend servers that convicts a request regardless of other ends, if the request
+/// Number of ended backend servers that convicts a content regardless of other ends, if the request
 /// had not been delivering at any of them. A request beside a crasher runs at one target at a time,
 /// and few such requests are beside the crasher four times without having begun to deliver.
 const CONVICTED_AFTER_HOSTS: usize = 4;
--- a/crates/oliveworks-gateway-core/src/crashers/chain.rs
+++ b/crates/oliveworks-gateway-core/src/crashers/chain.rs
@@ -8,7 +8,7 @@
 use crate::balance::Target;
 
 /// Maximum number of ends remembered per chain. This is more than a conviction requires, even if
-/// copies of the request run side by side, so that all ends that the request explains are known.
+/// requests with the feature run side by side, so that all ends that it explains are known.
 const ENDS_MAX: usize = 24;
 /// Minimum time between two ends of a chain that count separately, in ms. The hosts of a lost
 /// failure domain do not end at exactly the same time, and the requests of the first one are
@@ -22,7 +22,7 @@
 /// Delivery time from which an end has less weight, in ms. Servers crash when they start to process
 /// a request, and most of the other runs at that target have been delivering for longer.
 const DELIVERING_AFTER_MS: u64 = 100;
-/// Number of ended backend servers after which copies of a request run one at a time.
+/// Number of ended backend servers after which requests with a feature run one at a time.
 const ONE_BY_ONE_AFTER_HOSTS: usize = 2;
 /// Time for which other gateways wait for the result of a run, in ms. This is as long as a crashing
 /// backend server takes to start processing the request under load.
--- a/crates/oliveworks-gateway-core/src/crashers/conviction.rs
+++ b/crates/oliveworks-gateway-core/src/crashers/conviction.rs
@@ -113,10 +113,10 @@
         })
     }
 
-    /// Returns whether the evidence convicts a feature now. The conviction is recorded once the
-    /// requests that ran beside this one are known as well, so the result does not depend on which
-    /// feature is queried first. A recorded conviction lasts until it expires after `CONVICTED_MS`
-    /// or a run of a request with the feature completes.
+    /// Convicts a feature if the evidence suffices. The conviction is recorded once the requests that
+    /// ran beside this one are known as well, so the result does not depend on which feature is
+    /// queried first. It lasts until it expires after `CONVICTED_MS` or a run of a request with the
+    /// feature completes.
     pub(super) fn convict_if_due(&mut self, now: Millis, feature: Feature) {
         let Some(record) = self.records.get(&feature) else { return };
         if record.is_convicted || !self.is_due(now, feature, record) {
@@ -145,7 +145,7 @@
                 && !self.shares_last_end(now, feature)
     }
 
-    /// Returns whether the evidence convicts a feature whatever else explains it.
+    /// Returns whether the evidence convicts a feature regardless of other explanations.
     fn is_overwhelming(&self, feature: Feature, record: &Record) -> bool {
         // A request that merely runs beside a crasher rarely reaches this number: it runs at one
         // target at a time and has often begun to deliver when the crasher ends that target.
--- a/crates/oliveworks-gateway-core/tests/crash_world/mod.rs
+++ b/crates/oliveworks-gateway-core/tests/crash_world/mod.rs
@@ -11,16 +11,18 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+/// Number of gateways.
 pub const GATEWAYS: usize = 5;
 const HEADS: usize = 6;
 /// Maximum number of concurrent requests at one head.
 const SLOTS: usize = 34;
 /// Time from the end of a head to the start of its replacement, in ms.
 const REPLACEMENT_MS: u64 = 4_000;
+/// Duration of a step, in ms.
 pub const STEP_MS: u64 = 10;
 const HEARTBEAT_MS: u64 = 100;
-/// Rate of harmless requests, per second.
-const HARMLESS_PER_S: u64 = 200;
+/// Rate of requests that crash no hosts, per second.
+const SOUND_PER_S: u64 = 200;
 /// Number of sends of one attempt of a caller.
 const SENDS: u32 = 2;
 /// Number of attempts of one caller.
@@ -56,9 +58,11 @@
     up_at: u64,
 }
 
+/// The pool, with the gateways in front of it.
 pub struct World<T> {
     traffic: T,
     rng: ChaCha8Rng,
+    /// Time since the start, in ms.
     pub now: u64,
     pub gateways: Vec<Crashers>,
     heads: Vec<Head>,
@@ -87,6 +91,7 @@
 }
 
 impl<T: Traffic> World<T> {
+    /// Creates a pool without requests.
     pub fn new(seed: u64, traffic: T) -> World<T> {
         let heads = (0..HEADS as u64).map(|host| Head { host: Target(host), up_at: 0 });
         World {
@@ -289,9 +294,9 @@
             let gateway = self.rng.random_range(0..GATEWAYS);
             self.send(number, gateway, 0);
         }
-        for harmless in 0..HARMLESS_PER_S * STEP_MS / 1_000 {
+        for count in 0..SOUND_PER_S * STEP_MS / 1_000 {
             let gateway = self.rng.random_range(0..GATEWAYS);
-            self.send(self.traffic.sound_arrival(self.now, harmless), gateway, 0);
+            self.send(self.traffic.sound_arrival(self.now, count), gateway, 0);
         }
     }
 }
--- a/crates/oliveworks-gateway-core/tests/crashing_parts.rs
+++ b/crates/oliveworks-gateway-core/tests/crashing_parts.rs
@@ -29,6 +29,8 @@
 /// Maximum average number of ends: the five after which a part must be detected, and those under way
 /// at that time.
 const MEAN_ENDS_MAX: usize = 7;
+/// Maximum number of sound requests, of 5,800, that are rejected while another one is tried.
+const SOUND_WAITED_MAX: usize = 24;
 /// Numbers of requests that crash their hosts begin here.
 const CRASHING: u64 = 1 << 40;
 /// Time of the start of requests with the companion part alone, in ms.
@@ -209,7 +211,7 @@
     for seed in 0..seeds() {
         let world = simulate(seed, Parts { case: Case::OnePart, arrival_interval_ms: 150 }, None);
         let sound = world.waited.iter().filter(|(number, _)| *number < CRASHING).count();
-        assert!(sound * 100 <= 2_400, "seed {seed}: {sound} sound requests waited");
+        assert!(sound <= SOUND_WAITED_MAX, "seed {seed}: {sound} sound requests waited");
     }
 }
 
