Log and count services that nobody plans

A refused request's line said 'no place: None' alone: it did not tell a service that the leader does not plan from one whose hosts form no group, or one without hosts. No decision changed.

--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -72,6 +72,9 @@
 }
 
 fn describe(gateway: &Gateway, domain_lines: &mut ChangedLines) {
+    for (service, hosts) in gateway.unplanned_services() {
+        Event::new("service_without_planner").with("service", service).with("hosts", hosts).write();
+    }
     let planners = gateway.planners.borrow();
     let domains = planners.values().flat_map(Planner::describe_domains).collect();
     for line in domain_lines.due(gateway.now(), domains) {
--- a/crates/oliveworks-gateway/src/lib.rs
+++ b/crates/oliveworks-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 //! | `versions` | configuration versions held by other gateways |
 //! | `peer_replay` | serves the store's records to other gateways, and reads them from others |
 //! | `table`, `places` | serving groups, and the destinations of requests |
+//! | `planned_services` | services whose groups the leader does not plan, for operators |
 //! | `obstacles` | reasons that make a place ineligible for a request |
 //! | `slow_start` | cold backend servers and the limits on their load |
 //! | `pending_send` | requests with a chosen backend server that are not sent yet |
@@ -58,6 +59,7 @@
 mod peers;
 mod pending_send;
 mod places;
+mod planned_services;
 pub mod process;
 mod rate_limits;
 mod readiness;
--- a/crates/oliveworks-gateway/src/readiness.rs
+++ b/crates/oliveworks-gateway/src/readiness.rs
@@ -47,6 +47,7 @@
     let lookup = gateway.lookup();
     let version = lookup.map_or(0, |lookup| lookup.configuration.version);
     let proof_age_ms = gateway.proof_age_ms();
+    let unplanned = gateway.count_unplanned();
     let now = [
         ("drained_failure_domains", drains.len() as u64),
         ("drained_open_requests", u64::from(open)),
@@ -55,6 +56,9 @@
         ("hosts", gateway.directory.borrow().len() as u64),
         ("store_era", gateway.era().0),
         ("configuration_version", version),
+        ("services_without_planner", unplanned.services as u64),
+        ("hosts_without_planner", unplanned.hosts as u64),
+        ("models_without_group", unplanned.models_without_group as u64),
     ];
     let proof_age_ms = proof_age_ms.map(|age_ms| ("configuration_proof_age_ms", age_ms));
     let counts = counters.iter().map(|(name, count)| {
--- a/crates/oliveworks-gateway/src/relay/placing.rs
+++ b/crates/oliveworks-gateway/src/relay/placing.rs
@@ -154,6 +154,9 @@
         self.log.push(format!(
             "{open} open places; kept from others: {kept}; part of callers {part:.2}"
         ));
+        if self.model.is_some() && open == 0 && obstacles.is_empty() {
+            self.log.push(self.gateway.describe_service(&self.service));
+        }
         if open == 0 && is_kept_by_region(obstacles) {
             self.log.push("no place in a region that may serve it".into());
             self.gateway.count("refused_for_region");
--- a/crates/oliveworksctl/src/explain.rs
+++ b/crates/oliveworksctl/src/explain.rs
@@ -153,6 +153,19 @@
     sent.filter_map(|step| step.split_whitespace().next()).map(str::to_owned).collect()
 }
 
+/// Explains why no group served the model of a request, from the step on its service.
+fn why_no_group(request_line: &Line) -> &'static str {
+    let service = steps(request_line).find(|step| step.starts_with("service ")).unwrap_or_default();
+    match () {
+        _ if service.contains("hosts: 0;") => "its service has no listed hosts",
+        _ if service.contains("planned: no;") => "the leader plans no groups of its service",
+        _ if service.ends_with("groups: 0") => {
+            "its service has hosts, and none of its groups serves"
+        }
+        _ => "no group served its model",
+    }
+}
+
 /// Describes the outcome of a request and its cause in a sentence.
 fn cause(request_line: &Line) -> String {
     let outcome = request_line.event.text("outcome").unwrap_or("unknown");
@@ -166,7 +179,7 @@
         }
         Some("no place: Drained") => "every host of its service is in a drained failure domain",
         Some("no place in a region that may serve it") => "no region that may serve it has a place",
-        Some("no place: None") => "no group served its model",
+        Some("no place: None") => why_no_group(request_line),
         Some("no repeat left") => "the retry budget was used up",
         Some("configuration too old to honour keys") => {
             "this gateway could not prove for too long that its key still holds"
--- a/crates/oliveworksctl/tests/logs.rs
+++ b/crates/oliveworksctl/tests/logs.rs
@@ -36,6 +36,22 @@
         "something else".to_owned(),
         "{\"time_ms\":1020,\"proc".to_owned(),
     ];
+    let without_group = |id: &str, service: &str| {
+        let steps = format!(r#"["0 open places","{service}","no place: None"]"#);
+        line(
+            800,
+            "gateway-1",
+            &format!(
+                r#"{{"kind":"request","request":"{id}","outcome":"refused: NotRun","took_ms":0,"sent":0,"steps":{steps}}}"#
+            ),
+        )
+    };
+    let first = first.into_iter().chain([
+        without_group("r-4", "service lm: planned: no; hosts: 6; groups: 0"),
+        without_group("r-5", "service lm: planned: yes; hosts: 0; groups: 0"),
+        without_group("r-6", "service lm: planned: yes; hosts: 6; groups: 0"),
+    ]);
+    let first: Vec<String> = first.collect();
     let second = [
         line(1_900, "gateway-2", r#"{"kind":"group_stands_still","host":"i-7","epoch":12}"#),
         line(1_950, "gateway-2", r#"{"kind":"group_stands_still","host":"i-70","epoch":13}"#),
@@ -54,6 +70,9 @@
 }
 
 #[test_case("r-1", &["every group that may serve it was full", "{\"m0\":1}"], &["{\"m0\":7}", "{\"m0\":3}"]; "refused for want of a place")]
+#[test_case("r-4", &["the leader plans no groups of its service"], &["none of its groups"]; "a service without planner")]
+#[test_case("r-5", &["its service has no listed hosts"], &["none of its groups"]; "a service without hosts")]
+#[test_case("r-6", &["none of its groups serves"], &["the leader plans no groups"]; "a service without groups")]
 #[test_case("r-2", &["the last group that it was sent to stood still", "host=\"i-7\""], &["i-70"]; "a group that stood still")]
 fn a_request_is_explained(request: &str, says: &[&str], says_not: &[&str]) {
     let folder = folder(&format!("explain-{request}"));
