The leader's planners follow the configuration

Callers of a route that a later configuration added, to a service that it added too, were refused for as long as the leader stayed (the users saw a minute). Cause: change_leadership made a planner for each service of the configuration of that moment, and nothing made one later; hosts of other services formed no groups. Class: a state made once, from the configuration of one moment.

The set of planners is now a part of the decision core (planners.rs) that follows the configuration as long as the gateway leads. A service that is added is taken over as at the beginning of a term: its hosts are asked for their state and their groups adopted, while the other services are planned. The planner of a service that goes pauses (its orders may still be carried out) and continues when the service is back; after 60 s it is removed, and one that is made later uses no epoch again. A host whose record names another service than before is unlisted at the planner of the first.

--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -26,6 +26,7 @@
 //! | [`missing`] | time after which backend servers that are missing from the list count as gone |
 //! | [`listing`] | interval between reads of the list of backend servers |
 //! | [`planner`] | which hosts form each replica group, and all orders |
+//! | [`planners`] | the planner of each service, as the configuration changes |
 //! | [`demand`] | share of the requests for each model that find a place |
 //! | [`quota`] | number of groups of each model that every domain should hold |
 //! | [`members`] | number of gateways that share a bound, and the share of this one |
@@ -76,6 +77,7 @@
 pub mod missing;
 pub mod obstacles;
 pub mod planner;
+pub mod planners;
 pub mod position;
 pub mod quota;
 pub mod rate_limits;
--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -446,6 +446,16 @@
         self.load_tokens = (self.load_tokens + passed * rate).min(LOAD_BURST);
     }
 
+    /// Returns the number of epochs that are used up under this leader's fence.
+    pub fn used_epochs(&self) -> u64 {
+        self.epochs
+    }
+
+    /// Sets the number of epochs that are used up under this leader's fence, also by others.
+    pub fn set_used_epochs(&mut self, used: u64) {
+        self.epochs = self.epochs.max(used);
+    }
+
     /// Creates a new group and returns its epoch.
     fn create_group(&mut self, now: Millis, plan: allocation::NewGroup) -> u64 {
         self.epochs += 1;
--- a/crates/oliveworks-gateway-core/src/planner/observations.rs
+++ b/crates/oliveworks-gateway-core/src/planner/observations.rs
@@ -28,6 +28,11 @@
         }
     }
 
+    /// Requests a report from every host, because what is known of them may be out of date.
+    pub fn request_reports(&mut self) {
+        self.hosts.values_mut().for_each(|host| host.wants_probe = true);
+    }
+
     /// Handles the observation of gateways that a group makes no progress.
     pub fn suspect_group(&mut self, epoch: u64) {
         let Some(group) = self.groups.get(&epoch) else { return };
--- /dev/null
+++ b/crates/oliveworks-gateway-core/tests/planners/main.rs
@@ -0,0 +1,5 @@
+//! The planners of a leader while the configuration changes.
+
+mod pool;
+mod set;
+mod settled;
--- a/crates/oliveworks-gateway/src/host_statements.rs
+++ b/crates/oliveworks-gateway/src/host_statements.rs
@@ -104,7 +104,7 @@
             .debug("born", incarnation)
             .with("told_by", reported_by)
             .write();
-        for planner in self.planners.borrow_mut().values_mut() {
+        for planner in self.planners.borrow_mut().all_mut() {
             planner.mark_leaving(server, incarnation);
         }
         self.plan_now.notify_one();
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -8,9 +8,9 @@
 use oliveworks_gateway_core::backend_servers::{BackendServer, BackendServerId, Holding};
 use oliveworks_gateway_core::balance::Target;
 use oliveworks_gateway_core::changed_lines::ChangedLines;
-use oliveworks_gateway_core::configuration::Engine;
 use oliveworks_gateway_core::demand::ModelKey;
 use oliveworks_gateway_core::planner::{Command, Ending, ModelLoad, Order, Outcome, Planner};
+use oliveworks_gateway_core::planners::{PlannerChange, Takeover};
 use oliveworks_gateway_core::table::{Change, Table, TableGroup};
 use serde_json::{Map, Value};
 use tokio::time::{sleep, timeout};
@@ -52,13 +52,14 @@
         let leads = gateway.election.borrow().leading_fence();
         if leads != fence {
             fence = leads;
-            change_leadership(&gateway, fence).await;
+            change_leadership(&gateway, fence);
         }
         // Another gateway may have become leader during a pause: messages that arrived meanwhile
         // are processed before any planning.
         let is_catching_up =
             gateway.now() < gateway.awake_since() + AFTER_PAUSE_MS && gateway.awake_since() > 0;
         if let Some(fence) = fence.filter(|_| !is_catching_up) {
+            follow_configuration(&gateway);
             plan(&gateway, fence);
             if gateway.now() >= described_at + LOG_INTERVAL_MS {
                 described_at = gateway.now();
@@ -76,11 +77,11 @@
         Event::new("service_without_planner").with("service", service).with("hosts", hosts).write();
     }
     let planners = gateway.planners.borrow();
-    let domains = planners.values().flat_map(Planner::describe_domains).collect();
+    let domains = planners.planning().flat_map(|(_, planner)| planner.describe_domains()).collect();
     for line in domain_lines.due(gateway.now(), domains) {
         Event::new("domain").with("hosts", line).write();
     }
-    for (service, planner) in planners.iter() {
+    for (service, planner) in planners.planning() {
         for gap in planner.spread_gaps() {
             gateway.count("spread_gaps");
             Event::new("spread_gap")
@@ -119,59 +120,79 @@
 }
 
 /// Starts or stops leading.
-async fn change_leadership(gateway: &Rc<Gateway>, fence: Option<u64>) {
-    gateway.planners.borrow_mut().clear();
-    let Some(fence) = fence else {
-        Event::new("leads").with("fence", Value::Null).write();
-        return;
-    };
+fn change_leadership(gateway: &Gateway, fence: Option<u64>) {
+    gateway.planners.borrow_mut().change_term(fence);
     Event::new("leads").with("fence", fence).write();
+}
+
+/// Makes the planners follow the configuration, and takes over the services that are new.
+fn follow_configuration(gateway: &Rc<Gateway>) {
     let Some(lookup) = gateway.lookup() else { return };
-    for service in &lookup.configuration.services {
-        let Some(engine) = service.engine.as_ref().filter(|e| !e.models.is_empty()) else {
-            continue;
-        };
-        let planner = take_over(gateway, &service.name, engine, fence).await;
-        gateway.planners.borrow_mut().insert(service.name.clone(), planner);
+    let configuration = &lookup.configuration;
+    let changes = gateway.planners.borrow_mut().follow(gateway.now(), configuration);
+    for change in changes {
+        log_planner_change(&change, configuration.version);
+        if let PlannerChange::TakeOver(takeover) = change {
+            ntex::rt::spawn(take_over(gateway.clone(), takeover));
+        }
     }
 }
 
-/// Creates a planner with the current state of each host of a service.
-async fn take_over(gateway: &Rc<Gateway>, service: &str, engine: &Engine, fence: u64) -> Planner {
-    let config = gateway.settings.policy.planner.clone();
-    let mut planner = Planner::new(config, engine.clone(), fence, gateway.now());
-    planner.set_tolerance(gateway.settings.tolerance.failure_domains);
+fn log_planner_change(change: &PlannerChange, configuration: u64) {
+    let (what, service) = match change {
+        PlannerChange::TakeOver(takeover) => ("taken over", &takeover.service),
+        PlannerChange::Paused(service) => ("paused", service),
+        PlannerChange::Resumed(service) => ("resumed", service),
+        PlannerChange::Removed(service) => ("removed", service),
+    };
+    Event::new("service_planner")
+        .with("service", service.as_str())
+        .with("change", what)
+        .with("configuration", configuration)
+        .write();
+}
+
+/// Requests the state of all hosts of a service, and passes it to the service's planner.
+async fn take_over(gateway: Rc<Gateway>, takeover: Takeover) {
     let servers: Vec<BackendServer> =
-        gateway.directory.borrow().of_service(service).cloned().collect();
+        gateway.directory.borrow().of_service(&takeover.service).cloned().collect();
     let mut probes = Vec::new();
-    for server in &servers {
-        planner.handle_listed_host(gateway.now(), server);
+    for server in servers {
+        if let Some(planner) = gateway.planners.borrow_mut().taking_over(&takeover) {
+            planner.handle_listed_host(gateway.now(), &server);
+        }
         let (gateway, id, address) = (gateway.clone(), server.id.clone(), server.address);
         let answer = ntex::rt::spawn(async move { probe(&gateway, &id, address).await });
-        probes.push((server.id.clone(), answer));
+        probes.push((server.id, answer));
     }
     for (id, answer) in probes {
-        match answer.await {
-            Ok(ProbeOutcome::Holding(holding)) => {
-                planner.handle_report(gateway.now(), &id, &holding)
-            }
-            Ok(ProbeOutcome::Silent { refused }) => {
-                planner.handle_silence(gateway.now(), &id, refused)
-            }
-            Ok(ProbeOutcome::Replaced) => planner.mark_replaced(gateway.now(), &id),
-            Err(_) => {}
+        let Ok(outcome) = answer.await else { continue };
+        if let Some(planner) = gateway.planners.borrow_mut().taking_over(&takeover) {
+            apply_probe(&gateway, planner, &id, &outcome);
         }
     }
-    planner.adopt_ended(gateway.table.borrow().ended.iter().copied());
-    // `most_hosts` is the largest number of hosts that earlier leaders saw in each fabric domain.
-    if let Some(most) = gateway.table.borrow().most_hosts.get(service) {
-        planner.adopt_most_hosts(most);
-    }
-    planner.adopt(gateway.now());
+    complete_takeover(&gateway, &takeover);
+    gateway.plan_now.notify_one();
+}
+
+fn complete_takeover(gateway: &Gateway, takeover: &Takeover) {
+    let (now, table) = (gateway.now(), gateway.table.borrow());
+    let most_hosts = table.most_hosts.get(&takeover.service);
+    let mut planners = gateway.planners.borrow_mut();
+    let Some(planner) = planners.adopt(now, takeover, &table.ended, most_hosts) else { return };
     for line in planner.describe() {
-        Event::new("group_taken_over").with("group", line).with("fence", fence).write();
+        Event::new("group_taken_over").with("group", line).with("fence", takeover.fence).write();
+    }
+}
+
+/// Passes the outcome of a probe to a planner.
+fn apply_probe(gateway: &Gateway, planner: &mut Planner, server: &str, outcome: &ProbeOutcome) {
+    let now = gateway.now();
+    match outcome {
+        ProbeOutcome::Holding(holding) => planner.handle_report(now, server, holding),
+        ProbeOutcome::Silent { refused } => planner.handle_silence(now, server, *refused),
+        ProbeOutcome::Replaced => planner.mark_replaced(now, server),
     }
-    planner
 }
 
 /// Outcome of a probe of a backend server's state.
@@ -233,26 +254,29 @@
     let now = gateway.now();
     let slow = gateway.slow_groups();
     let mut planners = gateway.planners.borrow_mut();
-    let mut groups = Vec::new();
-    let mut ended = Vec::new();
-    let mut most_hosts = BTreeMap::new();
-    let mut commands = Vec::new();
-    for (service, planner) in planners.iter_mut() {
-        refresh(gateway, service, planner);
+    if !planners.has_begun() {
+        return;
+    }
+    let mut shares_before = BTreeMap::new();
+    for (service, planner) in planners.planning_mut() {
+        planner.set_drained(&gateway.drains.borrow().failure_domains());
         planner.set_traffic(gateway.traffic.get());
         report_load(gateway, service, planner);
         slow.iter().for_each(|epoch| planner.probe_slow_group(now, *epoch));
-        let shares_before = planner.target_shares();
-        commands.extend(planner.tick(now).into_iter().map(|command| (service.clone(), command)));
-        log_shares(planner, &shares_before);
+        shares_before.insert(service.to_owned(), planner.target_shares());
+    }
+    let commands = planners.tick(now);
+    let mut table = Table { fence, ..Table::default() };
+    for (service, planner) in planners.planning_mut() {
+        log_shares(planner, &shares_before[service]);
         log_waiting_hosts(gateway, planner);
         planner.take_endings().into_iter().for_each(log_ending);
-        groups.extend(table_groups(gateway, service, planner));
-        ended.extend(planner.ended());
-        most_hosts.insert(service.clone(), planner.most_hosts().clone());
+        table.groups.extend(table_groups(gateway, service, planner));
+        table.ended.extend(planner.ended());
+        table.most_hosts.insert(service.to_owned(), planner.most_hosts().clone());
     }
     drop(planners);
-    publish(gateway, &Table { fence, number: 0, groups, ended, most_hosts });
+    publish(gateway, &table);
     for (service, command) in commands {
         ntex::rt::spawn(execute(gateway.clone(), fence, service, command));
     }
@@ -298,14 +322,6 @@
     }
 }
 
-fn refresh(gateway: &Gateway, service: &str, planner: &mut Planner) {
-    planner.set_drained(&gateway.drains.borrow().failure_domains());
-    let Some(lookup) = gateway.lookup() else { return };
-    if let Some(engine) = lookup.service(service).and_then(|service| service.engine.as_ref()) {
-        planner.set_engine(engine);
-    }
-}
-
 /// Load of the serving groups of a model.
 #[derive(Default)]
 struct Serving {
@@ -399,20 +415,15 @@
     match command {
         Command::Probe { server, address } => {
             let answer = probe(&gateway, &server, address).await;
-            let now = gateway.now();
             let mut planners = gateway.planners.borrow_mut();
             let Some(planner) = planners.get_mut(&service).filter(|p| p.fence() == fence) else {
                 return;
             };
-            match answer {
-                ProbeOutcome::Holding(holding) => {
-                    log_slow_host(&server, holding.pace);
-                    log_changed_holding(planner, &server, &holding);
-                    planner.handle_report(now, &server, &holding);
-                }
-                ProbeOutcome::Silent { refused } => planner.handle_silence(now, &server, refused),
-                ProbeOutcome::Replaced => planner.mark_replaced(now, &server),
+            if let ProbeOutcome::Holding(holding) = &answer {
+                log_slow_host(&server, holding.pace);
+                log_changed_holding(planner, &server, holding);
             }
+            apply_probe(&gateway, planner, &server, &answer);
         }
         Command::Order { server, address, order, expects } => {
             let call = gateway.dialect.order_call(&server, fence, &order, expects);
--- a/crates/oliveworks-gateway/src/missing.rs
+++ b/crates/oliveworks-gateway/src/missing.rs
@@ -19,7 +19,7 @@
     for Departed { id, missing_ms } in left {
         Event::new("host_gone").with("host", &*id).with("missing_ms", missing_ms).write();
         gateway.directory.borrow_mut().remove(&id);
-        for planner in gateway.planners.borrow_mut().values_mut() {
+        for planner in gateway.planners.borrow_mut().all_mut() {
             planner.mark_unlisted(&id);
         }
     }
--- a/crates/oliveworks-gateway/src/server_list.rs
+++ b/crates/oliveworks-gateway/src/server_list.rs
@@ -141,9 +141,7 @@
     let now = gateway.now();
     let restarted = has_restarted(gateway, server);
     let is_back = missing.record_listed(now, &server.id) && !restarted;
-    if let Some(planner) = gateway.planners.borrow_mut().get_mut(&server.service) {
-        planner.handle_listed_host(now, server);
-    }
+    gateway.planners.borrow_mut().handle_listed_host(now, server);
     let reading = Reading {
         first_list: !gateway.directory_read.get(),
         late: is_late(gateway, origin.source),
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -23,7 +23,7 @@
 use oliveworks_gateway_core::load_report::ReportIntervals;
 use oliveworks_gateway_core::members::Members;
 use oliveworks_gateway_core::missing::Missing;
-use oliveworks_gateway_core::planner::Planner;
+use oliveworks_gateway_core::planners::Planners;
 use oliveworks_gateway_core::rate_limits::RateLimits;
 use oliveworks_gateway_core::replay::ReplayBuffer;
 use oliveworks_gateway_core::returning::Waits;
@@ -174,8 +174,8 @@
     pub calls: Calls,
     /// State of the leader election.
     pub election: RefCell<Election>,
-    /// Planner of each service, while this gateway leads.
-    pub planners: RefCell<BTreeMap<String, Planner>>,
+    /// Planners of the services, while this gateway leads.
+    pub planners: RefCell<Planners>,
     /// Serving groups.
     pub table: RefCell<Table>,
     /// Time of the last confirmation of the leader's table.
@@ -238,6 +238,8 @@
             window_ms: bounds.repeat_window_ms,
         };
         let budget = Budget::new(budget_config, now);
+        let planner_config = settings.policy.planner.clone();
+        let planners = Planners::new(planner_config, settings.tolerance.failure_domains);
         Gateway {
             dialect,
             lookup: RefCell::new(None),
@@ -283,7 +285,7 @@
             budget: RefCell::new(budget),
             calls: Calls::default(),
             election: RefCell::new(Election::new(ElectionConfig::default(), incarnation, now)),
-            planners: RefCell::default(),
+            planners: RefCell::new(planners),
             table: RefCell::default(),
             table_confirmed_at: Cell::new(0),
             peers: RefCell::default(),
--- a/crates/oliveworks-gateway/src/suspicions.rs
+++ b/crates/oliveworks-gateway/src/suspicions.rs
@@ -36,7 +36,7 @@
     /// Processes the observation that a group is slow.
     pub fn process_slow_group(&self, epoch: u64) {
         let now = self.now();
-        for planner in self.planners.borrow_mut().values_mut() {
+        for planner in self.planners.borrow_mut().all_mut() {
             planner.probe_slow_group(now, epoch);
         }
     }
@@ -47,7 +47,7 @@
         if self.suspects.borrow_mut().insert(epoch, now).is_none() {
             self.send_heartbeat_now();
         }
-        for planner in self.planners.borrow_mut().values_mut() {
+        for planner in self.planners.borrow_mut().all_mut() {
             planner.suspect_group(epoch);
         }
     }
@@ -68,7 +68,7 @@
             }
         }
         drop(table);
-        for planner in self.planners.borrow_mut().values_mut() {
+        for planner in self.planners.borrow_mut().all_mut() {
             planner.suspect_group(epoch);
         }
     }
