Groups of a model that the engine no longer offers finish

A configuration that takes a model from an engine, or changes the size of its groups, left the groups as they were: their hosts stayed open for nobody, and the other models did without them until the leader changed. Such a group now finishes like one with a leaving member, and its hosts are free; one that is being formed ends.

--- a/crates/oliveworks-gateway-core/src/planner/advance.rs
+++ b/crates/oliveworks-gateway-core/src/planner/advance.rs
@@ -48,7 +48,7 @@
             self.dissolve(now, group.epoch, EndReason::NeverOpened);
             return;
         }
-        if self.has_unavailable_member(group) {
+        if self.has_unavailable_member(group) || !self.offers(group) {
             match group.adopted {
                 // An earlier leader may have ordered the head to open.
                 true => self.set_phase(now, group.epoch, Phase::Breaking),
@@ -105,7 +105,7 @@
     }
 
     fn advance_opening(&mut self, now: Millis, group: &Group, commands: &mut Vec<Command>) {
-        if self.has_unavailable_member(group) {
+        if self.has_unavailable_member(group) || !self.offers(group) {
             self.set_phase(now, group.epoch, Phase::Breaking);
             return;
         }
@@ -124,7 +124,7 @@
     fn advance_open(&mut self, now: Millis, group: &Group) {
         let hosts = group.members.iter().filter_map(|id| self.hosts.get(id));
         let mut broken = hosts.clone().count() < group.members.len();
-        let mut leaving = false;
+        let mut leaving = !self.offers(group);
         // A slow member slows the whole group: its streams resume on another group sooner than they
         // would finish here.
         broken |= self.can_replace_slow_members(group);
@@ -194,8 +194,15 @@
     }
 
     fn advance_spare(&mut self, now: Millis, group: &Group) {
-        if self.has_unavailable_member(group) {
+        if self.has_unavailable_member(group) || !self.offers(group) {
             self.dissolve(now, group.epoch, EndReason::NeverOpened);
         }
     }
+
+    /// Whether the engine still offers the model of a group, with groups of this size. Otherwise
+    /// the group's hosts are needed for the models that it does offer.
+    fn offers(&self, group: &Group) -> bool {
+        let model = self.model(&group.model);
+        model.is_some_and(|model| model.size == group.members.len() || group.is_spare())
+    }
 }
--- a/crates/oliveworks-gateway-core/src/planner/group.rs
+++ b/crates/oliveworks-gateway-core/src/planner/group.rs
@@ -77,6 +77,11 @@
         matches!(self.phase, Phase::Open { from } if now >= from)
     }
 
+    /// Whether the group holds a model for repairs.
+    pub(super) fn is_spare(&self) -> bool {
+        is_spare_name(&self.name)
+    }
+
     /// Whether the group serves or is being formed to serve.
     pub(super) fn counts(&self) -> bool {
         matches!(self.phase, Phase::Joining | Phase::Opening | Phase::Open { .. })
