Groups are not preempted if their hosts would form them again

Preemption and assignment judged by different rules. Preemption now asks whether the hosts would go to the model that it is for. Ruled out: assigning the hosts to that model regardless; it has its quota elsewhere, and the other model would lack them.

--- a/crates/oliveworks-gateway-core/src/planner/preemption.rs
+++ b/crates/oliveworks-gateway-core/src/planner/preemption.rs
@@ -4,6 +4,7 @@
 use super::domain::{Domain, Warmth, domains, quota, warmth};
 use super::group::Phase;
 use super::host::Host;
+use super::shortage::Shortage;
 use crate::Millis;
 use crate::configuration::Model;
 
@@ -17,12 +18,13 @@
 /// their hosts for it.
 pub(super) fn find_preemption(now: Millis, planner: &Planner) -> Option<Preemption> {
     let domains = domains(now, planner);
+    let short = Shortage::of(planner, &domains);
     let mut models: Vec<&Model> = planner.engine.models.iter().filter(|m| m.size > 1).collect();
     models.sort_by_key(|model| std::cmp::Reverse(model.size));
     let mut without_transition = domains.values().filter(|domain| !domain.in_transition);
     without_transition.find_map(|domain| {
         let beneficiary = models.iter().find(|model| domain.missing_groups(planner, model) > 0)?;
-        let epochs = preemptable_groups(planner, domain, beneficiary)?;
+        let epochs = preemptable_groups(&short, domain, beneficiary)?;
         Some(Preemption { epochs, model: beneficiary.name.clone() })
     })
 }
@@ -32,20 +34,22 @@
 /// more requests. Hosts that are left over may form new groups at once. Otherwise returns a group
 /// of a larger model that exceeds the quota, if there is one.
 fn preemptable_groups(
-    planner: &Planner,
+    short: &Shortage<'_>,
     domain: &Domain<'_>,
     beneficiary: &Model,
 ) -> Option<Vec<u64>> {
+    let planner = short.planner;
     let smaller = planner.engine.models.iter().filter(|m| m.size > 1 && m.size < beneficiary.size);
-    let found = smaller
-        .filter_map(|model| preemptable_groups_of(planner, domain, beneficiary, model))
-        .next();
-    found.or_else(|| surplus_group(planner, domain, beneficiary).map(|epoch| vec![epoch]))
+    let found =
+        smaller.filter_map(|model| preemptable_groups_of(short, domain, beneficiary, model)).next();
+    found.or_else(|| surplus_group(short, domain, beneficiary).map(|epoch| vec![epoch]))
 }
 
 /// Returns a group of a larger model that exceeds the domain's quota, if all its hosts have the
-/// model of `beneficiary` in memory. Until then the group continues to serve.
-fn surplus_group(planner: &Planner, domain: &Domain<'_>, beneficiary: &Model) -> Option<u64> {
+/// model of `beneficiary` in memory. Until then the group continues to serve, and so does one that
+/// its hosts would form again.
+fn surplus_group(short: &Shortage<'_>, domain: &Domain<'_>, beneficiary: &Model) -> Option<u64> {
+    let planner = short.planner;
     let larger =
         |name: &str| planner.model(name).is_some_and(|model| model.size > beneficiary.size);
     let mut groups = planner.groups.values().filter(|group| larger(&group.model));
@@ -59,16 +63,18 @@
                 host.server.domain == domain.name && warmth(host, beneficiary) < Warmth::Cold
             })
         });
-        (surplus && open && able).then_some(group.epoch)
+        let in_vain = short.are_formed_again(model, 1, beneficiary);
+        (surplus && open && able && !in_vain).then_some(group.epoch)
     })
 }
 
 fn preemptable_groups_of(
-    planner: &Planner,
+    short: &Shortage<'_>,
     domain: &Domain<'_>,
     beneficiary: &Model,
     model: &Model,
 ) -> Option<Vec<u64>> {
+    let planner = short.planner;
     let mut lacking =
         beneficiary.size.checked_sub(domain.warm_hosts(beneficiary)).filter(|count| *count > 0)?;
     let unused = domain
@@ -93,5 +99,6 @@
     let keeps = domain.group_count(model) + left_over / model.size.max(1);
     let enough = keeps >= quota(planner, domain.name, model) + epochs.len()
         || planner.is_worth_preempting(beneficiary, model, epochs.len());
-    (lacking == 0 && enough).then_some(epochs)
+    let in_vain = short.are_formed_again(model, epochs.len(), beneficiary);
+    (lacking == 0 && enough && !in_vain).then_some(epochs)
 }
--- a/crates/oliveworks-gateway-core/src/planner/shortage.rs
+++ b/crates/oliveworks-gateway-core/src/planner/shortage.rs
@@ -8,6 +8,7 @@
 use super::host::Host;
 use super::pressure::FULL;
 use crate::configuration::Model;
+use crate::quota::hosts_per_share;
 
 /// Ratio of hosts per share between a larger and a smaller model, below which the spares of the
 /// larger one are reserved for it. A small group that lost a member is a small fraction of its
@@ -17,6 +18,8 @@
 /// Shortage of each model, with the groups counted that are already planned.
 pub(super) struct Shortage<'a> {
     pub(super) planner: &'a Planner,
+    /// Number of groups of each model.
+    groups: BTreeMap<&'a str, usize>,
     /// Demand per group of each model.
     pressures: BTreeMap<&'a str, f64>,
     /// Hosts of each model relative to its share.
@@ -26,12 +29,14 @@
 impl<'a> Shortage<'a> {
     pub(super) fn of(planner: &'a Planner, domains: &BTreeMap<&str, Domain<'_>>) -> Shortage<'a> {
         let models = || planner.engine.models.iter();
-        let pressure = |model: &'a Model| {
-            let groups = domains.values().map(|domain| domain.group_count(model)).sum();
-            (model.name.as_str(), planner.pressure(model, groups))
-        };
+        let count = |model: &Model| domains.values().map(|domain| domain.group_count(model)).sum();
+        let groups: BTreeMap<&str, usize> =
+            models().map(|model| (model.name.as_str(), count(model))).collect();
+        let pressure =
+            |model: &'a Model| (model.name.as_str(), planner.pressure(model, count(model)));
         Shortage {
             planner,
+            groups,
             pressures: models().map(pressure).collect(),
             share_ratios: models()
                 .map(|model| (model.name.as_str(), group_hosts_per_share(model, domains)))
@@ -50,9 +55,18 @@
 
     /// Whether a model is about to refuse requests and lacks groups more than another.
     fn outranks(&self, model: &Model, other: &Model) -> bool {
+        self.outranks_pressure(model, self.pressure(other))
+    }
+
+    /// Whether a model is about to refuse requests, and its demand per group exceeds `other`.
+    fn outranks_pressure(&self, model: &Model, other: f64) -> bool {
         let config = &self.planner.config;
         let pressure = self.pressure(model);
-        pressure > config.crowded_load && pressure > self.pressure(other) + config.yield_margin
+        pressure > config.crowded_load && pressure > other + config.yield_margin
+    }
+
+    fn hosts_per_share(&self, model: &Model) -> f64 {
+        self.share_ratios.get(model.name.as_str()).copied().unwrap_or(0.0)
     }
 
     /// Whether a model takes precedence over all models that are below their quota in the domain,
@@ -85,14 +99,34 @@
         larger: &Model,
     ) -> bool {
         if host.held_last(&larger.name) {
-            let hosts_per_share =
-                |model: &Model| self.share_ratios.get(model.name.as_str()).copied().unwrap_or(0.0);
-            return hosts_per_share(larger) < hosts_per_share(model) * SPARE_RATIO;
+            return self.hosts_per_share(larger) < self.hosts_per_share(model) * SPARE_RATIO;
         }
         let extra = domain.missing_groups(self.planner, model) == 0;
         extra || self.can_complete(domain, larger)
     }
 
+    /// Whether the hosts of `ended` groups of a model would form the same groups again if those were
+    /// preempted for `beneficiary`: because they stay reserved for their model, which is the larger
+    /// one, or because that model is busy and is served first.
+    pub(super) fn are_formed_again(
+        &self,
+        model: &Model,
+        ended: usize,
+        beneficiary: &Model,
+    ) -> bool {
+        let groups = self.groups.get(model.name.as_str()).copied().unwrap_or(0);
+        let left = groups.saturating_sub(ended);
+        let pressure = self.planner.pressure(model, left);
+        let left_per_share = hosts_per_share(left * model.size, model);
+        let per_share = self.hosts_per_share(beneficiary);
+        let is_reserved = model.size > beneficiary.size
+            && !self.outranks_pressure(beneficiary, pressure)
+            && left_per_share < per_share * SPARE_RATIO;
+        let is_served_first =
+            pressure > self.planner.config.busy_load && left_per_share <= per_share;
+        is_reserved || is_served_first
+    }
+
     /// Whether a domain lacks a group of a model and has, or will soon have, the hosts for it.
     fn can_complete(&self, domain: &Domain<'_>, model: &Model) -> bool {
         let lacks = domain.missing_groups(self.planner, model) > 0;
