Shares do not follow a demand that is not known yet

A model that a configuration adds has no group at first, so no load is recorded for it. Shares now wait until the demand for each model that should have groups has been seen once.

--- a/crates/oliveworks-gateway-core/src/planner/shares.rs
+++ b/crates/oliveworks-gateway-core/src/planner/shares.rs
@@ -61,6 +61,11 @@
         };
     }
 
+    /// Whether the demand for a model is known.
+    fn knows(&self, model: &str) -> bool {
+        self.recent.contains_key(model)
+    }
+
     /// Returns the highest demand for a model during the last load time, in groups.
     fn highest(&self, model: &str) -> f64 {
         self.recent.get(model).map_or(0.0, |recent| recent.highest)
@@ -92,6 +97,9 @@
         if !self.config.follows_callers || !self.traffic || !due || !self.any_stays_busy() {
             return;
         }
+        if self.lacks_any_demand() {
+            return;
+        }
         self.share_adjuster.checked_at = now;
         let Some((shares, quotas)) = self.better_shares(&self.capacities) else { return };
         for (model, share) in self.engine.models.iter_mut().zip(shares) {
@@ -102,6 +110,14 @@
         self.share_adjuster.changed_at = now;
     }
 
+    /// Whether the demand for a model that should have groups is not known, because no group has
+    /// served it yet. It may have just been added to the engine.
+    fn lacks_any_demand(&self) -> bool {
+        self.engine.models.iter().any(|model| {
+            count(&self.quotas, &model.name) > 0.0 && !self.share_adjuster.knows(&model.name)
+        })
+    }
+
     /// Whether a model was busy throughout the time of a load.
     fn any_stays_busy(&self) -> bool {
         self.engine.models.iter().any(|model| {
