The services of a leader share the rate of the weight store

Each planner used three quarters of loads_per_s for itself, so two services with models began 1.5 times what the weight store allows (CEILING), from their first loads on. The store is one for all services: the set of planners now holds one budget, refilled at the lowest rate of the planned engines, and passes it from one planner to the next, another one first in each round; loads under way at other services count where loads slow each other down. A leader of one service behaves as before. Ruled out: an equal part for each service, which leaves the rate unused while one of them has nothing to load.

--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -21,6 +21,7 @@
 //! | `preemption` | which groups are preempted for others |
 //! | `shares`, `pressure` | the target share of the hosts for each model |
 //! | `spread` | over how many failure domains a model's groups are spread |
+//! | `loads` | how many loads from the weight store may begin |
 //! | `ending` | whether a group that ends has certainly stopped serving |
 //! | `arrivals`, `outage` | whether a domain is returning, or stopped answering as a whole |
 //! | `drain` | what happens to the hosts of a drained failure domain |
@@ -43,6 +44,7 @@
 mod group;
 mod heads;
 mod host;
+mod loads;
 mod observations;
 mod order;
 mod outage;
@@ -67,6 +69,7 @@
 pub use ending::Ending;
 use group::{Group, Phase};
 use host::Host;
+pub use loads::LoadBudget;
 pub use order::{Command, ModelLoad, Order, Outcome, PlannerConfig, ServingGroup};
 use outage::Outages;
 use pressure::Demand;
@@ -84,15 +87,6 @@
 /// Time for which the capacities of the domains must have been unchanged before groups are
 /// preempted, in ms.
 const QUOTAS_STABLE_MS: u64 = 400;
-/// Maximum number of loads that may begin at once.
-const LOAD_BURST: f64 = 2.0;
-/// Fraction of the weight store's rate that is used. The rest is left for orders that are carried
-/// out late.
-const LOAD_RATE_FRACTION: f64 = 0.75;
-/// Number of loads that are ordered before traffic in addition to those that run at full speed, so
-/// that no host idles until it receives its order.
-const EXTRA_LOADS_BEFORE_TRAFFIC: u32 = 5;
-
 /// Plans the replica groups of one service, on the gateway that leads.
 #[derive(Clone, Debug)]
 pub struct Planner {
@@ -111,8 +105,10 @@
     ended: BTreeSet<u64>,
     /// Groups that ended and have not been reported yet.
     endings: Vec<Ending>,
-    load_tokens: f64,
-    load_tokens_at: Millis,
+    /// Loads that may begin now.
+    load_budget: LoadBudget,
+    /// Number of loads that hosts of other services run.
+    loading_elsewhere: usize,
     /// Largest number of hosts that each domain ever had.
     most_hosts: BTreeMap<String, usize>,
     /// Most recent burst of new hosts in each domain.
@@ -151,8 +147,8 @@
             groups: BTreeMap::new(),
             ended: BTreeSet::new(),
             endings: Vec::new(),
-            load_tokens: 0.0,
-            load_tokens_at: now,
+            load_budget: LoadBudget::new(now),
+            loading_elsewhere: 0,
             most_hosts: BTreeMap::new(),
             arrival_bursts: BTreeMap::new(),
             outages: Outages::default(),
@@ -432,20 +428,6 @@
         commands
     }
 
-    fn refill_loads(&mut self, now: Millis) {
-        let passed = now.saturating_sub(self.load_tokens_at) as f64 / 1_000.0;
-        self.load_tokens_at = now;
-        if !self.traffic {
-            // Before traffic, loads are short and do not count against the rate. Only the number of
-            // concurrent loads matters.
-            let most = self.engine.loads_at_once + EXTRA_LOADS_BEFORE_TRAFFIC;
-            self.load_tokens = f64::from(most) - self.loading() as f64;
-            return;
-        }
-        let rate = self.engine.loads_per_s * LOAD_RATE_FRACTION;
-        self.load_tokens = (self.load_tokens + passed * rate).min(LOAD_BURST);
-    }
-
     /// Returns the number of epochs that are used up under this leader's fence.
     pub fn used_epochs(&self) -> u64 {
         self.epochs
@@ -536,7 +518,7 @@
             return;
         }
         for staging in stage::stage(now, self) {
-            if self.load_tokens < 1.0 {
+            if !self.load_budget.allows_load() {
                 return;
             }
             if only_urgent && !staging.urgent {
@@ -544,7 +526,7 @@
             }
             let Some(host) = self.hosts.get_mut(&staging.host) else { continue };
             if host.may_order(now) {
-                self.load_tokens -= 1.0;
+                self.load_budget.begin_load();
                 commands.push(host.order(now, Order::Stage { model: staging.model }));
             }
         }
@@ -570,11 +552,6 @@
         !self.traffic && (fit().any(|host| !host.held_any()) || self.groups.values().any(joins))
     }
 
-    /// Returns the number of hosts that load a model.
-    fn loading(&self) -> usize {
-        self.hosts.values().filter(|host| host.is_available() && host.is_loading()).count()
-    }
-
     fn remove_unlisted_hosts(&mut self) {
         self.hosts.retain(|_, host| host.group.is_some() || !host.unlisted);
     }
--- a/crates/oliveworks-gateway-core/src/planner/advance.rs
+++ b/crates/oliveworks-gateway-core/src/planner/advance.rs
@@ -83,11 +83,11 @@
                 continue;
             }
             let load = !host.has_copy(&model.name);
-            if !host.may_order(now) || (load && self.load_tokens < 1.0) {
+            if !host.may_order(now) || (load && !self.load_budget.allows_load()) {
                 continue;
             }
             if load {
-                self.load_tokens -= 1.0;
+                self.load_budget.begin_load();
             }
             let order = Order::Join {
                 group: group.name.clone(),
--- a/crates/oliveworks-gateway-core/src/planners.rs
+++ b/crates/oliveworks-gateway-core/src/planners.rs
@@ -15,7 +15,7 @@
 use crate::Millis;
 use crate::backend_servers::BackendServer;
 use crate::configuration::{Configuration, Engine};
-use crate::planner::{Command, Planner, PlannerConfig};
+use crate::planner::{Command, LoadBudget, Planner, PlannerConfig};
 
 /// Time for which a paused planner is kept, in ms: longer than an unanswered order may take to be
 /// carried out.
@@ -66,6 +66,10 @@
     fence: Option<u64>,
     entries: BTreeMap<String, Entry>,
     takeovers: u64,
+    /// Loads that may begin now, at hosts of all services; none before the first round of a term.
+    load_budget: Option<LoadBudget>,
+    /// Number of rounds of planning, which determines the service that is planned first.
+    rounds: usize,
     /// Largest number of epochs that a removed planner has used under the fence.
     used_epochs: u64,
     /// Whether every service of the first configuration of the term has been taken over.
@@ -82,6 +86,8 @@
             fence: None,
             entries: BTreeMap::new(),
             takeovers: 0,
+            load_budget: None,
+            rounds: 0,
             used_epochs: 0,
             begun: false,
         }
@@ -92,6 +98,7 @@
         self.fence = fence;
         self.entries.clear();
         self.used_epochs = 0;
+        self.load_budget = None;
         self.begun = false;
     }
 
@@ -235,22 +242,47 @@
 
     /// Returns the services that are planned, with their planners.
     pub fn planning_mut(&mut self) -> impl Iterator<Item = (&str, &mut Planner)> {
-        let planning = self.entries.iter_mut().filter(|(_, entry)| entry.state == State::Planning);
-        planning.map(|(service, entry)| (service.as_str(), &mut entry.planner))
+        planning_mut(&mut self.entries)
     }
 
     /// Advances the planners of all planned services, and returns the commands to carry out now.
+    ///
+    /// The planners share the loads that the weight store allows. Another one is the first in each
+    /// round, so that none takes them all.
     pub fn tick(&mut self, now: Millis) -> Vec<(String, Command)> {
+        let mut planning: Vec<(&str, &mut Planner)> = planning_mut(&mut self.entries).collect();
+        if planning.is_empty() {
+            return Vec::new();
+        }
+        self.rounds = self.rounds.wrapping_add(1);
+        let first = self.rounds % planning.len();
+        planning.rotate_left(first);
+        let rates = planning.iter().map(|(_, planner)| planner.loads_per_s());
+        let mut budget = self.load_budget.unwrap_or(LoadBudget::new(now));
+        budget.refill(now, rates.fold(f64::INFINITY, f64::min));
+        let mut loading: usize = planning.iter().map(|(_, planner)| planner.own_loading()).sum();
         let mut commands = Vec::new();
-        for (service, planner) in self.planning_mut() {
-            let service = service.to_owned();
-            commands
-                .extend(planner.tick(now).into_iter().map(|command| (service.clone(), command)));
+        for (service, planner) in planning {
+            loading -= planner.own_loading();
+            planner.share_load_budget(budget, loading);
+            let found = planner.tick(now).into_iter();
+            commands.extend(found.map(|command| (service.to_owned(), command)));
+            budget = planner.load_budget();
+            loading += planner.own_loading();
         }
+        self.load_budget = Some(budget);
         commands
     }
 }
 
+/// Returns the services that are planned, with their planners.
+fn planning_mut(
+    entries: &mut BTreeMap<String, Entry>,
+) -> impl Iterator<Item = (&str, &mut Planner)> {
+    let planning = entries.iter_mut().filter(|(_, entry)| entry.state == State::Planning);
+    planning.map(|(service, entry)| (service.as_str(), &mut entry.planner))
+}
+
 /// Returns the engines that serve models, by service.
 fn engines(configuration: &Configuration) -> BTreeMap<&str, &Engine> {
     let services = configuration.services.iter();
