--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -34,6 +34,7 @@
 //! | [`speed`] | replica groups that run much slower than others |
 //! | [`election`] | the gateway that issues orders |
 //! | [`table`] | the groups that serve, and the propagation of changes to gateways |
+//! | [`group_id`] | ids of groups among those of all services |
 //! | [`fan_out`] | the gateways that a heartbeat is sent to |
 //! | [`load_report`] | the outstanding requests that a heartbeat reports |
 //! | [`backoff`] | backend servers that requested a backoff |
@@ -69,6 +70,7 @@
 pub mod events;
 pub mod fan_out;
 pub mod freshness;
+pub mod group_id;
 pub mod introductions;
 pub mod listing;
 pub mod load_report;
--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -257,6 +257,17 @@
         }
     }
 
+    /// Returns the epochs of the groups that hosts report to be members of.
+    pub fn reported_epochs(&self) -> BTreeSet<u64> {
+        let members = self.hosts.values().filter_map(|host| host.holding.group.as_ref());
+        members.map(|member| member.epoch).collect()
+    }
+
+    /// Returns the epochs of all groups that this leader manages.
+    pub fn epochs(&self) -> impl Iterator<Item = u64> {
+        self.groups.keys().copied()
+    }
+
     /// Returns the newest epochs of groups that have certainly ended.
     pub fn ended(&self) -> impl Iterator<Item = u64> {
         self.ended.iter().rev().take(ENDED_REPORTED_MAX).copied()
--- a/crates/oliveworks-gateway-core/src/planners.rs
+++ b/crates/oliveworks-gateway-core/src/planners.rs
@@ -15,6 +15,7 @@
 use crate::Millis;
 use crate::backend_servers::BackendServer;
 use crate::configuration::{Configuration, Engine};
+use crate::group_id::GroupId;
 use crate::planner::{Command, LoadBudget, Planner, PlannerConfig};
 
 /// Time for which a paused planner is kept, in ms: longer than an unanswered order may take to be
@@ -181,17 +182,19 @@
     }
 
     /// Completes a takeover: the planner adopts the groups that its hosts report. `ended` are the
-    /// epochs of ended groups and `most_hosts` the largest number of hosts in each domain that
+    /// groups that ended and `most_hosts` the largest number of hosts in each domain that
     /// earlier leaders recorded. Returns the planner, unless the takeover has been replaced.
     pub fn adopt(
         &mut self,
         now: Millis,
         takeover: &Takeover,
-        ended: &[u64],
+        ended: &[GroupId],
         most_hosts: Option<&BTreeMap<String, usize>>,
     ) -> Option<&Planner> {
         let planner = self.taking_over(takeover)?;
-        planner.adopt_ended(ended.iter().copied());
+        let mut epochs = planner.reported_epochs();
+        epochs.retain(|epoch| ended.contains(&GroupId::of(&takeover.service, *epoch)));
+        planner.adopt_ended(epochs);
         if let Some(most_hosts) = most_hosts {
             planner.adopt_most_hosts(most_hosts);
         }
@@ -229,6 +232,23 @@
         self.entries.get_mut(service).map(|entry| &mut entry.planner)
     }
 
+    /// Returns the planner that manages a group, and the epoch of the group.
+    pub fn of_group(&mut self, group: GroupId) -> Option<(&mut Planner, u64)> {
+        self.entries.iter_mut().find_map(|(service, entry)| {
+            let epoch =
+                entry.planner.epochs().find(|epoch| GroupId::of(service, *epoch) == group)?;
+            Some((&mut entry.planner, epoch))
+        })
+    }
+
+    /// Returns the groups that have certainly ended, for the next leader.
+    pub fn ended(&self) -> Vec<GroupId> {
+        let of = |(service, planner): (&str, &Planner)| {
+            planner.ended().map(|epoch| GroupId::of(service, epoch)).collect::<Vec<_>>()
+        };
+        self.planning().flat_map(of).collect()
+    }
+
     /// Returns all planners, including those that are paused or being taken over.
     pub fn all_mut(&mut self) -> impl Iterator<Item = &mut Planner> {
         self.entries.values_mut().map(|entry| &mut entry.planner)
--- a/crates/oliveworks-gateway-core/src/table.rs
+++ b/crates/oliveworks-gateway-core/src/table.rs
@@ -17,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::backend_servers::Born;
+use crate::group_id::GroupId;
 
 /// Maximum size of one delta or part, in bytes as estimated by [`TableGroup::bytes`]: below the
 /// largest datagram, with room for the fields that the estimate leaves out.
@@ -58,6 +59,11 @@
         f64::from(self.pace_percent.max(100)) / 100.0
     }
 
+    /// Returns the id of the group.
+    pub fn id(&self) -> GroupId {
+        GroupId::of(&self.service, self.epoch)
+    }
+
     fn key(&self) -> (&str, u64) {
         (&self.service, self.epoch)
     }
@@ -112,8 +118,8 @@
     pub number: u64,
     /// Groups that serve.
     pub groups: Vec<TableGroup>,
-    /// Epochs of groups that have certainly ended, for the next leader.
-    pub ended: Vec<u64>,
+    /// Groups that have certainly ended, for the next leader.
+    pub ended: Vec<GroupId>,
     /// Largest number of hosts seen in each domain of each service, for the next leader.
     pub most_hosts: MostHosts,
 }
@@ -129,10 +135,10 @@
     gone: Vec<GroupKey>,
     /// Groups that are new or have changed.
     groups: Vec<TableGroup>,
-    /// Epochs that are no longer listed as ended.
-    forgotten: Vec<u64>,
-    /// Epochs that have ended since.
-    ended: Vec<u64>,
+    /// Groups that are no longer listed as ended.
+    forgotten: Vec<GroupId>,
+    /// Groups that have ended since.
+    ended: Vec<GroupId>,
     /// Largest numbers of hosts of all domains, if any of them has changed.
     most_hosts: Option<MostHosts>,
 }
@@ -146,8 +152,8 @@
     index: usize,
     count: usize,
     groups: Vec<TableGroup>,
-    /// Ended epochs and largest numbers of hosts; in the first part only.
-    ended: Vec<u64>,
+    /// Ended groups and largest numbers of hosts; in the first part only.
+    ended: Vec<GroupId>,
     most_hosts: MostHosts,
 }
 
@@ -202,7 +208,7 @@
         let removed: BTreeSet<_> = replaced.chain(change.gone.iter().map(GroupKey::key)).collect();
         self.groups.retain(|group| !removed.contains(&group.key()));
         self.groups.extend(change.groups.iter().cloned());
-        self.ended.retain(|epoch| !change.forgotten.contains(epoch));
+        self.ended.retain(|group| !change.forgotten.contains(group));
         self.ended.extend(&change.ended);
         if let Some(most_hosts) = &change.most_hosts {
             self.most_hosts.clone_from(most_hosts);
@@ -251,9 +257,9 @@
     }
 }
 
-/// Returns the epochs of the first list that are not in the second.
-fn difference(all: &[u64], others: &[u64]) -> Vec<u64> {
-    all.iter().filter(|epoch| !others.contains(epoch)).copied().collect()
+/// Returns the groups of the first list that are not in the second.
+fn difference(all: &[GroupId], others: &[GroupId]) -> Vec<GroupId> {
+    all.iter().filter(|group| !others.contains(group)).copied().collect()
 }
 
 /// Splits groups into runs that each fit in a datagram.
--- a/crates/oliveworks-gateway-core/tests/planners/pool.rs
+++ b/crates/oliveworks-gateway-core/tests/planners/pool.rs
@@ -8,6 +8,7 @@
     BackendServer, BackendServerId, Holding, MemberState, Membership,
 };
 use oliveworks_gateway_core::configuration::{Configuration, Engine, Limits, Model, Service};
+use oliveworks_gateway_core::group_id::GroupId;
 use oliveworks_gateway_core::planner::{
     Command, ModelLoad, Order, Outcome, Planner, PlannerConfig,
 };
@@ -146,8 +147,8 @@
     hosts: BTreeMap<BackendServerId, Host>,
     /// Takeovers under way, with the time at which the hosts' answers arrive.
     takeovers: Vec<(u64, Takeover)>,
-    /// Epochs of ended groups, as the table of the last leader holds them.
-    ended: Vec<u64>,
+    /// Ended groups, as the table of the last leader holds them.
+    ended: Vec<GroupId>,
     /// Times at which loads from the weight store began.
     loads: Vec<u64>,
     last_join_at: u64,
@@ -206,6 +207,19 @@
         self.hosts.insert(server.id, host);
     }
 
+    /// Loses a host for good.
+    pub fn lose_host(&mut self, id: &str) {
+        self.hosts.remove(id);
+        self.planners.all_mut().for_each(|planner| planner.mark_unlisted(id));
+    }
+
+    /// Returns the epochs and members of the groups that the table lists for a service.
+    pub fn groups_of(&self, service: &str) -> BTreeMap<u64, Vec<BackendServerId>> {
+        let planning = self.planners.planning().filter(|(name, _)| *name == service);
+        let groups = planning.flat_map(|(_, planner)| planner.serving(self.now));
+        groups.map(|group| (group.epoch, group.members)).collect()
+    }
+
     /// Another gateway begins to lead.
     pub fn change_leader(&mut self) {
         self.fence += 1;
@@ -252,7 +266,7 @@
         for (service, command) in self.planners.tick(now) {
             self.carry_out(&service, command);
         }
-        self.ended = self.planners.planning().flat_map(|(_, planner)| planner.ended()).collect();
+        self.ended = self.planners.ended();
     }
 
     fn complete_takeovers(&mut self) {
--- a/crates/oliveworks-gateway-core/tests/table.rs
+++ b/crates/oliveworks-gateway-core/tests/table.rs
@@ -2,6 +2,7 @@
 //! reordered.
 
 use oliveworks_gateway_core::backend_servers::Born;
+use oliveworks_gateway_core::group_id::GroupId;
 use oliveworks_gateway_core::table::{
     Assembly, Change, Changes, MostHosts, Table, TableGroup, Version,
 };
@@ -50,10 +51,10 @@
 #[test]
 fn applied_changes_turn_one_table_into_another() {
     let mut old = table(1, 0..10);
-    old.ended = vec![1, 2, 3];
+    old.ended = [1, 2, 3].map(|epoch| GroupId::of("lm", epoch)).into();
     let mut new = table(2, 5..20);
     new.groups[0].pace_percent = 300;
-    new.ended = vec![2, 3, 4];
+    new.ended = [2, 3, 4].map(|epoch| GroupId::of("lm", epoch)).into();
     new.most_hosts = MostHosts::from([("lm".to_owned(), [("rack".to_owned(), 4)].into())]);
     let mut current = old.clone();
     publish(&mut current, &mut Changes::default(), &new);
--- a/crates/oliveworks-gateway/src/heartbeat.rs
+++ b/crates/oliveworks-gateway/src/heartbeat.rs
@@ -10,6 +10,7 @@
 use oliveworks_gateway_core::election::Heartbeat;
 use oliveworks_gateway_core::era::Era;
 use oliveworks_gateway_core::fan_out::Source;
+use oliveworks_gateway_core::group_id::GroupId;
 use oliveworks_gateway_core::load_report::{self, Count, DomainLoad, LoadReport};
 use oliveworks_gateway_core::position::Position;
 use oliveworks_gateway_core::rate_limits::limits::Limit;
@@ -65,9 +66,9 @@
     /// Counts of recent requests that needed a place, per model.
     looked: Vec<(ModelKey, RequestCounts)>,
     /// Groups that the sender observes as stalled.
-    suspects: Vec<u64>,
+    suspects: Vec<GroupId>,
     /// Groups that the sender observes as slow.
-    slow: Vec<u64>,
+    slow: Vec<GroupId>,
     /// Backend servers that announced that they are leaving.
     leaving: Vec<Leaving>,
     /// Requests during which several backend servers ended in a row.
@@ -280,8 +281,8 @@
     if let Some(position) = beat.departure {
         gateway.process_departure(position);
     }
-    for epoch in beat.suspects {
-        gateway.process_suspicion(epoch);
+    for group in beat.suspects {
+        gateway.process_suspicion(group);
     }
     for chain in beat.crashers {
         gateway.process_crasher_report(chain);
@@ -295,8 +296,8 @@
     for leaving in beat.leaving {
         gateway.process_leaving_report(leaving);
     }
-    for epoch in beat.slow {
-        gateway.process_slow_group(epoch);
+    for group in beat.slow {
+        gateway.process_slow_group(group);
     }
     beat.leader
 }
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -253,6 +253,7 @@
 fn plan(gateway: &Rc<Gateway>, fence: u64) {
     let now = gateway.now();
     let slow = gateway.slow_groups();
+    slow.into_iter().for_each(|group| gateway.process_slow_group(group));
     let mut planners = gateway.planners.borrow_mut();
     if !planners.has_begun() {
         return;
@@ -262,17 +263,15 @@
         planner.set_drained(&gateway.drains.borrow().failure_domains());
         planner.set_traffic(gateway.traffic.get());
         report_load(gateway, service, planner);
-        slow.iter().for_each(|epoch| planner.probe_slow_group(now, *epoch));
         shares_before.insert(service.to_owned(), planner.target_shares());
     }
     let commands = planners.tick(now);
-    let mut table = Table { fence, ..Table::default() };
+    let mut table = Table { fence, ended: planners.ended(), ..Table::default() };
     for (service, planner) in planners.planning_mut() {
         log_shares(planner, &shares_before[service]);
         log_waiting_hosts(gateway, planner);
         planner.take_endings().into_iter().for_each(log_ending);
         table.groups.extend(table_groups(gateway, service, planner));
-        table.ended.extend(planner.ended());
         table.most_hosts.insert(service.to_owned(), planner.most_hosts().clone());
     }
     drop(planners);
--- a/crates/oliveworks-gateway/src/relay/attempt.rs
+++ b/crates/oliveworks-gateway/src/relay/attempt.rs
@@ -11,6 +11,7 @@
 use oliveworks_gateway_core::attempts::Failure;
 use oliveworks_gateway_core::configuration::Repeat;
 use oliveworks_gateway_core::events::{Pass, Splitter};
+use oliveworks_gateway_core::group_id::GroupId;
 
 use super::Job;
 use crate::connection::{Connection, Disconnected};
@@ -126,7 +127,7 @@
             {
                 // The target is not the head of the group, or its address belongs to another
                 // backend server. The leader finds out by a probe.
-                self.gateway.report_stalled_group(epoch);
+                self.gateway.report_stalled_group(GroupId::of(&self.service, epoch));
             }
             return failed;
         }
@@ -155,7 +156,7 @@
                 .debug("why", why)
                 .with("request", self.asked.id.as_str())
                 .write();
-            self.gateway.report_stalled_group(epoch);
+            self.gateway.report_stalled_group(GroupId::of(&self.service, epoch));
         }
     }
 
@@ -247,7 +248,7 @@
                 self.gateway.suspensions.borrow_mut().suspend(now, target);
             }
             self.gateway.record_unreachable(&place.server);
-            self.gateway.report_stalled_group(epoch);
+            self.gateway.report_stalled_group(GroupId::of(&self.service, epoch));
         }
     }
 
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -19,6 +19,7 @@
 use oliveworks_gateway_core::election::{Election, ElectionConfig};
 use oliveworks_gateway_core::era::{Era, StoreEra};
 use oliveworks_gateway_core::freshness::Freshness;
+use oliveworks_gateway_core::group_id::GroupId;
 use oliveworks_gateway_core::introductions::Introductions;
 use oliveworks_gateway_core::load_report::ReportIntervals;
 use oliveworks_gateway_core::members::Members;
@@ -184,7 +185,7 @@
     pub peers: RefCell<BTreeMap<String, Peer>>,
     /// Stalled groups to report to the leader, with the time of detection. Suspect requests are in
     /// `crashers`.
-    pub suspects: RefCell<HashMap<u64, Millis>>,
+    pub suspects: RefCell<HashMap<GroupId, Millis>>,
     /// Backend servers to report as leaving, with the time at which this gateway learned of it.
     pub leaving_reports: RefCell<Vec<(Millis, Leaving)>>,
     /// Peer address of the leader.
--- a/crates/oliveworks-gateway/src/suspicions.rs
+++ b/crates/oliveworks-gateway/src/suspicions.rs
@@ -1,6 +1,7 @@
 //! Replica groups that are stalled or slow, as observed by gateways.
 
 use oliveworks_gateway_core::balance::Target;
+use oliveworks_gateway_core::group_id::GroupId;
 use oliveworks_gateway_core::table::TableGroup;
 
 use crate::state::Gateway;
@@ -11,7 +12,7 @@
 
 impl Gateway {
     /// Returns the groups that this gateway observes to be much slower than others of their model.
-    pub fn slow_groups(&self) -> Vec<u64> {
+    pub fn slow_groups(&self) -> Vec<GroupId> {
         let Some(lookup) = self.lookup() else { return Vec::new() };
         let now = self.now();
         let table = self.table.borrow();
@@ -27,37 +28,41 @@
                 let longest_ms = engine.longest_pass_ms(model).ceil() as u64;
                 let found = speeds.slow(now, &targets, longest_ms);
                 let is_slow = |group: &&&TableGroup| found.contains(&Target::of(&group.members[0]));
-                slow.extend(groups.iter().filter(is_slow).map(|group| group.epoch));
+                slow.extend(groups.iter().filter(is_slow).map(|group| group.id()));
             }
         }
         slow
     }
 
     /// Processes the observation that a group is slow.
-    pub fn process_slow_group(&self, epoch: u64) {
+    pub fn process_slow_group(&self, group: GroupId) {
         let now = self.now();
-        for planner in self.planners.borrow_mut().all_mut() {
+        if let Some((planner, epoch)) = self.planners.borrow_mut().of_group(group) {
             planner.probe_slow_group(now, epoch);
         }
     }
 
     /// Reports a stalled group to the other gateways and the leader.
-    pub fn report_stalled_group(&self, epoch: u64) {
+    pub fn report_stalled_group(&self, group: GroupId) {
         let now = self.now();
-        if self.suspects.borrow_mut().insert(epoch, now).is_none() {
+        if self.suspects.borrow_mut().insert(group, now).is_none() {
             self.send_heartbeat_now();
         }
-        for planner in self.planners.borrow_mut().all_mut() {
+        self.suspect_group(group);
+    }
+
+    fn suspect_group(&self, group: GroupId) {
+        if let Some((planner, epoch)) = self.planners.borrow_mut().of_group(group) {
             planner.suspect_group(epoch);
         }
     }
 
     /// Processes another gateway's suspicion of a stalled group: this gateway avoids the group too,
     /// unless it has just received data from there.
-    pub fn process_suspicion(&self, epoch: u64) {
+    pub fn process_suspicion(&self, suspected: GroupId) {
         let now = self.now();
         let table = self.table.borrow();
-        let head = table.groups.iter().find(|group| group.epoch == epoch);
+        let head = table.groups.iter().find(|group| group.id() == suspected);
         if let Some(group) = head {
             let target = Target::of(&group.members[0]);
             let last = self.balance.borrow().last_progress(target);
@@ -68,8 +73,6 @@
             }
         }
         drop(table);
-        for planner in self.planners.borrow_mut().all_mut() {
-            planner.suspect_group(epoch);
-        }
+        self.suspect_group(suspected);
     }
 }
