No part of a prompt is left out of the evidence against it

Class: a cap that drops in silence what it is to judge. Every part is a feature now. What had to follow from that:

- Features with the same evidence are evaluated once (group_alike).
A part that no run has cleared and that two ends point to comes before them.
The other caps of this code: ENDS_MAX 24 (oldest ends of a chain; a conviction needs 5), FEATURES_MAX 4,096 (weakest evidence, those that completed recently first, so a prompt of over 2,000 parts not known sound may lose its guilty one until its second end), CHAINS_MAX 64 (the rest in later heartbeats), LOGGED_PARTS_MAX 16 (log lines only).
The third is not mended.

--- a/crates/oliveworks-gateway-core/src/crashers.rs
+++ b/crates/oliveworks-gateway-core/src/crashers.rs
@@ -245,14 +245,15 @@
         if self.records.is_empty() {
             return Standing::Clear;
         }
-        for feature in request.iter() {
-            self.convict_if_due(now, feature);
-            self.release_if_expired(now, feature);
+        for alike in self.group_alike(request.iter()) {
+            self.convict_if_due(now, &alike);
+            alike.all.iter().for_each(|feature| self.release_if_expired(now, *feature));
         }
-        if let Some(until) = self.convicted_until(now, request) {
+        let groups = self.group_alike(request.iter());
+        if let Some(until) = self.convicted_until(now, request, &groups) {
             return Standing::Convicted { until };
         }
-        match request.iter().map(|feature| self.suspicion(now, feature).ends()).max() {
+        match groups.iter().map(|alike| self.suspicion(now, alike.first).ends()).max() {
             None | Some(0) => Standing::Clear,
             Some(ends) => Standing::Suspect { ends },
         }
@@ -261,9 +262,9 @@
     /// Returns a summary of the evidence for and against a conviction; `None` if there is no
     /// evidence against the request.
     pub fn assess(&self, now: Millis, request: &Features) -> Option<Assessment> {
-        let known = request.iter().filter(|feature| self.records.contains_key(feature));
-        let feature = known.max_by_key(|feature| self.suspicion(now, *feature))?;
-        self.assess_feature(now, feature)
+        let groups = self.group_alike(request.iter());
+        let strongest = groups.iter().max_by_key(|alike| self.suspicion(now, alike.first))?;
+        self.assess_feature(now, strongest.first)
     }
 
     /// Returns a summary of the evidence for and against a conviction of a feature; `None` if there
@@ -305,11 +306,15 @@
         let mut to_report: Vec<_> = to_report.collect();
         to_report.sort_by_cached_key(|(feature, record)| {
             let evidence = record.evidence(|_| false);
-            // Each chain is reported once before others are reported again. A part that most
-            // requests share must be cleared as fast as its ends are reported.
+            // Each chain is reported once before others are reported again.
             let turn = Reverse(record.report_count());
+            // Prompts of many parts have many sound ones at each end. They come after a part that
+            // no run has cleared and that more than one end points to. Otherwise, a part that most
+            // requests share must be cleared as fast as its ends are reported.
             let is_cleared = feature.is_part() && record.last_survival().is_some();
-            let rank = (is_cleared, evidence, record.is_own_news(), feature.report_rank());
+            let is_strong = !is_cleared && evidence.ends() > 1;
+            let kind = (is_strong, is_cleared, evidence);
+            let rank = (kind, record.is_own_news(), feature.report_rank());
             Reverse((record.is_convicted, turn, rank, record.last_end(), **feature))
         });
         let chains =
@@ -386,7 +391,8 @@
         self.known_ends.insert(place, (at, host));
     }
 
-    /// Drops expired entries, and the features with the least evidence if there are too many.
+    /// Drops expired entries, and the features with the least evidence if there are too many, those
+    /// that completed recently first.
     fn forget(&mut self, now: Millis) {
         while self.known_ends.front().is_some_and(|(at, _)| now > *at + SUSPECT_MS) {
             self.known_ends.pop_front();
@@ -401,7 +407,9 @@
         }
         let mut weakest: Vec<_> = self.records.iter().collect();
         weakest.sort_by_key(|(_, record)| {
-            (record.is_convicted, record.evidence(|_| false), record.last_change())
+            let is_cleared = record.last_survival().is_some_and(|at| now < at + KNOWN_SOUND_MS);
+            let evidence = record.evidence(|_| false);
+            (record.is_convicted, !is_cleared, evidence, record.last_change())
         });
         let weakest: Vec<Feature> =
             weakest.into_iter().take(surplus).map(|(feature, _)| *feature).collect();
--- a/crates/oliveworks-gateway-core/src/crashers/chain.rs
+++ b/crates/oliveworks-gateway-core/src/crashers/chain.rs
@@ -1,7 +1,10 @@
 //! Chains of ends: the ends of backend servers that count against one feature, and their exchange
 //! between gateways.
 
+use std::hash::{Hash, Hasher};
+
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3;
 
 use super::{Feature, Fingerprint, SAME_END_MS};
 use crate::Millis;
@@ -251,6 +254,17 @@
         Evidence(halves)
     }
 
+    /// Returns a hash of all that the evaluation of the evidence depends on.
+    pub fn history(&self) -> u64 {
+        let mut hasher = Xxh3::new();
+        for end in &self.ends {
+            let request = end.request.map(|request| request.0);
+            (end.at, end.host, end.had_delivered, request).hash(&mut hasher);
+        }
+        (self.carried, self.released_at, self.survived_at, self.is_convicted).hash(&mut hasher);
+        hasher.finish()
+    }
+
     pub fn ends(&self) -> &[End] {
         &self.ends
     }
--- a/crates/oliveworks-gateway-core/src/crashers/conviction.rs
+++ b/crates/oliveworks-gateway-core/src/crashers/conviction.rs
@@ -2,7 +2,7 @@
 //! them.
 
 use std::cmp::Reverse;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 
 use super::{
     CONVICTED_AFTER, CONVICTED_AFTER_HOSTS, CONVICTED_AFTER_MAX, CONVICTED_MS, CONVICTING_EVIDENCE,
@@ -12,7 +12,32 @@
 use crate::Millis;
 use crate::balance::Target;
 
+/// Features with the same evidence, which are evaluated once: most of the parts of a prompt with
+/// thousands of parts were at the same ends.
+pub(super) struct Alike {
+    /// One of the features.
+    pub first: Feature,
+    /// All of them.
+    pub all: Vec<Feature>,
+}
+
 impl Crashers {
+    /// Groups the features that have a record by their evidence.
+    pub(super) fn group_alike(&self, features: impl Iterator<Item = Feature>) -> Vec<Alike> {
+        let mut groups: Vec<Alike> = Vec::new();
+        let mut known: HashMap<(u64, bool, bool), usize> = HashMap::new();
+        for feature in features {
+            let Some(record) = self.records.get(&feature) else { continue };
+            let kind = (record.history(), feature.is_shared(), feature.is_part());
+            let index = *known.entry(kind).or_insert(groups.len());
+            match groups.get_mut(index) {
+                Some(group) => group.all.push(feature),
+                None => groups.push(Alike { first: feature, all: vec![feature] }),
+            }
+        }
+        groups
+    }
+
     /// Returns whether a shared feature completed a run a short time ago. Such a feature is at many
     /// ends because many requests have it, and holding these requests back would cost more than the
     /// backend servers that still end.
@@ -75,7 +100,7 @@
         let others = self.suspects(now).filter(|(other, _)| *other != feature);
         let mut others: Vec<&Record> = others.map(|(_, other)| other).collect();
         others.retain(|other| other.evidence(|_| false) >= CONVICTING_EVIDENCE);
-        others.sort_by_key(|other| (Reverse(other.evidence(|_| false)), other.first_end()));
+        others.sort_by_cached_key(|other| (Reverse(other.evidence(|_| false)), other.first_end()));
         let mut explained: HashSet<Target> = record.hosts().collect();
         let mut crashers = 0;
         for other in others {
@@ -113,22 +138,24 @@
         })
     }
 
-    /// Convicts a feature if the evidence suffices. The conviction is recorded once the requests that
+    /// Convicts features if the evidence suffices. The conviction is recorded once the requests that
     /// ran beside this one are known as well, so the result does not depend on which feature is
     /// queried first. It lasts until it expires after `CONVICTED_MS` or a run of a request with the
     /// feature completes.
-    pub(super) fn convict_if_due(&mut self, now: Millis, feature: Feature) {
-        let Some(record) = self.records.get(&feature) else { return };
-        if record.is_convicted || !self.is_due(now, feature, record) {
+    pub(super) fn convict_if_due(&mut self, now: Millis, alike: &Alike) {
+        let Some(record) = self.records.get(&alike.first) else { return };
+        if record.is_convicted || !self.is_due(now, alike.first, record) {
             return;
         }
         if now < record.last_end() + SETTLED_MS {
             return;
         }
-        if let Some(record) = self.records.get_mut(&feature) {
-            record.is_convicted = true;
-            record.must_report(now, News::Own);
-            self.new_convictions.push(feature);
+        for feature in &alike.all {
+            if let Some(record) = self.records.get_mut(feature) {
+                record.is_convicted = true;
+                record.must_report(now, News::Own);
+                self.new_convictions.push(*feature);
+            }
         }
     }
 
@@ -167,8 +194,14 @@
     /// Returns the end of the conviction for which a request is not sent, if any. Features that are
     /// always at the same ends are convicted together, so a request that has only some of them is
     /// not rejected.
-    pub(super) fn convicted_until(&self, now: Millis, request: &Features) -> Option<Millis> {
-        let convicted = request.iter().filter_map(|feature| {
+    pub(super) fn convicted_until(
+        &self,
+        now: Millis,
+        request: &Features,
+        groups: &[Alike],
+    ) -> Option<Millis> {
+        let convicted = groups.iter().filter_map(|alike| {
+            let feature = alike.first;
             let record = self.records.get(&feature)?;
             let is_convicted = record.is_convicted || self.is_due(now, feature, record);
             // No request has the contents or bodies of two others, so none has all causes if one of
@@ -202,8 +235,9 @@
         let mut long: Vec<_> =
             long.filter(|(evidence, _)| evidence.0 >= CONVICTING_EVIDENCE).collect();
         long.sort_unstable();
-        for (_, feature) in long {
-            self.convict_if_due(now, feature);
+        let groups = self.group_alike(long.into_iter().map(|(_, feature)| feature));
+        for alike in &groups {
+            self.convict_if_due(now, alike);
         }
     }
 }
--- a/crates/oliveworks-gateway-core/src/crashers/features.rs
+++ b/crates/oliveworks-gateway-core/src/crashers/features.rs
@@ -1,14 +1,11 @@
 //! Features of a request: what it has in common with other requests that may crash for the same
 //! reason.
 
+use std::collections::BTreeSet;
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
-/// Maximum number of parts of a prompt that are considered; further parts are ignored. Prompts have
-/// few parts, and each one costs memory if its backend server ends.
-const PARTS_MAX: usize = 16;
-
 /// The identity of a request's content. The hash is cryptographic, so a caller cannot make another
 /// caller's request look like a crasher.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -89,6 +86,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Features {
     content: Fingerprint,
+    /// The features, sorted: a prompt may have thousands of parts.
     all: Vec<Feature>,
 }
 
@@ -103,17 +101,19 @@
     /// Adds the body.
     pub fn with_body(mut self, body: Fingerprint) -> Features {
         self.all.push(Feature::Body(body));
+        self.all.sort_unstable();
         self
     }
 
-    /// Adds the parts of the prompt that other requests may contain as well.
+    /// Adds the parts of the prompt that other requests may contain as well. No part is left out,
+    /// wherever it stands: the size of a request head limits their number.
     pub fn with_parts(mut self, workspace: WorkspaceHash, parts: &[PartId]) -> Features {
-        for part in parts.iter().take(PARTS_MAX).copied() {
-            if !self.has(Feature::Part(part)) {
-                self.all.push(Feature::Part(part));
-                self.all.push(Feature::WorkspacePart(workspace, part));
-            }
+        let distinct: BTreeSet<PartId> = parts.iter().copied().collect();
+        for part in distinct {
+            self.all.push(Feature::Part(part));
+            self.all.push(Feature::WorkspacePart(workspace, part));
         }
+        self.all.sort_unstable();
         self
     }
 
@@ -129,6 +129,6 @@
 
     /// Returns whether the request has a feature.
     pub fn has(&self, feature: Feature) -> bool {
-        self.all.contains(&feature)
+        self.all.binary_search(&feature).is_ok()
     }
 }
--- a/crates/oliveworks-gateway-core/tests/crashing_parts.rs
+++ b/crates/oliveworks-gateway-core/tests/crashing_parts.rs
@@ -45,6 +45,10 @@
 /// A sound part that all requests with the crashing part have, and no other ones before
 /// `COMPANION_FROM_MS`.
 const COMPANION_PART: u128 = 2_000;
+/// Documents of prompts of many parts, and the number of them in each prompt.
+const MANY_DOCUMENT_PARTS: u128 = 1 << 20;
+const DOCUMENTS_OF_MANY: u64 = 4_000;
+const PARTS_OF_MANY: u64 = 24;
 const WORKSPACES: u64 = 10;
 
 /// Which requests crash their hosts.
@@ -62,6 +66,8 @@
     WithCompanion,
     /// All requests of one workspace, which name a part that others use as well.
     OneWorkspace,
+    /// Those with one part, at the end of prompts of many parts.
+    LastOfMany,
 }
 
 struct Parts {
@@ -75,6 +81,13 @@
     (mixed ^ mixed >> 29).wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 33
 }
 
+/// Returns the parts of a prompt that consists of many documents.
+fn many_parts(number: u64) -> Vec<u128> {
+    let documents = (0..PARTS_OF_MANY).map(|part| mix(number, 8 + part) % DOCUMENTS_OF_MANY);
+    let documents = documents.map(|document| MANY_DOCUMENT_PARTS + u128::from(document));
+    std::iter::once(COMMON_PART).chain(documents).collect()
+}
+
 fn content(number: u64) -> Fingerprint {
     let mut bytes = [0; 16];
     bytes[..8].copy_from_slice(&number.to_le_bytes());
@@ -92,6 +105,11 @@
         let sound = vec![COMMON_PART, class, document];
         let arrived_at = Parts::arrived_at(number);
         match (self.case, self.cause(number)) {
+            (Case::LastOfMany, cause) => {
+                let mut parts = many_parts(number);
+                parts.extend(cause.map(|_| CRASHING_PART));
+                parts
+            }
             (Case::WithCompanion, Some(_)) => {
                 vec![COMMON_PART, CRASHING_PART, COMPANION_PART, document]
             }
@@ -173,6 +191,7 @@
 #[test_case(Case::TwoParts, 200, None; "two parts")]
 #[test_case(Case::WithCompanion, 150, None; "with a companion")]
 #[test_case(Case::OneWorkspace, 150, None; "one workspace")]
+#[test_case(Case::LastOfMany, 150, None; "the last of many parts")]
 fn a_crashing_part_is_convicted_in_time(
     case: Case,
     arrival_interval_ms: u64,
