--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -5,12 +5,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use oliveworks_gateway_core::backend_servers::{BackendServer, BackendServerId, Holding};
+use oliveworks_gateway_core::backend_servers::{BackendServerId, Holding};
 use oliveworks_gateway_core::balance::Target;
 use oliveworks_gateway_core::changed_lines::ChangedLines;
 use oliveworks_gateway_core::demand::ModelKey;
 use oliveworks_gateway_core::planner::{Command, Ending, ModelLoad, Order, Outcome, Planner};
-use oliveworks_gateway_core::planners::{PlannerChange, Takeover};
 use oliveworks_gateway_core::table::{Change, Table, TableGroup};
 use serde_json::{Map, Value};
 use tokio::time::{sleep, timeout};
@@ -21,7 +20,8 @@
 use crate::exchange::{self, Exchange, ExchangeError, MISDIRECTED, NoConnection, Reply};
 use crate::host_statements::Sender;
 use crate::state::Gateway;
-use crate::{peers, store};
+use crate::takeover::{ProbeOutcome, apply_probe, probe};
+use crate::{peers, store, takeover};
 
 /// Longest time between two planning rounds, in ms.
 const PLAN_INTERVAL_MS: u64 = 40;
@@ -38,8 +38,6 @@
 const SLOW_PACE: f64 = 1.25;
 /// Timeout of an order, in ms.
 const ORDER_TIMEOUT_MS: u64 = 250;
-/// Timeout of a probe of a backend server's state, in ms.
-const PROBE_TIMEOUT_MS: u64 = 120;
 
 /// Runs elections, and plans while this gateway leads.
 pub async fn run(gateway: Rc<Gateway>) {
@@ -59,7 +57,7 @@
         let is_catching_up =
             gateway.now() < gateway.awake_since() + AFTER_PAUSE_MS && gateway.awake_since() > 0;
         if let Some(fence) = fence.filter(|_| !is_catching_up) {
-            follow_configuration(&gateway);
+            takeover::follow_configuration(&gateway);
             plan(&gateway, fence);
             if gateway.now() >= described_at + LOG_INTERVAL_MS {
                 described_at = gateway.now();
@@ -125,110 +123,9 @@
     Event::new("leads").with("fence", fence).write();
 }
 
-/// Makes the planners follow the configuration, and takes over the services that are new.
-fn follow_configuration(gateway: &Rc<Gateway>) {
-    let Some(lookup) = gateway.lookup() else { return };
-    let configuration = &lookup.configuration;
-    let changes = gateway.planners.borrow_mut().follow(gateway.now(), configuration);
-    for change in changes {
-        log_planner_change(&change, configuration.version);
-        if let PlannerChange::TakeOver(takeover) = change {
-            ntex::rt::spawn(take_over(gateway.clone(), takeover));
-        }
-    }
-}
-
-fn log_planner_change(change: &PlannerChange, configuration: u64) {
-    let (what, service) = match change {
-        PlannerChange::TakeOver(takeover) => ("taken over", &takeover.service),
-        PlannerChange::Paused(service) => ("paused", service),
-        PlannerChange::Resumed(service) => ("resumed", service),
-        PlannerChange::Removed(service) => ("removed", service),
-    };
-    Event::new("service_planner")
-        .with("service", service.as_str())
-        .with("change", what)
-        .with("configuration", configuration)
-        .write();
-}
-
-/// Requests the state of all hosts of a service, and passes it to the service's planner.
-async fn take_over(gateway: Rc<Gateway>, takeover: Takeover) {
-    let servers: Vec<BackendServer> =
-        gateway.directory.borrow().of_service(&takeover.service).cloned().collect();
-    let mut probes = Vec::new();
-    for server in servers {
-        if let Some(planner) = gateway.planners.borrow_mut().taking_over(&takeover) {
-            planner.handle_listed_host(gateway.now(), &server);
-        }
-        let (gateway, id, address) = (gateway.clone(), server.id.clone(), server.address);
-        let answer = ntex::rt::spawn(async move { probe(&gateway, &id, address).await });
-        probes.push((server.id, answer));
-    }
-    for (id, answer) in probes {
-        let Ok(outcome) = answer.await else { continue };
-        if let Some(planner) = gateway.planners.borrow_mut().taking_over(&takeover) {
-            apply_probe(&gateway, planner, &id, &outcome);
-        }
-    }
-    complete_takeover(&gateway, &takeover);
-    gateway.plan_now.notify_one();
-}
-
-fn complete_takeover(gateway: &Gateway, takeover: &Takeover) {
-    let (now, table) = (gateway.now(), gateway.table.borrow());
-    let most_hosts = table.most_hosts.get(&takeover.service);
-    let mut planners = gateway.planners.borrow_mut();
-    let Some(planner) = planners.adopt(now, takeover, &table.ended, most_hosts) else { return };
-    for line in planner.describe() {
-        Event::new("group_taken_over").with("group", line).with("fence", takeover.fence).write();
-    }
-}
-
-/// Passes the outcome of a probe to a planner.
-fn apply_probe(gateway: &Gateway, planner: &mut Planner, server: &str, outcome: &ProbeOutcome) {
-    let now = gateway.now();
-    match outcome {
-        ProbeOutcome::Holding(holding) => planner.handle_report(now, server, holding),
-        ProbeOutcome::Silent { refused } => planner.handle_silence(now, server, *refused),
-        ProbeOutcome::Replaced => planner.mark_replaced(now, server),
-    }
-}
-
-/// Outcome of a probe of a backend server's state.
-enum ProbeOutcome {
-    Holding(Holding),
-    Silent {
-        refused: bool,
-    },
-    /// Another backend server answers at the address.
-    Replaced,
-}
-
-async fn probe(gateway: &Gateway, server: &str, address: SocketAddr) -> ProbeOutcome {
-    gateway.count("probes");
-    let _slot = gateway.calls.acquire_slot(CallKind::Probe).await;
-    match call_server(
-        gateway,
-        server,
-        address,
-        &gateway.dialect.report_call(server),
-        PROBE_TIMEOUT_MS,
-    )
-    .await
-    {
-        Ok(Reply { status, body, .. }) => match gateway.dialect.parse_report(status, &body) {
-            Ok(Some(holding)) => ProbeOutcome::Holding(holding),
-            Ok(None) => ProbeOutcome::Replaced,
-            Err(_) => ProbeOutcome::Silent { refused: false },
-        },
-        Err(refused) => ProbeOutcome::Silent { refused },
-    }
-}
-
 /// Calls a backend server on a new connection and processes the statements of the answer about its
 /// sender. The error is whether the address refused the connection.
-async fn call_server(
+pub async fn call_server(
     gateway: &Gateway,
     server: &str,
     address: SocketAddr,
--- a/crates/oliveworks-gateway/src/lib.rs
+++ b/crates/oliveworks-gateway/src/lib.rs
@@ -31,6 +31,7 @@
 //! | `crashers` | requests that crash the backend servers they run at |
 //! | `suspicions` | stalled and slow groups |
 //! | `leader` | elections, and execution of the planner's commands |
+//! | `takeover` | takes over the services that the configuration names |
 //! | `calls` | limit on concurrent calls of a leader |
 //! | `peers`, `heartbeat` | messages between gateways |
 //! | `members` | gateways that share the limits on the sends of all gateways together |
@@ -74,5 +75,6 @@
 mod store;
 mod suspicions;
 mod table;
+mod takeover;
 mod timers;
 mod versions;
