A silent host's answer is awaited while the request goes elsewhere as well

What callers saw: a stream torn in the middle, or a 502, although the host was sound and went on a second later. Cause: a place that sent nothing for its longest pass and 50 ms counted as stalled, and the suspicion alone dropped the connection. If nothing took the request over (no attempt or repeat left, no place, the second host silent as well), the caller's connection ended. Class: a suspicion that destroys.

Change: the answers of a request are receptions, of which several may be open. Silence marks a reception, suspends its target and tells the leader as before; the request is sent elsewhere as well if it may be, and the first reception that brings news for the caller goes on alone (events that the caller has are skipped; the others are reset). A silent reception ends with its connection, when its host has started again, when the leader has ended its group, or at the deadline. While it is awaited, another place is searched for again each 0.5 s. Requests that may run once wait as before. Data that has arrived is read before silence is judged, and a conviction no longer cuts an answer that is being written. A request whose time is over gets 504 (502 before, after a send in its last 30 ms).

Ruled out: dropping the first host at the second's head (it may be queued there while the first goes on); waiting without sending elsewhere (a dark host would cost its callers the deadline).

--- a/crates/oliveworks-gateway-core/src/attempts.rs
+++ b/crates/oliveworks-gateway-core/src/attempts.rs
@@ -156,14 +156,28 @@
         if gone && failure != Failure::NotSent {
             self.excused_ends += 1;
         }
-        let sends_left = self.sent < self.terms.max_attempts + self.excused_ends.min(1);
-        let may_retry = now < self.terms.deadline
-            && self.connected < CONNECTIONS_MAX
-            && sends_left
-            && (self.terms.repeatable || !self.may_have_run);
+        let may_retry = self.has_send_left(now) && (self.terms.repeatable || !self.may_have_run);
         match may_retry {
             true => Next::Again,
             false => Next::GiveUp(self.verdict(now)),
         }
     }
+
+    /// Returns whether the request may be sent to another backend server while the answer to an
+    /// earlier send is still awaited. Both may run it.
+    pub fn may_send_beside(&self, now: Millis) -> bool {
+        self.terms.repeatable && self.has_send_left(now)
+    }
+
+    /// Records that the answer to a send is not awaited any longer, although the backend server may
+    /// run the request.
+    pub fn abandoned(&mut self) {
+        self.may_have_run = true;
+    }
+
+    fn has_send_left(&self, now: Millis) -> bool {
+        now < self.terms.deadline
+            && self.connected < CONNECTIONS_MAX
+            && self.sent < self.terms.max_attempts + self.excused_ends.min(1)
+    }
 }
--- a/crates/oliveworks-gateway-core/tests/decisions.rs
+++ b/crates/oliveworks-gateway-core/tests/decisions.rs
@@ -161,6 +161,36 @@
     assert_eq!(attempts.verdict(30), Verdict::MayHaveRun);
 }
 
+/// A request whose answer is still awaited may go to another backend server as well, but only if it
+/// may run more than once, and only as often as it may be sent.
+#[test_case(TERMS, 1, 10, true; "a repeatable one")]
+#[test_case(TERMS, 2, 10, false; "not beyond the attempts")]
+#[test_case(TERMS, 1, 1_000, false; "not after the deadline")]
+#[test_case(ONCE, 1, 10, false; "never one that may run once")]
+fn a_silent_answer_lets_a_request_go_elsewhere_as_well(
+    terms: Terms,
+    sent: u32,
+    now: u64,
+    expected: bool,
+) {
+    let mut attempts = Attempts::new(terms);
+    for _ in 0..sent {
+        attempts.connecting();
+        attempts.sending();
+    }
+    assert_eq!(attempts.may_send_beside(now), expected);
+}
+
+/// A request whose answer is not awaited any longer may have run.
+#[test]
+fn an_abandoned_request_never_counts_as_not_run() {
+    let mut attempts = Attempts::new(TERMS);
+    attempts.sending();
+    attempts.abandoned();
+    assert_eq!(attempts.verdict(30), Verdict::MayHaveRun);
+    assert_eq!(attempts.verdict(1_000), Verdict::TimedOut);
+}
+
 #[test_case(Verdict::NotRun, 503, true)]
 #[test_case(Verdict::MayHaveRun, 502, false)]
 #[test_case(Verdict::TimedOut, 504, false)]
--- a/crates/oliveworks-gateway/src/crashers.rs
+++ b/crates/oliveworks-gateway/src/crashers.rs
@@ -217,7 +217,7 @@
     }
 
     /// Waits until a request is convicted, and returns the end of the conviction.
-    async fn wait_for_conviction(&self, request: &Features) -> Millis {
+    pub async fn wait_for_conviction(&self, request: &Features) -> Millis {
         loop {
             let news = self.convictions.notified();
             if let Standing::Convicted { until } = self.standing(request) {
@@ -227,21 +227,6 @@
         }
     }
 
-    /// Runs a future for a request unless the request is convicted first, in which case the future
-    /// is dropped and the end of the conviction returned. Dropping the future withdraws the sent
-    /// request, so that a backend server that has not begun to process the request survives.
-    pub async fn unless_convicted<T>(
-        &self,
-        request: &Features,
-        future: impl Future<Output = T>,
-    ) -> Result<T, Millis> {
-        tokio::select! {
-            biased;
-            until = self.wait_for_conviction(request) => Err(until),
-            done = future => Ok(done),
-        }
-    }
-
     /// Returns whether copies of a request wait for the outcome of one that is running.
     pub fn must_wait_for_trial(&self, request: &Features) -> bool {
         let is_off = !self.settings.requests.refuse_crashers;
--- a/crates/oliveworks-gateway/src/exchange.rs
+++ b/crates/oliveworks-gateway/src/exchange.rs
@@ -14,7 +14,7 @@
 use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -29,6 +29,7 @@
 use crate::dialect::{Call, Headers};
 
 type Driver = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+type AwaitedHead = Pin<Box<dyn Future<Output = hyper::Result<Response<Incoming>>>>>;
 
 /// Reason why no connection could be opened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,6 +65,8 @@
 pub struct Exchange {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: Option<Pin<Box<Driver>>>,
+    /// Head of the answer to the request that was sent, until it is received.
+    awaited_head: Option<AwaitedHead>,
     /// Whether a request was sent whose answer is not complete.
     awaits_answer: bool,
 }
@@ -105,7 +108,8 @@
         builder.max_buf_size(HEAD_MAX);
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(|_| NoConnection::Silent)?;
-        Ok(Exchange { sender, driver: Some(Box::pin(driver)), awaits_answer: false })
+        let driver = Some(Box::pin(driver));
+        Ok(Exchange { sender, driver, awaited_head: None, awaits_answer: false })
     }
 
     fn drive(&mut self, context: &mut Context<'_>) {
@@ -126,50 +130,69 @@
         self.driver.is_some() && self.sender.is_ready()
     }
 
-    /// Sends a request and waits for the head of its answer.
+    /// Starts to send a request. The request is sent while the answer is polled for.
+    pub fn begin(&mut self, request: Request<Full<Bytes>>) {
+        self.awaits_answer = true;
+        self.awaited_head = Some(Box::pin(self.sender.send_request(request)));
+    }
+
+    /// Polls for the head of the answer to the request that was begun.
     ///
     /// # Errors
     /// Returns an error if the connection ends or the received data is not a valid answer.
-    pub async fn send(
+    pub fn poll_head(
         &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, ExchangeError> {
-        self.awaits_answer = true;
-        let mut answer = Box::pin(self.sender.send_request(request));
-        poll_fn(|context| {
-            self.drive(context);
-            answer.as_mut().poll(context)
-        })
-        .await
-        .map_err(|error| ExchangeError::Connection(error.to_string()))
+        context: &mut Context<'_>,
+    ) -> Poll<Result<Response<Incoming>, ExchangeError>> {
+        self.drive(context);
+        let Some(awaited) = &mut self.awaited_head else {
+            return Poll::Ready(Err(ExchangeError::Connection("no request was sent".into())));
+        };
+        let head = ready!(awaited.as_mut().poll(context));
+        self.awaited_head = None;
+        Poll::Ready(head.map_err(|error| ExchangeError::Connection(error.to_string())))
     }
 
-    /// Returns the next bytes of an answer's body; none at its end.
+    /// Polls for the next bytes of an answer's body; none at its end.
     ///
     /// # Errors
     /// Returns an error if the body breaks off.
-    pub async fn next(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, ExchangeError> {
+    pub fn poll_next(
+        &mut self,
+        context: &mut Context<'_>,
+        body: &mut Incoming,
+    ) -> Poll<Result<Option<Bytes>, ExchangeError>> {
         loop {
-            let frame = poll_fn(|context| {
-                self.drive(context);
-                Pin::new(&mut *body).poll_frame(context)
-            })
-            .await;
-            match frame {
+            self.drive(context);
+            let frame = ready!(Pin::new(&mut *body).poll_frame(context));
+            let frame = match frame {
                 None => {
                     self.awaits_answer = false;
-                    return Ok(None);
+                    return Poll::Ready(Ok(None));
                 }
-                Some(Err(error)) => return Err(ExchangeError::Connection(error.to_string())),
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Ok(Some(data));
-                    }
+                Some(Err(error)) => {
+                    return Poll::Ready(Err(ExchangeError::Connection(error.to_string())));
                 }
+                Some(Ok(frame)) => frame,
+            };
+            if let Ok(data) = frame.into_data() {
+                return Poll::Ready(Ok(Some(data)));
             }
         }
     }
 
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// Returns an error if the connection ends or the received data is not a valid answer.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, ExchangeError> {
+        self.begin(request);
+        poll_fn(|context| self.poll_head(context)).await
+    }
+
     /// Returns a complete body.
     ///
     /// # Errors
@@ -180,7 +203,7 @@
         max: usize,
     ) -> Result<Bytes, ExchangeError> {
         let mut all = Vec::new();
-        while let Some(part) = self.next(body).await? {
+        while let Some(part) = poll_fn(|context| self.poll_next(context, body)).await? {
             if all.len() + part.len() > max {
                 return Err(ExchangeError::Large);
             }
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -1,11 +1,15 @@
 //! Relays a request to backend servers until its caller has an answer.
 
-mod attempt;
 mod crashers;
+mod forwarding;
 mod placing;
+mod reception;
+mod sending;
 
-use std::cell::Cell;
+use std::future::pending;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::time::Duration;
 
 use ntex::http::StatusCode;
 use oliveworks_gateway_core::Millis;
@@ -15,16 +19,19 @@
 use oliveworks_gateway_core::crashers::Features;
 use oliveworks_gateway_core::demand::ModelKey;
 use oliveworks_gateway_core::events::Progress;
+use oliveworks_gateway_core::group_id::GroupId;
 use oliveworks_gateway_core::obstacles::NoPlace;
 use oliveworks_gateway_core::timeliness::{Goal, Served, Timeliness};
 
-use attempt::AttemptOutcome;
+use forwarding::Forwarded;
+use reception::{Reception, ReceptionEvent, SilenceLimit, next_event};
+use sending::{NotSent, Rejection};
+use tokio::time::sleep;
 
 use crate::connection::{Connection, Disconnected, ReceivedRequest};
 use crate::crashers::{FailedRun, features};
 use crate::dialect::{Headers, RequestInfo};
 use crate::events::Event;
-use crate::places::Place;
 use crate::state::Gateway;
 
 /// Deadline of a request whose caller names none, in ms, counted from its receipt.
@@ -40,6 +47,18 @@
 /// Shortest retry time sent while the configuration is too old to honour keys, in ms.
 const RETRY_AFTER_STALE_MS: u64 = 1_000;
 
+/// Silence, in ms, after which a repeatable request without a model is sent to another backend
+/// server as well.
+const PLAIN_SILENCE_MS: u64 = 400;
+/// Factor on the goal of the route. The product is used in place of `PLAIN_SILENCE_MS` if it is
+/// longer.
+const PLAIN_SILENCE_GOALS: u64 = 2;
+/// Time before the deadline at which the final answer is sent, in ms.
+const DEADLINE_MARGIN_MS: u64 = 30;
+/// Time after a search for another place without success until the next one, in ms, while an answer
+/// of a silent place is awaited.
+const SEARCH_INTERVAL_MS: u64 = 500;
+
 /// Outcome of writing an answer to a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -87,6 +106,18 @@
     log: Vec<String>,
 }
 
+/// The next step of a request.
+enum Step<'r> {
+    /// The request was sent to a place.
+    Sent(Box<Reception<'r>>),
+    /// The request was not sent.
+    NotSent(NotSent),
+    /// Something happened at the receptions.
+    Receptions(ReceptionEvent),
+    /// The request has been convicted of crashing backend servers.
+    Convicted { until: Millis },
+}
+
 /// Answers with a verdict of the gateway itself.
 pub async fn reject(
     gateway: &Gateway,
@@ -227,7 +258,7 @@
     })
 }
 
-impl Job<'_> {
+impl<'a> Job<'a> {
     /// Returns whether the proof that the configuration is current is recent enough to honour keys.
     fn may_send(&self) -> bool {
         let gateway = self.gateway;
@@ -237,88 +268,236 @@
     }
 
     async fn run(&mut self, connection: &mut Connection) -> (End, String) {
+        let features = self.features.clone();
+        let mut conviction = pin!(self.gateway.wait_for_conviction(&features));
+        let mut receptions = Vec::new();
+        let mut search_at = Some(self.gateway.now());
         loop {
-            if !self.may_send() {
-                self.log.push("configuration too old to honour keys".into());
-                return self
-                    .give_up(
-                        connection,
-                        self.attempts.verdict(self.gateway.now()),
-                        RETRY_AFTER_STALE_MS,
-                    )
-                    .await;
-            }
-            let (gateway, features) = (self.gateway, self.features.clone());
-            let standing = gateway.standing(&features);
-            if gateway.must_wait_for_trial(&features) {
-                return self.reject_copy(connection).await;
-            }
-            let found = match gateway.unless_convicted(&features, self.place(standing)).await {
-                Ok(found) => found,
-                Err(until) => return self.reject_crasher(connection, until).await,
-            };
-            // Backend servers in a backoff exist and are not idle, so more of them may not help: a
-            // lack of places for this reason does not count as unmet demand.
-            let lacks_place = found.as_ref().is_err_and(|none| none.reason != NoTarget::Backoff);
-            self.note_demand(lacks_place);
-            let place = match found {
-                Ok(place) => place,
-                Err(none) => return self.reject_without_place(connection, &none).await,
-            };
-            // A copy of the request may have been sent while this one waited for a place.
-            if gateway.must_wait_for_trial(&features) {
-                return self.reject_copy(connection).await;
-            }
-            let repeat = self.attempts.next_is_repeat();
-            if repeat && !self.consume_repeat() {
-                self.log.push("no repeat left".into());
-                let verdict = self.attempts.verdict(self.gateway.now());
-                return self.give_up(connection, verdict, RETRY_AFTER_MS).await;
-            }
-            let target = place.candidate.target;
-            let tokens = self.asked.prompt_tokens;
-            let now = self.begin_send(&place);
-            let mut outstanding = OutstandingRequest {
-                gateway: self.gateway,
-                target,
-                tokens,
-                first_event: Cell::new(None),
-                failed: false,
-            };
-            let suspect_run = gateway.suspect_run(&features, target);
-            let pending_send = gateway.pending_send(target);
-            let sent_before = self.attempts.sent();
-            let attempt = self.attempt(connection, &place, pending_send, &outstanding.first_event);
-            let tried = gateway.unless_convicted(&features, attempt).await;
-            outstanding.failed = tried.as_ref().is_ok_and(|tried| self.is_penalized(target, tried));
-            let first_event = outstanding.first_event.get();
-            drop(outstanding);
-            drop(suspect_run);
-            let tried = match tried {
-                Ok(tried) => tried,
-                Err(until) => {
-                    self.record_withdrawal(&place, sent_before);
+            let step = self.step(&features, conviction.as_mut(), &mut receptions, search_at);
+            match step.await {
+                Step::Sent(reception) => {
+                    receptions.push(*reception);
+                    search_at = None;
+                }
+                Step::NotSent(NotSent::Rejected(rejection)) if receptions.is_empty() => {
+                    return self.reject_unsent(connection, rejection).await;
+                }
+                Step::NotSent(NotSent::Rejected(rejection)) => {
+                    self.log.push(format!("not sent elsewhere: {rejection:?}"));
+                    search_at = Some(self.gateway.now() + SEARCH_INTERVAL_MS);
+                }
+                Step::NotSent(NotSent::Failed { place, gone }) => {
+                    let next = self.record_failure(&place.server, Failure::NotSent, gone);
+                    if let Some(ended) = self.give_up_if_last(connection, &receptions, next).await {
+                        return ended;
+                    }
+                    search_at = self.next_search(&receptions);
+                }
+                Step::Receptions(ReceptionEvent::Silent(index)) => {
+                    self.record_silence(&mut receptions[index]);
+                    search_at = self.next_search(&receptions);
+                }
+                Step::Receptions(ReceptionEvent::Received(index, received)) => {
+                    let mut reception = receptions.swap_remove(index);
+                    let forwarded = match received {
+                        Ok(data) => {
+                            self.record_end_of_silence(&mut reception);
+                            self.forward_data(connection, &mut reception, data).await
+                        }
+                        Err(failure) => Forwarded::Failed(failure),
+                    };
+                    match forwarded {
+                        Forwarded::Completed => return (End::Whole, self.count_served().into()),
+                        Forwarded::CallerGone => return (End::Torn, "left".into()),
+                        Forwarded::Nothing => receptions.push(reception),
+                        Forwarded::Part => {
+                            self.withdraw(&receptions);
+                            receptions.clear();
+                            receptions.push(reception);
+                        }
+                        Forwarded::Failed(failure) => {
+                            let next = self.end_reception(reception, failure).await;
+                            let ended = self.give_up_if_last(connection, &receptions, next).await;
+                            if let Some(ended) = ended {
+                                return ended;
+                            }
+                        }
+                    }
+                    search_at = self.next_search(&receptions);
+                }
+                Step::Receptions(ReceptionEvent::Expired) => {
+                    self.withdraw(&receptions);
+                    let verdict = self.attempts.verdict(self.deadline);
+                    return self.give_up(connection, verdict, RETRY_AFTER_MS).await;
+                }
+                Step::Convicted { until } => {
+                    if !receptions.is_empty() {
+                        self.gateway.count("crashers_taken_back");
+                    }
+                    self.withdraw(&receptions);
+                    receptions.clear();
                     return self.reject_crasher(connection, until).await;
                 }
-            };
-            let (failure, gone) = match tried {
-                AttemptOutcome::Completed => return (End::Whole, self.count_served().into()),
-                AttemptOutcome::CallerGone => return (End::Torn, "left".into()),
-                AttemptOutcome::Failed { failure, gone } => (failure, gone),
-            };
-            let id = &self.asked.id;
-            let parts = &self.asked.shared_parts;
-            let run = FailedRun { place: &place, sent: now, first_event, failure, id, parts };
-            let gone = gone || self.has_ended(&run).await;
-            let now = self.gateway.now();
-            self.log.push(format!("{} {failure:?} at {} ms", place.server, now - self.received));
+            }
+        }
+    }
+
+    /// Waits for the next event: at the receptions, or at a search for another place, which begins
+    /// at `search_at`.
+    async fn step<'r>(
+        &mut self,
+        features: &'r Features,
+        conviction: Pin<&mut impl Future<Output = Millis>>,
+        receptions: &mut [Reception<'r>],
+        search_at: Option<Millis>,
+    ) -> Step<'r>
+    where
+        'a: 'r,
+    {
+        let gateway = self.gateway;
+        let expires_at = self.deadline.saturating_sub(DEADLINE_MARGIN_MS);
+        let event = next_event(gateway, self.silence_limit(), expires_at, receptions);
+        let send = async {
+            let Some(at) = search_at else { return pending().await };
+            if at > gateway.now() {
+                sleep(Duration::from_millis(at - gateway.now())).await;
+            }
+            self.send(features).await
+        };
+        tokio::select! {
+            biased;
+            until = conviction => Step::Convicted { until },
+            event = event => Step::Receptions(event),
+            sent = send => match sent {
+                Ok(reception) => Step::Sent(Box::new(reception)),
+                Err(NotSent::Rejected(Rejection::Convicted { until })) => Step::Convicted { until },
+                Err(not_sent) => Step::NotSent(not_sent),
+            },
+        }
+    }
+
+    /// Returns when to search for another place: at once if no answer is being received, or only
+    /// from silent places, and the request may be sent once more.
+    fn next_search(&self, receptions: &[Reception<'_>]) -> Option<Millis> {
+        let now = self.gateway.now();
+        let may_send = match receptions.is_empty() {
+            true => true,
+            false => self.attempts.may_send_beside(now),
+        };
+        let all_silent = receptions.iter().all(|reception| reception.is_silent);
+        (may_send && all_silent).then_some(now)
+    }
+
+    /// Returns the longest silence of a place before the request is sent to another one as well.
+    fn silence_limit(&self) -> SilenceLimit {
+        if self.route.repeat != Repeat::Idempotent {
+            return SilenceLimit::Unlimited;
+        }
+        if self.model.is_some() {
+            return SilenceLimit::Group { pass_ms: self.pass_ms };
+        }
+        match self.attempts.sent() < self.route.max_attempts {
+            true => SilenceLimit::Plain {
+                silence_ms: PLAIN_SILENCE_MS.max(self.route.goal_ms * PLAIN_SILENCE_GOALS),
+            },
+            false => SilenceLimit::Unlimited,
+        }
+    }
+
+    fn record_silence(&mut self, reception: &mut Reception<'_>) {
+        reception.is_silent = true;
+        let (now, place) = (self.gateway.now(), &reception.place);
+        self.log.push(format!("{} silent at {} ms", place.server, now - self.received));
+        self.gateway.count("attempt_stalled");
+        let Some(epoch) = place.epoch else { return };
+        let target = place.candidate.target;
+        if !self.gateway.suspensions.borrow().is_suspended(now, target) {
+            let last = self.gateway.balance.borrow().last_progress(target).unwrap_or(now);
+            Event::new("group_stands_still")
+                .with("host", &*place.server)
+                .with("epoch", epoch)
+                .with("silent_ms", now - last)
+                .with("longest_pass_ms", self.pass_ms)
+                .with("request", self.asked.id.as_str())
+                .write();
+            self.gateway.suspensions.borrow_mut().suspend(now, target);
+        }
+        self.gateway.record_unreachable(&place.server);
+        self.gateway.report_stalled_group(GroupId::of(&self.service, epoch));
+    }
+
+    fn record_end_of_silence(&mut self, reception: &mut Reception<'_>) {
+        if std::mem::take(&mut reception.is_silent) {
+            let at = self.gateway.now() - self.received;
+            self.log.push(format!("{} continues at {at} ms", reception.place.server));
+            self.gateway.count("silences_ended");
+        }
+    }
+
+    /// Records that answers are not awaited any longer.
+    fn withdraw(&mut self, receptions: &[Reception<'_>]) {
+        let at = self.gateway.now() - self.received;
+        for reception in receptions {
+            self.log.push(format!("taken back from {} at {at} ms", reception.place.server));
+            self.attempts.abandoned();
+        }
+    }
+
+    /// Records the failure of an attempt whose request was sent.
+    async fn end_reception(&mut self, mut reception: Reception<'_>, failure: Failure) -> Next {
+        reception.outstanding.failed = self.is_penalized(&reception, failure);
+        let (sent, first_event) = (reception.sent, reception.outstanding.first_event);
+        let place = reception.place.clone();
+        drop(reception);
+        let (id, parts) = (&self.asked.id, &self.asked.shared_parts);
+        let run = FailedRun { place: &place, sent, first_event, failure, id, parts };
+        let gone = self.has_ended(&run).await;
+        self.record_failure(&place.server, failure, gone)
+    }
+
+    fn record_failure(&mut self, server: &str, failure: Failure, gone: bool) -> Next {
+        let now = self.gateway.now();
+        self.log.push(format!("{server} {failure:?} at {} ms", now - self.received));
+        if failure != Failure::Stalled {
             self.gateway.count(&format!("attempt_{failure:?}").to_lowercase());
-            if let Next::GiveUp(verdict) = self.attempts.failed(now, failure, gone) {
-                return self.give_up(connection, verdict, RETRY_AFTER_MS).await;
+        }
+        self.attempts.failed(now, failure, gone)
+    }
+
+    /// Gives up after a failed attempt if the request is not sent again and no other answer is
+    /// being received.
+    async fn give_up_if_last(
+        &mut self,
+        connection: &mut Connection,
+        receptions: &[Reception<'_>],
+        next: Next,
+    ) -> Option<(End, String)> {
+        match next {
+            Next::GiveUp(verdict) if receptions.is_empty() => {
+                Some(self.give_up(connection, verdict, RETRY_AFTER_MS).await)
             }
+            Next::GiveUp(_) | Next::Again => None,
         }
     }
 
+    /// Rejects a request that is not sent, and whose answer is not being received.
+    async fn reject_unsent(
+        &mut self,
+        connection: &mut Connection,
+        rejection: Rejection,
+    ) -> (End, String) {
+        let (step, retry_after_ms) = match rejection {
+            Rejection::Copy => return self.reject_copy(connection).await,
+            Rejection::Convicted { until } => return self.reject_crasher(connection, until).await,
+            Rejection::NoPlace(none) => return self.reject_without_place(connection, &none).await,
+            Rejection::Stale => ("configuration too old to honour keys", RETRY_AFTER_STALE_MS),
+            Rejection::NoRepeatLeft => ("no repeat left", RETRY_AFTER_MS),
+        };
+        self.log.push(step.into());
+        let verdict = self.attempts.verdict(self.gateway.now());
+        self.give_up(connection, verdict, retry_after_ms).await
+    }
+
     /// Rejects a request for which there is no place.
     async fn reject_without_place(
         &mut self,
@@ -342,46 +521,6 @@
         self.give_up(connection, self.attempts.verdict(now), retry_after_ms).await
     }
 
-    /// Records the send in the load counts and in the log, and returns its time.
-    fn begin_send(&mut self, place: &Place) -> Millis {
-        self.table = self.gateway.table_version();
-        let (target, tokens) = (place.candidate.target, self.asked.prompt_tokens);
-        self.tried_targets.push(target);
-        let now = self.gateway.now();
-        if self.attempts.sent() == 0 {
-            self.served.sent_after_ms = now - self.received;
-        }
-        let load = self.gateway.balance.borrow().load(now, target);
-        self.log.push(format!(
-            "to {}{} at {} ms: {} open, {} tokens unread",
-            place.server,
-            if place.candidate.is_local { "" } else { " elsewhere" },
-            now - self.received,
-            load.requests,
-            load.tokens,
-        ));
-        self.gateway.balance.borrow_mut().started(now, target, tokens);
-        self.gateway.admission.borrow_mut().started(now, target);
-        now
-    }
-
-    /// Returns whether a target gets a penalty in later choices because an attempt there failed.
-    ///
-    /// A refusal counts as well: a host that rejects its requests at once has nothing outstanding
-    /// and would attract the next ones. The penalty reduces refusals by 18 in 100 (4,726 instead of
-    /// 5,759 in three runs of a day on which a third of the hosts refuse), and the number of served
-    /// callers stays the same. A host that named a backoff time gets no penalty, since it is as
-    /// good as any other afterwards.
-    ///
-    /// Rejected alternative: a backoff, doubled with each consecutive refusal, for hosts that name
-    /// no time. The system then lacks the capacity of these hosts under load (0.79 of callers
-    /// served instead of 0.81).
-    fn is_penalized(&self, target: Target, tried: &AttemptOutcome) -> bool {
-        let AttemptOutcome::Failed { failure, .. } = tried else { return false };
-        let now = self.gateway.now();
-        *failure != Failure::Refused || self.gateway.backoffs.borrow().until(now, target).is_none()
-    }
-
     /// Counts an answer by its timeliness and returns the outcome for the log.
     fn count_served(&mut self) -> &'static str {
         let now = self.gateway.now();
@@ -428,23 +567,3 @@
         (end, format!("refused: {verdict:?}"))
     }
 }
-
-/// Counts a request as outstanding at its target until dropped, however the attempt ends.
-struct OutstandingRequest<'a> {
-    gateway: &'a Gateway,
-    target: Target,
-    /// Number of tokens in the prompt.
-    tokens: u32,
-    /// Time of the first event from the target, if any.
-    first_event: Cell<Option<Millis>>,
-    failed: bool,
-}
-
-impl Drop for OutstandingRequest<'_> {
-    fn drop(&mut self) {
-        let now = self.gateway.now();
-        let mut balance = self.gateway.balance.borrow_mut();
-        let began = self.first_event.get().is_some();
-        balance.ended(now, self.target, self.tokens, began, self.failed);
-    }
-}
--- a/crates/oliveworks-gateway/src/relay/crashers.rs
+++ b/crates/oliveworks-gateway/src/relay/crashers.rs
@@ -3,14 +3,12 @@
 use std::time::Duration;
 
 use oliveworks_gateway_core::Millis;
-use oliveworks_gateway_core::attempts::Failure;
 use oliveworks_gateway_core::crashers::SETTLED_MS;
 use tokio::time::sleep;
 
 use super::{End, Job, RETRY_AFTER_MS};
 use crate::connection::Connection;
 use crate::crashers::FailedRun;
-use crate::places::Place;
 
 impl Job<'_> {
     /// Returns whether the run failed because its backend server ended, and this is the first end
@@ -32,16 +30,6 @@
         false
     }
 
-    /// Records that an attempt was withdrawn.
-    pub(super) fn record_withdrawal(&mut self, place: &Place, sent_before: u32) {
-        let now = self.gateway.now();
-        self.log.push(format!("taken back from {} at {} ms", place.server, now - self.received));
-        self.gateway.count("crashers_taken_back");
-        let was_sent = self.attempts.sent() > sent_before;
-        let failure = if was_sent { Failure::Lost } else { Failure::NotSent };
-        self.attempts.failed(now, failure, false);
-    }
-
     /// Rejects a copy of a request that may crash its backend server while another copy is being
     /// tried.
     pub(super) async fn reject_copy(&mut self, connection: &mut Connection) -> (End, String) {
--- /dev/null
+++ b/crates/oliveworks-gateway/src/relay/forwarding.rs
@@ -0,0 +1,257 @@
+//! Forwards answers to the caller.
+
+use bytes::Bytes;
+use ntex::http::StatusCode;
+use oliveworks_gateway_core::Millis;
+use oliveworks_gateway_core::attempts::Failure;
+use oliveworks_gateway_core::configuration::Repeat;
+use oliveworks_gateway_core::events::Pass;
+use oliveworks_gateway_core::group_id::GroupId;
+
+use super::Job;
+use super::reception::{Data, Head, Reception};
+use crate::connection::{Connection, Disconnected};
+use crate::dialect::{AnswerInfo, Headers};
+use crate::exchange::MISDIRECTED;
+use crate::host_statements::Sender;
+use crate::places::Place;
+
+/// Hop-by-hop headers, which are not forwarded.
+const HOP_BY_HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "proxy-authenticate",
+];
+
+/// Returns whether a header concerns a single connection.
+pub(super) fn is_hop_by_hop(name: &str) -> bool {
+    HOP_BY_HOP_HEADERS.contains(&name)
+}
+
+/// What follows from data of an answer.
+pub(super) enum Forwarded {
+    /// Nothing of the data was news for the caller.
+    Nothing,
+    /// The caller received a part of the answer, which thereby takes precedence over others.
+    Part,
+    /// The caller has received the complete answer.
+    Completed,
+    /// The caller has disconnected.
+    CallerGone,
+    /// The attempt has failed.
+    Failed(Failure),
+}
+
+impl From<Disconnected> for Forwarded {
+    fn from(_: Disconnected) -> Forwarded {
+        Forwarded::CallerGone
+    }
+}
+
+impl Job<'_> {
+    /// Processes data of an answer, and forwards what is news for the caller.
+    pub(super) async fn forward_data(
+        &mut self,
+        connection: &mut Connection,
+        reception: &mut Reception<'_>,
+        data: Data,
+    ) -> Forwarded {
+        let before = reception.since;
+        if let Data::Head(head) = data {
+            return self.process_head(reception, head);
+        }
+        reception.since = self.record_progress(&reception.place);
+        match data {
+            Data::Part(part) if self.is_stream(reception) => {
+                self.record_pause(reception, before);
+                self.forward_events(connection, reception, &part).await
+            }
+            Data::Part(part) => self.keep_part(reception, &part),
+            _ if self.is_stream(reception) => {
+                self.record_pause(reception, before);
+                self.end_stream(connection, reception).await
+            }
+            _ => self.forward_whole(connection, reception).await,
+        }
+    }
+
+    /// Returns whether an answer is forwarded event by event.
+    fn is_stream(&self, reception: &Reception<'_>) -> bool {
+        let status = reception.head.as_ref().map_or(0, |head| head.status);
+        self.route.stream && (200..300).contains(&status)
+    }
+
+    fn process_head(&mut self, reception: &mut Reception<'_>, head: Head) -> Forwarded {
+        let status = head.status;
+        let answered = self.gateway.dialect.parse_answer(status, &head.headers);
+        if self.is_from_target(status, &answered) {
+            let sender = Sender {
+                server: &reception.place.server,
+                incarnation: reception.incarnation(),
+                sent_at: reception.sent,
+                to_request: true,
+            };
+            self.gateway.process_statements(sender, &answered, &self.asked.id);
+        }
+        if let Some(failure) = self.failure_of_head(status, &answered) {
+            if status == MISDIRECTED
+                && let Some(epoch) = reception.place.epoch
+            {
+                // The target is not the head of the group, or its address belongs to another
+                // backend server. The leader finds out by a probe.
+                self.gateway.report_stalled_group(GroupId::of(&self.service, epoch));
+            }
+            return Forwarded::Failed(failure);
+        }
+        reception.head = Some(head);
+        reception.since = self.record_progress(&reception.place);
+        Forwarded::Nothing
+    }
+
+    /// Returns whether an answer belongs to this request and comes from the intended backend
+    /// server, so that its statements about the sender are valid.
+    fn is_from_target(&self, status: u16, answered: &AnswerInfo) -> bool {
+        status != MISDIRECTED && answered.id.as_deref().is_none_or(|id| id == self.asked.id)
+    }
+
+    /// Returns the failure of the attempt if the head of the answer alone decides it.
+    fn failure_of_head(&self, status: u16, answered: &AnswerInfo) -> Option<Failure> {
+        let answers_this_request = answered.id.as_deref().is_none_or(|id| id == self.asked.id);
+        let success = (200..300).contains(&status);
+        if !answers_this_request || answered.encoded || (success && !answered.signed) {
+            return Some(Failure::Lost);
+        }
+        if answered.not_run || status == MISDIRECTED {
+            return Some(Failure::Refused);
+        }
+        let server_error = status >= 500 && self.route.repeat == Repeat::Idempotent;
+        let has_attempt_left = self.attempts.sent() < self.route.max_attempts && !self.head_sent;
+        let is_failure = self.head_sent && !success || server_error && has_attempt_left;
+        is_failure.then_some(Failure::Failed)
+    }
+
+    fn record_progress(&self, place: &Place) -> Millis {
+        let now = self.gateway.now();
+        self.gateway.balance.borrow_mut().progress(now, place.candidate.target);
+        self.gateway.suspensions.borrow_mut().record_data(place.candidate.target);
+        self.gateway.record_reached(&self.service, place.candidate.target);
+        now
+    }
+
+    /// Records the pause before the latest data of a stream that has begun.
+    fn record_pause(&mut self, reception: &Reception<'_>, before: Millis) {
+        if reception.outstanding.first_event.is_none() {
+            return;
+        }
+        let pause_ms = reception.since - before;
+        self.served.longest_gap_ms = self.served.longest_gap_ms.max(pause_ms);
+        let mut speeds = self.gateway.speeds.borrow_mut();
+        speeds.record_pause(reception.since, reception.target(), pause_ms);
+    }
+
+    async fn forward_events(
+        &mut self,
+        connection: &mut Connection,
+        reception: &mut Reception<'_>,
+        part: &[u8],
+    ) -> Forwarded {
+        let Ok(events) = reception.splitter.push(part) else {
+            return Forwarded::Failed(Failure::Lost);
+        };
+        if !events.is_empty() && reception.outstanding.first_event.is_none() {
+            reception.outstanding.first_event = Some(reception.since);
+            let mut balance = self.gateway.balance.borrow_mut();
+            balance.began(reception.target(), self.asked.prompt_tokens);
+        }
+        let mut bytes = Vec::new();
+        for event in events {
+            match self.progress.next(event.id) {
+                Pass::On => bytes.extend_from_slice(&event.bytes),
+                Pass::Known => {}
+                Pass::Gap => return Forwarded::Failed(Failure::Lost),
+            }
+        }
+        if bytes.is_empty() {
+            return Forwarded::Nothing;
+        }
+        match self.forward(connection, reception, &bytes).await {
+            Ok(()) => Forwarded::Part,
+            Err(gone) => gone.into(),
+        }
+    }
+
+    async fn end_stream(
+        &mut self,
+        connection: &mut Connection,
+        reception: &Reception<'_>,
+    ) -> Forwarded {
+        if !reception.splitter.rest().is_empty() {
+            return Forwarded::Failed(Failure::Lost);
+        }
+        self.gateway.record_completion(&self.features);
+        if !self.head_sent && self.forward(connection, reception, &[]).await.is_err() {
+            return Forwarded::CallerGone;
+        }
+        match connection.end().await {
+            Ok(()) => Forwarded::Completed,
+            Err(gone) => gone.into(),
+        }
+    }
+
+    /// Keeps a part of an answer that must be complete before the caller receives any of it.
+    fn keep_part(&self, reception: &mut Reception<'_>, part: &[u8]) -> Forwarded {
+        if reception.whole.len() + part.len() > self.gateway.settings.requests.answer_max {
+            return Forwarded::Failed(Failure::Lost);
+        }
+        reception.whole.extend_from_slice(part);
+        Forwarded::Nothing
+    }
+
+    async fn forward_whole(
+        &mut self,
+        connection: &mut Connection,
+        reception: &mut Reception<'_>,
+    ) -> Forwarded {
+        let Some(head) = reception.head.take() else {
+            return Forwarded::Failed(Failure::Lost);
+        };
+        if (200..300).contains(&head.status) {
+            self.gateway.record_completion(&self.features);
+        }
+        let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        let body = Bytes::from(std::mem::take(&mut reception.whole));
+        match connection.answer(status, &end_to_end_headers(&head.headers), body).await {
+            Ok(()) => Forwarded::Completed,
+            Err(gone) => gone.into(),
+        }
+    }
+
+    async fn forward(
+        &mut self,
+        connection: &mut Connection,
+        reception: &Reception<'_>,
+        bytes: &[u8],
+    ) -> Result<(), Disconnected> {
+        if !self.head_sent {
+            let headers = reception.head.as_ref().map(|head| end_to_end_headers(&head.headers));
+            connection.begin(StatusCode::OK, &headers.unwrap_or_default())?;
+            self.head_sent = true;
+            self.served.first_after_ms = self.gateway.now() - self.received;
+            self.log.push(format!("first event at {} ms", self.served.first_after_ms));
+        }
+        match bytes.is_empty() {
+            true => Ok(()),
+            false => connection.part(bytes).await,
+        }
+    }
+}
+
+fn end_to_end_headers(headers: &Headers) -> Headers {
+    headers.iter().filter(|(name, _)| !is_hop_by_hop(name)).cloned().collect()
+}
