The error of a second backend server does not end an answer that is awaited

What callers saw: a request whose first backend server was silent for a moment got the second one's 500, and the first one's answer was reset. Cause: a server error counted as the answer once no attempt was left, although another answer was still awaited. It now fails that attempt only.

path test the_answer_of_a_silent_server_is_awaited_beside_the_second_one, case 1: failed on, passes. Two more tests beside it passed at once: both sends end when the caller leaves, 504 at the deadline.

--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -302,7 +302,8 @@
                     let forwarded = match received {
                         Ok(data) => {
                             self.record_end_of_silence(&mut reception);
-                            self.forward_data(connection, &mut reception, data).await
+                            let others = receptions.len();
+                            self.forward_data(connection, &mut reception, data, others).await
                         }
                         Err(failure) => Forwarded::Failed(failure),
                     };
--- a/crates/oliveworks-gateway/src/relay/forwarding.rs
+++ b/crates/oliveworks-gateway/src/relay/forwarding.rs
@@ -55,16 +55,18 @@
 }
 
 impl Job<'_> {
-    /// Processes data of an answer, and forwards what is news for the caller.
+    /// Processes data of an answer, and forwards what is news for the caller. `others` is the number
+    /// of other answers that are awaited.
     pub(super) async fn forward_data(
         &mut self,
         connection: &mut Connection,
         reception: &mut Reception<'_>,
         data: Data,
+        others: usize,
     ) -> Forwarded {
         let before = reception.since;
         if let Data::Head(head) = data {
-            return self.process_head(reception, head);
+            return self.process_head(reception, head, others);
         }
         reception.since = self.record_progress(&reception.place);
         match data {
@@ -87,7 +89,12 @@
         self.route.stream && (200..300).contains(&status)
     }
 
-    fn process_head(&mut self, reception: &mut Reception<'_>, head: Head) -> Forwarded {
+    fn process_head(
+        &mut self,
+        reception: &mut Reception<'_>,
+        head: Head,
+        others: usize,
+    ) -> Forwarded {
         let status = head.status;
         let answered = self.gateway.dialect.parse_answer(status, &head.headers);
         if self.is_from_target(status, &answered) {
@@ -99,7 +106,7 @@
             };
             self.gateway.process_statements(sender, &answered, &self.asked.id);
         }
-        if let Some(failure) = self.failure_of_head(status, &answered) {
+        if let Some(failure) = self.failure_of_head(status, &answered, others) {
             if status == MISDIRECTED
                 && let Some(epoch) = reception.place.epoch
             {
@@ -121,7 +128,12 @@
     }
 
     /// Returns the failure of the attempt if the head of the answer alone decides it.
-    fn failure_of_head(&self, status: u16, answered: &AnswerInfo) -> Option<Failure> {
+    fn failure_of_head(
+        &self,
+        status: u16,
+        answered: &AnswerInfo,
+        others: usize,
+    ) -> Option<Failure> {
         let answers_this_request = answered.id.as_deref().is_none_or(|id| id == self.asked.id);
         let success = (200..300).contains(&status);
         if !answers_this_request || answered.encoded || (success && !answered.signed) {
@@ -131,8 +143,8 @@
             return Some(Failure::Refused);
         }
         let server_error = status >= 500 && self.route.repeat == Repeat::Idempotent;
-        let has_attempt_left = self.attempts.sent() < self.route.max_attempts && !self.head_sent;
-        let is_failure = self.head_sent && !success || server_error && has_attempt_left;
+        let may_succeed = others > 0 || self.attempts.sent() < self.route.max_attempts;
+        let is_failure = self.head_sent && !success || server_error && may_succeed;
         is_failure.then_some(Failure::Failed)
     }
 
