A stream that has begun is resumed as soon as there is a place; second sends leave nothing behind

What callers saw: a stream whose host ended was torn at once when the retry budget was used up for the moment, the configuration was too old or all domains were drained, and after 1.8 s without a place, with seconds of its time left. Such a stream ends with its connection, so an early end serves nobody: a place is searched for until its deadline (the first search waits as before, later ones look once each 0.5 s and are not logged). A request without any event is rejected as before.

From the review, in the same code: a repeat of the budget is given back if the request is not sent (the search is dropped when the first host continues); connections count only once they were opened; silent places whose answer another one replaced get the penalty that failed ones get (a dark server without groups attracted the next requests); a gap in a run's events no longer advances the caller's position; a later record of a host is no proof against an answer, since the request may have gone to that life.

--- a/crates/oliveworks-gateway-core/src/budget.rs
+++ b/crates/oliveworks-gateway-core/src/budget.rs
@@ -101,4 +101,12 @@
         }
         allowed
     }
+
+    /// Returns a repeat that was taken and not used.
+    pub fn give_back(&mut self, service: &str) {
+        let buckets = self.buckets.get_mut(service);
+        if let Some(bucket) = buckets.and_then(|buckets| buckets.back_mut()) {
+            bucket.repeats = bucket.repeats.saturating_sub(1);
+        }
+    }
 }
--- a/crates/oliveworks-gateway-core/tests/decisions.rs
+++ b/crates/oliveworks-gateway-core/tests/decisions.rs
@@ -122,6 +122,17 @@
     assert_eq!((taken(&mut budget, "a"), taken(&mut budget, "b")), (3, 3));
 }
 
+/// A repeat that was not used may be used later.
+#[test]
+fn a_repeat_that_is_given_back_is_available_again() {
+    let config = BudgetConfig { ratio: 0.0, extra: 4.0, window_ms: 10_000 };
+    let mut budget = Budget::new(config, 0);
+    while budget.take(11_000, "lm", Some(1)) {}
+    budget.give_back("lm");
+    assert!(budget.take(11_000, "lm", Some(1)));
+    assert!(!budget.take(11_000, "lm", Some(1)));
+}
+
 const TERMS: Terms = Terms { repeatable: true, max_attempts: 2, deadline: 1_000 };
 const ONCE: Terms = Terms { repeatable: false, max_attempts: 2, deadline: 1_000 };
 
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -56,7 +56,7 @@
 /// Time before the deadline at which the final answer is sent, in ms.
 const DEADLINE_MARGIN_MS: u64 = 30;
 /// Time after a search for another place without success until the next one, in ms, while an answer
-/// of a silent place is awaited.
+/// of a silent place is awaited or a stream is to be resumed.
 const SEARCH_INTERVAL_MS: u64 = 500;
 
 /// Outcome of writing an answer to a connection.
@@ -95,6 +95,8 @@
     features: Rc<Features>,
     attempts: Attempts,
     tried_targets: Vec<Target>,
+    /// Number of searches for another place that failed since the last send.
+    searches_failed: u32,
     /// Position in the event stream up to which the caller has received events.
     progress: Progress,
     /// Whether the head of a streamed answer was sent to the caller.
@@ -251,6 +253,7 @@
         received,
         deadline,
         tried_targets: Vec::new(),
+        searches_failed: 0,
         head_sent: false,
         served: Served { came_back, ..Served::default() },
         table: (0, 0),
@@ -277,13 +280,21 @@
             match step.await {
                 Step::Sent(reception) => {
                     receptions.push(*reception);
+                    self.searches_failed = 0;
                     search_at = None;
                 }
-                Step::NotSent(NotSent::Rejected(rejection)) if receptions.is_empty() => {
+                // A stream that has begun ends with its connection, so nothing is lost by further
+                // searches. Any other caller is served better by an early answer.
+                Step::NotSent(NotSent::Rejected(rejection))
+                    if receptions.is_empty() && !self.head_sent =>
+                {
                     return self.reject_unsent(connection, rejection).await;
                 }
                 Step::NotSent(NotSent::Rejected(rejection)) => {
-                    self.log.push(format!("not sent elsewhere: {rejection:?}"));
+                    if self.searches_failed == 0 {
+                        self.log.push(format!("not sent elsewhere: {rejection:?}"));
+                    }
+                    self.searches_failed += 1;
                     search_at = Some(self.gateway.now() + SEARCH_INTERVAL_MS);
                 }
                 Step::NotSent(NotSent::Failed { place, gone }) => {
@@ -308,12 +319,14 @@
                         Err(failure) => Forwarded::Failed(failure),
                     };
                     match forwarded {
-                        Forwarded::Completed => return (End::Whole, self.count_served().into()),
+                        Forwarded::Completed => {
+                            self.withdraw(&mut receptions);
+                            return (End::Whole, self.count_served().into());
+                        }
                         Forwarded::CallerGone => return (End::Torn, "left".into()),
                         Forwarded::Nothing => receptions.push(reception),
                         Forwarded::Part => {
-                            self.withdraw(&receptions);
-                            receptions.clear();
+                            self.withdraw(&mut receptions);
                             receptions.push(reception);
                         }
                         Forwarded::Failed(failure) => {
@@ -327,7 +340,7 @@
                     search_at = self.next_search(&receptions);
                 }
                 Step::Receptions(ReceptionEvent::Expired) => {
-                    self.withdraw(&receptions);
+                    self.withdraw(&mut receptions);
                     let verdict = self.attempts.verdict(self.deadline);
                     return self.give_up(connection, verdict, RETRY_AFTER_MS).await;
                 }
@@ -335,8 +348,7 @@
                     if !receptions.is_empty() {
                         self.gateway.count("crashers_taken_back");
                     }
-                    self.withdraw(&receptions);
-                    receptions.clear();
+                    self.withdraw(&mut receptions);
                     return self.reject_crasher(connection, until).await;
                 }
             }
@@ -360,9 +372,7 @@
         let event = next_event(gateway, self.silence_limit(), expires_at, receptions);
         let send = async {
             let Some(at) = search_at else { return pending().await };
-            if at > gateway.now() {
-                sleep(Duration::from_millis(at - gateway.now())).await;
-            }
+            sleep(Duration::from_millis(at.saturating_sub(gateway.now()))).await;
             self.send(features).await
         };
         tokio::select! {
@@ -435,10 +445,11 @@
         }
     }
 
-    /// Records that answers are not awaited any longer.
-    fn withdraw(&mut self, receptions: &[Reception<'_>]) {
+    /// Drops answers that are not awaited any longer. Silent places get a penalty in later choices.
+    fn withdraw(&mut self, receptions: &mut Vec<Reception<'_>>) {
         let at = self.gateway.now() - self.received;
-        for reception in receptions {
+        for mut reception in receptions.drain(..) {
+            reception.outstanding.failed = reception.is_silent;
             self.log.push(format!("taken back from {} at {at} ms", reception.place.server));
             self.attempts.abandoned();
         }
@@ -547,12 +558,6 @@
         self.gateway.demand.borrow_mut().record_request(self.gateway.now(), key, refused);
     }
 
-    fn consume_repeat(&self) -> bool {
-        let now = self.gateway.now();
-        let sharers = self.gateway.members.borrow().sharers(now);
-        self.gateway.budget.borrow_mut().take(now, &self.service, sharers)
-    }
-
     async fn give_up(
         &mut self,
         connection: &mut Connection,
--- a/crates/oliveworks-gateway/src/relay/forwarding.rs
+++ b/crates/oliveworks-gateway/src/relay/forwarding.rs
@@ -100,7 +100,7 @@
         if self.is_from_target(status, &answered) {
             let sender = Sender {
                 server: &reception.place.server,
-                incarnation: reception.incarnation(),
+                incarnation: reception.incarnation,
                 sent_at: reception.sent,
                 to_request: true,
             };
@@ -182,13 +182,15 @@
             balance.began(reception.target(), self.asked.prompt_tokens);
         }
         let mut bytes = Vec::new();
+        let mut progress = self.progress;
         for event in events {
-            match self.progress.next(event.id) {
+            match progress.next(event.id) {
                 Pass::On => bytes.extend_from_slice(&event.bytes),
                 Pass::Known => {}
                 Pass::Gap => return Forwarded::Failed(Failure::Lost),
             }
         }
+        self.progress = progress;
         if bytes.is_empty() {
             return Forwarded::Nothing;
         }
--- a/crates/oliveworks-gateway/src/relay/placing.rs
+++ b/crates/oliveworks-gateway/src/relay/placing.rs
@@ -164,10 +164,12 @@
     }
 
     /// Chooses where to send the request. Waits for a limited time if all places are taken. A first
-    /// attempt does not wait if there is no place or none is known to become free in time.
+    /// attempt does not wait if there is no place or none is known to become free in time, and a
+    /// search after one that failed does not wait, since it will be repeated.
     pub(super) async fn place(&mut self, standing: Standing) -> Result<Place, NoPlace> {
         let is_resumed = self.head_sent || self.attempts.sent() > 0;
         let max_wait_ms = match is_resumed {
+            true if self.searches_failed > 0 => 0,
             true => RESUME_WAIT_MS,
             false => self.route.goal_ms * WAIT_PERCENT / 100,
         };
@@ -190,7 +192,9 @@
                 Err(found) => self.no_place(&places, found),
             };
             if self.stops_waiting(&no_place, is_resumed, until) {
-                self.log_no_place(&places);
+                if self.searches_failed == 0 {
+                    self.log_no_place(&places);
+                }
                 return Err(no_place);
             }
             let poll_interval = Duration::from_millis(POLL_INTERVAL_MS);
--- a/crates/oliveworks-gateway/src/relay/reception.rs
+++ b/crates/oliveworks-gateway/src/relay/reception.rs
@@ -59,7 +59,8 @@
     pub outstanding: OutstandingRequest<'a>,
     exchange: Exchange,
     body: Option<Incoming>,
-    incarnation: Option<Born>,
+    /// Start of the incarnation that the request was sent to, according to its record.
+    pub incarnation: Option<Born>,
     group: Option<GroupId>,
     _suspect_run: Option<SuspectRun<'a>>,
 }
@@ -101,11 +102,6 @@
         self.place.candidate.target
     }
 
-    /// Returns the start of the incarnation that the request was sent to.
-    pub fn incarnation(&self) -> Option<Born> {
-        self.incarnation
-    }
-
     fn poll_data(&mut self, context: &mut Context<'_>) -> Poll<Result<Data, Failure>> {
         let Some(body) = &mut self.body else {
             let head = ready!(self.exchange.poll_head(context));
@@ -123,14 +119,13 @@
         })
     }
 
-    /// Returns whether it is certain that a silent host will not continue: it has started again, or
-    /// the leader has ended its group and freed the members.
+    /// Returns whether it is certain that a silent group will not continue: the leader has ended it
+    /// and freed the members.
+    ///
+    /// Rejected alternative: a record of a later incarnation of the host. The request may have been
+    /// sent to that incarnation before its record arrived.
     fn has_ended(&self, gateway: &Gateway) -> bool {
-        let born = gateway.directory.borrow().born(&self.place.server);
-        let has_restarted =
-            born.is_some() && self.incarnation.is_some() && born != self.incarnation;
-        let has_left = |group: GroupId| gateway.table.borrow().ended.contains(&group);
-        has_restarted || self.group.is_some_and(has_left)
+        self.group.is_some_and(|group| gateway.table.borrow().ended.contains(&group))
     }
 }
 
--- a/crates/oliveworks-gateway/src/relay/sending.rs
+++ b/crates/oliveworks-gateway/src/relay/sending.rs
@@ -17,6 +17,7 @@
 use crate::events::Event;
 use crate::exchange::{Exchange, NoConnection};
 use crate::places::Place;
+use crate::state::Gateway;
 
 /// Reason why a request is not sent at present.
 #[derive(Debug)]
@@ -51,6 +52,28 @@
     }
 }
 
+/// A repeat taken from the retry budget, which is given back if the request is not sent.
+struct Repeat<'a> {
+    gateway: &'a Gateway,
+    /// Service of the repeat; none for a first send, or once the repeat is used.
+    service: Option<String>,
+}
+
+impl Repeat<'_> {
+    /// Marks the repeat as used.
+    fn keep(&mut self) {
+        self.service = None;
+    }
+}
+
+impl Drop for Repeat<'_> {
+    fn drop(&mut self) {
+        if let Some(service) = self.service.take() {
+            self.gateway.budget.borrow_mut().give_back(&service);
+        }
+    }
+}
+
 impl<'a> Job<'a> {
     /// Sends the request to a place as soon as there is one. Dropping the future before it is done
     /// sends nothing.
@@ -63,12 +86,13 @@
     {
         let gateway: &'r _ = self.gateway;
         let place = self.choose_place(features).await?;
+        let mut repeat = self.take_repeat()?;
         let mut outstanding = self.begin_send(&place);
         let target = place.candidate.target;
         let suspect_run = gateway.suspect_run(features, target);
         let mut pending_send = gateway.pending_send(target);
-        self.attempts.connecting();
         let opened = Exchange::open(place.address, gateway.settings.requests.connect_ms).await;
+        self.attempts.connecting();
         self.tried_targets.push(target);
         outstanding.failed = true;
         let mut exchange = match opened {
@@ -89,6 +113,7 @@
         };
         self.attempts.sending();
         pending_send.sent();
+        repeat.keep();
         let incarnation = gateway.directory.borrow().born(&place.server);
         gateway.count_send(target);
         exchange.begin(request);
@@ -120,12 +145,23 @@
         if gateway.must_wait_for_trial(features) {
             return Err(Rejection::Copy);
         }
-        if self.attempts.next_is_repeat() && !self.consume_repeat() {
-            return Err(Rejection::NoRepeatLeft);
-        }
         Ok(place)
     }
 
+    /// Takes a repeat from the retry budget if the request was sent before.
+    fn take_repeat(&self) -> Result<Repeat<'a>, Rejection> {
+        let gateway = self.gateway;
+        if !self.attempts.next_is_repeat() {
+            return Ok(Repeat { gateway, service: None });
+        }
+        let now = gateway.now();
+        let sharers = gateway.members.borrow().sharers(now);
+        match gateway.budget.borrow_mut().take(now, &self.service, sharers) {
+            true => Ok(Repeat { gateway, service: Some(self.service.clone()) }),
+            false => Err(Rejection::NoRepeatLeft),
+        }
+    }
+
     /// Records the send in the load counts and in the log.
     fn begin_send<'r>(&mut self, place: &Place) -> OutstandingRequest<'r>
     where
