Each end of a caller's connection without an answer is a line and a counter

What callers saw: a connection that ended after bytes of a request had been read, and no line of any log named it: a caller that left, a request broken off in its head or body, an idle time-out or a stop that met an arriving request, the end of the process. `callers_left` counted some of these, without the request or the reason.

Change: a connection has a phase (idle, head, body, answer, closing), and the end of one in head, body or answer is the line `connection_ended` with the reason, the phase, its time and the request's id, and a counter `connections_ended_in_PHASE_REASON`. Reasons: caller_closed, caller_reset, idle_timeout, stop, process_end, torn. `oliveworksctl explain` takes this line where a request has no `request` line, and understands the steps `silent at`, `continues at`, `taken back from` and `not sent elsewhere` besides `Stalled`.

Ruled out: a reason of its own for a caller that closes only its sending side. ntex ends the whole connection at the FIN, and a FIN of a close looks the same.

--- a/crates/oliveworks-gateway/src/callers.rs
+++ b/crates/oliveworks-gateway/src/callers.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
+use crate::caller_connections::{EndReason, Phase};
 use crate::connection::{Connection, Received};
 use crate::relay;
 use crate::state::Gateway;
@@ -20,21 +21,31 @@
 
 async fn serve(gateway: Rc<Gateway>, io: Io) {
     let mut connection = Connection::new(&gateway, io);
+    let _open = gateway.caller_connections.add(connection.state().clone());
+    let (id_header, _) = gateway.dialect.request_id_header("");
     loop {
         let request = match connection.receive(&gateway).await {
             Received::Request(request) => request,
             Received::Invalid(verdict) => {
                 gateway.count("improper");
                 connection.close_after_next_answer();
-                let _ = relay::reject(&gateway, &mut connection, "", verdict, 0).await;
+                let end = relay::reject(&gateway, &mut connection, "", verdict, 0).await;
+                if end == relay::End::Torn {
+                    record_end(&gateway, &connection, EndReason::CallerClosed).await;
+                }
+                break;
+            }
+            Received::End(reason) => {
+                connection.state().record_end(&gateway, reason);
                 break;
             }
-            Received::End => break,
         };
         if gateway.is_stopping() {
             connection.close_after_next_answer();
         }
         gateway.requests_in_flight.set(gateway.requests_in_flight.get() + 1);
+        let id = request.header(&id_header).unwrap_or_default();
+        connection.state().enter_answer(gateway.now(), id);
         let gone = connection.wait_for_disconnect();
         let ended = select(relay::handle(&gateway, &mut connection, *request), gone).await;
         gateway.requests_in_flight.set(gateway.requests_in_flight.get() - 1);
@@ -42,18 +53,28 @@
             Either::Left(relay::End::Whole) if connection.can_continue() => {}
             Either::Left(relay::End::Whole) => break,
             Either::Left(relay::End::Torn) => {
+                record_end(&gateway, &connection, EndReason::Torn).await;
                 connection.abort();
                 return;
             }
             Either::Right(()) => {
                 gateway.count("callers_left");
+                record_end(&gateway, &connection, EndReason::CallerClosed).await;
                 return;
             }
         }
     }
+    connection.state().enter(gateway.now(), Phase::Closing);
     connection.close().await;
 }
 
+/// Records the end of a connection: that by the caller if the caller has ended it, or else that
+/// for `reason`.
+async fn record_end(gateway: &Gateway, connection: &Connection, reason: EndReason) {
+    let reason = connection.caller_end().await.unwrap_or(reason);
+    connection.state().record_end(gateway, reason);
+}
+
 /// Kind of client served at an address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Audience {
--- a/crates/oliveworks-gateway/src/connection.rs
+++ b/crates/oliveworks-gateway/src/connection.rs
@@ -1,20 +1,24 @@
 //! A caller's connection: requests are read completely before they are handled, answers are written
 //! piece by piece.
 
+use std::future::poll_fn;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use ntex::SharedCfg;
+use ntex::codec::Decoder;
 use ntex::http::body::BodySize;
 use ntex::http::error::DecodeError;
 use ntex::http::h1::{Codec, Message, PayloadItem, PayloadType};
 use ntex::http::header::{HeaderName, HeaderValue};
 use ntex::http::{HttpServiceConfig, Method, Request, Response, StatusCode};
-use ntex::io::Io;
-use ntex::util::{Either, select};
+use ntex::io::{Io, IoStatusUpdate};
+use ntex::util::{BytesMut, Either, select};
 use oliveworks_gateway_core::attempts::Verdict;
 use tokio::time::{sleep, timeout};
 
+use crate::caller_connections::{ConnectionState, EndReason, Phase};
 use crate::dialect::Headers;
 use crate::state::{Gateway, STOP_NOTICE_MS};
 
@@ -57,7 +61,7 @@
     /// An invalid request, which is answered with a verdict before the connection ends.
     Invalid(Verdict),
     /// End of the connection.
-    End,
+    End(EndReason),
 }
 
 /// Error for a connection that ended while an answer was written.
@@ -68,6 +72,26 @@
     io: Io,
     codec: Codec,
     closes_after_answer: bool,
+    state: Rc<ConnectionState>,
+}
+
+/// Decodes the head of a request, and records when its first bytes have arrived.
+struct HeadDecoder<'a> {
+    codec: &'a Codec,
+    state: &'a ConnectionState,
+    gateway: &'a Gateway,
+}
+
+impl Decoder for HeadDecoder<'_> {
+    type Item = <Codec as Decoder>::Item;
+    type Error = DecodeError;
+
+    fn decode(&self, src: &mut BytesMut) -> Result<Option<Self::Item>, DecodeError> {
+        if !src.is_empty() {
+            self.state.enter(self.gateway.now(), Phase::Head);
+        }
+        self.codec.decode(src)
+    }
 }
 
 fn header(name: &str, value: &[u8]) -> Option<(HeaderName, HeaderValue)> {
@@ -87,7 +111,30 @@
             gateway.lookup().map_or(HEAD_MAX, |l| l.configuration.limits.max_header_bytes);
         let config = HttpServiceConfig::new().set_max_buf_size(head_max.max(1_024));
         let shared: SharedCfg = SharedCfg::new("callers").add(config).into();
-        Connection { io, codec: Codec::new(0, shared.get()), closes_after_answer: false }
+        let codec = Codec::new(0, shared.get());
+        Connection { io, codec, closes_after_answer: false, state: Rc::default() }
+    }
+
+    /// Returns the state of the connection.
+    pub fn state(&self) -> &Rc<ConnectionState> {
+        &self.state
+    }
+
+    /// Returns the reason for which the caller's side of the connection ended; `None` if it has not
+    /// ended.
+    pub async fn caller_end(&self) -> Option<EndReason> {
+        if !self.io.is_closed() {
+            return None;
+        }
+        match poll_fn(|cx| self.io.poll_status_update(cx)).await {
+            IoStatusUpdate::PeerGone(Some(_)) => Some(EndReason::CallerReset),
+            _ => Some(EndReason::CallerClosed),
+        }
+    }
+
+    /// Returns the end of a connection that the caller has ended.
+    async fn ended_by_caller(&self) -> Received {
+        Received::End(self.caller_end().await.unwrap_or(EndReason::CallerClosed))
     }
 
     /// Waits for a request.
@@ -95,8 +142,10 @@
         let limits = gateway.lookup().map(|lookup| lookup.configuration.limits);
         let idle_ms = limits.map_or(IDLE_MS, |limits| limits.idle_timeout_ms) + IDLE_EXTRA_MS;
         let mut stopping = gateway.stopping.subscribe();
+        self.state.enter(gateway.now(), Phase::Idle);
         let message = {
-            let next = timeout(Duration::from_millis(idle_ms), self.io.recv(&self.codec));
+            let decoder = HeadDecoder { codec: &self.codec, state: &self.state, gateway };
+            let next = timeout(Duration::from_millis(idle_ms), self.io.recv(&decoder));
             let stop = async {
                 let _ = stopping.wait_for(|stopping| *stopping).await;
                 // The platform needs a moment to send new connections to other gateways.
@@ -104,14 +153,16 @@
             };
             match select(next, stop).await {
                 Either::Left(Ok(message)) => message,
-                Either::Left(Err(_)) | Either::Right(()) => return Received::End,
+                Either::Left(Err(_)) => return Received::End(EndReason::IdleTimeout),
+                Either::Right(()) => return Received::End(EndReason::Stop),
             }
         };
         let (request, payload) = match message {
             Ok(Some(message)) => message,
-            Ok(None) | Err(Either::Right(_)) => return Received::End,
+            Ok(None) | Err(Either::Right(_)) => return self.ended_by_caller().await,
             Err(Either::Left(error)) => return Received::Invalid(verdict_of(&error)),
         };
+        self.state.enter(gateway.now(), Phase::Body);
         let body_max = limits.map_or(BODY_MAX, |limits| limits.max_body_bytes);
         let body = match self.body(&request, payload, body_max).await {
             Ok(body) => body,
@@ -151,7 +202,7 @@
                     }
                     Ok(Some(PayloadItem::Chunk(chunk))) => body.extend_from_slice(&chunk),
                     Ok(Some(PayloadItem::Eof)) => return Ok(()),
-                    Ok(None) | Err(Either::Right(_)) => return Err(Received::End),
+                    Ok(None) | Err(Either::Right(_)) => return Err(self.ended_by_caller().await),
                     Err(Either::Left(_)) => return Err(Received::Invalid(Verdict::BadRequest)),
                 }
             }
--- a/crates/oliveworks-gateway/src/lib.rs
+++ b/crates/oliveworks-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`settings`] | the settings file |
 //! | [`dialect`] | interface to the adapter of a platform |
 //! | [`process`] | start and stop |
+//! | `caller_connections` | open connections of callers, and their ends without an answer |
 //! | `connection` | reads the requests of one connection and writes their answers |
 //! | [`reload`] | logs changes in settings that are read again |
 //! | `callers`, `relay` | accept requests and relay each one to backend servers |
@@ -40,6 +41,7 @@
 //! | `timers` | timers that include the time in which the host was suspended |
 //! | `readiness` | readiness checks and metrics for the platform |
 
+mod caller_connections;
 mod callers;
 mod calls;
 mod connection;
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -37,6 +37,7 @@
 use oliveworks_runtime::latencies::Latencies;
 use tokio::sync::{Notify, Semaphore, watch};
 
+use crate::caller_connections::OpenConnections;
 use crate::calls::Calls;
 use crate::dialect::{Dialect, Record, TOPICS, Topic};
 use crate::events::Event;
@@ -213,6 +214,8 @@
     pub stop_began_at: Cell<Option<Millis>>,
     /// Number of requests in flight.
     pub requests_in_flight: Cell<usize>,
+    /// The connections that callers have open.
+    pub caller_connections: OpenConnections,
     /// Whether any gateway has received a request.
     pub traffic: Cell<bool>,
     /// Incarnation of this process, a random number.
@@ -305,6 +308,7 @@
             stopping: watch::channel(false).0,
             stop_began_at: Cell::new(None),
             requests_in_flight: Cell::new(0),
+            caller_connections: OpenConnections::default(),
             traffic: Cell::new(false),
             incarnation,
             counters: RefCell::default(),
--- a/crates/oliveworksctl/src/explain.rs
+++ b/crates/oliveworksctl/src/explain.rs
@@ -50,6 +50,11 @@
     }
 }
 
+/// Kind of the line with the outcome of a request.
+const REQUEST_KIND: &str = "request";
+/// Kind of the line on a connection that ended while a request had no complete answer.
+const CONNECTION_ENDED_KIND: &str = "connection_ended";
+
 /// Explanation of a request from logs.
 #[derive(Serialize)]
 struct Explanation {
@@ -72,12 +77,15 @@
     let logs = Logs::find(paths)?;
     let filter = Filter { request: Some(request.to_owned()), ..Filter::default() };
     let (lines, left_out) = collect(&logs, &filter)?;
-    let Some(request_line) = lines.iter().find(|line| line.event.kind == "request") else {
+    let Some(request_line) = outcome_line(&lines) else {
         print_left_out(left_out);
         anyhow::bail!("the logs contain no line with the outcome of request {request}");
     };
     let (known, hosts) = related_lines(&logs, request_line)?;
-    let cause = cause(request_line);
+    let cause = match request_line.event.kind == CONNECTION_ENDED_KIND {
+        true => connection_cause(request_line),
+        false => cause(request_line),
+    };
     let explained = Explanation { cause, known, hosts, lines, left_out };
     match output {
         Output::Json => println!("{}", serde_json::to_string(&explained)?),
@@ -132,7 +140,7 @@
             }
         }
         let span = request_line.time_ms.saturating_sub(BEFORE_MS)..=request_line.time_ms + AFTER_MS;
-        let in_span = span.contains(&line.time_ms) && line.event.kind != "request";
+        let in_span = span.contains(&line.time_ms) && line.event.kind != REQUEST_KIND;
         if in_span && hosts.iter().any(|host| line.event.mentions(host)) {
             host_lines.push(line);
         }
@@ -141,6 +149,51 @@
     Ok((known.into_values().collect(), host_lines))
 }
 
+/// Returns the line with the outcome of a request. A request whose connection ended while it was
+/// being answered may have only the line on that end.
+fn outcome_line(lines: &[Line]) -> Option<&Line> {
+    let of_kind = |kind: &str| lines.iter().find(|line| line.event.kind == kind);
+    of_kind(REQUEST_KIND).or_else(|| of_kind(CONNECTION_ENDED_KIND))
+}
+
+/// Describes the end of a connection before the answer to its request was complete.
+fn connection_cause(line: &Line) -> String {
+    let after_ms = line.event.number("after_ms").unwrap_or(0);
+    let why = match line.event.text("reason").unwrap_or_default() {
+        "caller_closed" => "its caller closed the connection, or only its sending side",
+        "caller_reset" => "its caller reset the connection",
+        "idle_timeout" => "the gateway closed the connection as idle",
+        "stop" => "the gateway closed the connection because it stopped",
+        "process_end" => "the gateway's process ended",
+        "torn" => "the gateway broke the answer off",
+        _ => "the connection ended for an unknown reason",
+    };
+    format!("no complete answer after {after_ms} ms: {why}")
+}
+
+/// Describes the silence that a request without an answer waited for in vain; `None` if it ended
+/// for another reason.
+fn unended_silence(request_line: &Line) -> Option<String> {
+    let steps: Vec<&str> = steps(request_line).collect();
+    let last = steps.last()?;
+    let waited = last.starts_with("taken back from ")
+        || last.starts_with("not sent elsewhere: ")
+        || last.contains(" silent at ");
+    let outcome = request_line.event.text("outcome").unwrap_or_default();
+    if !waited || outcome.starts_with("served") {
+        return None;
+    }
+    let silent = steps.iter().rposition(|step| step.contains(" silent at "))?;
+    let (host, since) = steps[silent].split_once(" silent at ")?;
+    let continues = format!("{host} continues at ");
+    if steps[silent..].iter().any(|step| step.starts_with(&continues)) {
+        return None;
+    }
+    let elsewhere = steps.iter().rev().find(|step| step.starts_with("not sent elsewhere: "));
+    let elsewhere = elsewhere.map_or(String::new(), |step| format!(", and it was {step}"));
+    Some(format!("{host} was silent from {since} on{elsewhere}"))
+}
+
 /// Returns the steps of a request, from its line.
 fn steps(request_line: &Line) -> impl Iterator<Item = &str> {
     let steps = request_line.event.fields.get("steps").and_then(Value::as_array);
@@ -170,8 +223,13 @@
 fn cause(request_line: &Line) -> String {
     let outcome = request_line.event.text("outcome").unwrap_or("unknown");
     let took_ms = request_line.event.number("took_ms").unwrap_or(0);
-    let last_decision = steps(request_line).filter(|step| !step.starts_with("to ")).last();
+    let decides = |step: &&str| !step.starts_with("to ") && !step.starts_with("taken back from ");
+    let last_decision = steps(request_line).filter(decides).last();
     let sent = request_line.event.number("sent").unwrap_or(0);
+    if let Some(silence) = unended_silence(request_line) {
+        return format!("{outcome} after {took_ms} ms, sent {sent} times: {silence}");
+    }
+    let was_silent = steps(request_line).any(|step| step.contains(" silent at "));
     let why = match last_decision {
         Some("no place: Full") => "every group that may serve it was full",
         Some("no place: Cold") => {
@@ -196,6 +254,9 @@
             "it was sent at once and its first event came late"
         }
         _ if outcome.starts_with("served late: paused") => "its events paused too long",
+        _ if outcome.starts_with("served late: sent again") && was_silent => {
+            "a host that it was sent to before fell silent"
+        }
         _ if outcome.starts_with("served late: sent again") => "an attempt before failed",
         _ => return format!("{outcome} after {took_ms} ms, sent {sent} times"),
     };
@@ -204,7 +265,7 @@
 
 fn print(explained: &Explanation) {
     let received_ms = explained.lines.first().map_or(0, |line| line.time_ms);
-    let end = explained.lines.iter().find(|line| line.event.kind == "request");
+    let end = outcome_line(&explained.lines);
     println!("{}", explained.cause);
     for step in end.into_iter().flat_map(steps) {
         println!("    {step}");
--- a/crates/oliveworksctl/tests/logs.rs
+++ b/crates/oliveworksctl/tests/logs.rs
@@ -64,6 +64,19 @@
             )
         ),
     ];
+    let silent = |id: &str, outcome: &str, steps: &str| {
+        let fields = format!(r#""outcome":"{outcome}","took_ms":900,"sent":1,"steps":{steps}"#);
+        line(700, "gateway-1", &format!(r#"{{"kind":"request","request":"{id}",{fields}}}"#))
+    };
+    let first = first.into_iter().chain([
+        silent("r-7", "torn: TimedOut", r#"["to i-8 at 3 ms: 2 open","i-8 silent at 480 ms","not sent elsewhere: NoRepeatLeft","taken back from i-8 at 900 ms"]"#),
+        silent("r-8", "served late: sent again", r#"["to i-8 at 3 ms: 2 open","i-8 silent at 480 ms","to i-9 at 481 ms: 1 open","taken back from i-8 at 600 ms"]"#),
+        silent("r-9", "torn: MayHaveRun", r#"["to i-8 at 3 ms: 2 open","i-8 silent at 480 ms","i-8 continues at 500 ms","i-8 Lost at 700 ms"]"#),
+        line(650, "gateway-1", r#"{"kind":"connection_ended","reason":"caller_reset","during":"answer","request":"r-10","after_ms":31}"#),
+        line(651, "gateway-1", r#"{"kind":"connection_ended","reason":"torn","during":"answer","request":"r-9","after_ms":31}"#),
+        line(652, "gateway-1", r#"{"kind":"connection_ended","reason":"process_end","during":"answer","request":"r-11","after_ms":7300}"#),
+    ]);
+    let first: Vec<String> = first.collect();
     std::fs::write(folder.join("gateway-1.log"), first.join("\n")).unwrap();
     std::fs::write(folder.join("gateway-2.log"), second.join("\n")).unwrap();
     folder
@@ -74,6 +87,11 @@
 #[test_case("r-5", &["its service has no listed hosts"], &["none of its groups"]; "a service without hosts")]
 #[test_case("r-6", &["none of its groups serves"], &["the leader plans no groups"]; "a service without groups")]
 #[test_case("r-2", &["the last group that it was sent to stood still", "host=\"i-7\""], &["i-70"]; "a group that stood still")]
+#[test_case("r-7", &["i-8 was silent from 480 ms on, and it was not sent elsewhere: NoRepeatLeft"], &["stood still"]; "a host that stayed silent")]
+#[test_case("r-8", &["a host that it was sent to before fell silent"], &["was silent from"]; "another host served it")]
+#[test_case("r-9", &["the last answer broke off"], &["was silent from", "no complete answer"]; "a host that continued")]
+#[test_case("r-10", &["no complete answer after 31 ms: its caller reset the connection"], &[]; "a caller that left")]
+#[test_case("r-11", &["no complete answer after 7300 ms: the gateway's process ended"], &[]; "the end of the process")]
 fn a_request_is_explained(request: &str, says: &[&str], says_not: &[&str]) {
     let folder = folder(&format!("explain-{request}"));
     let output = ctl(&["explain", request, "--logs", folder.to_str().unwrap()]);
