Waiting connections follow the newest idle time-out

What callers saw: a kept connection closed while they took it up again, after a configuration had raised `idle_timeout_ms`. Cause: the time-out was read once, when the connection began to wait. Callers take up connections that have rested for four fifths of the time-out that they know, and know the newest.

Change: when the time-out is reached, it is compared with the limits of that moment. `CallerLimits` holds replaced limits for `bounds.apply_ms`, as callers may go by them until then; the most of both is in force. So a lowered time-out does not cut those who still go by the former one, also where `apply_ms` exceeds the reserve of 2 s. A connection that waits when the time-out is lowered is closed by the former one.

Ruled out: waking all waiting connections at each configuration (hundreds of timers at once, for an earlier close).

--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -22,6 +22,7 @@
 //! | [`residency`] | regions that may serve a request |
 //! | [`freshness`] | whether the configuration is recent enough to accept keys |
 //! | [`versions`] | whether the store or this gateway lacks a version that others hold |
+//! | [`caller_limits`] | limits on what callers may send, while configurations change them |
 //! | [`backend_servers`] | state of backend servers according to the platform's records |
 //! | [`missing`] | time after which backend servers that are missing from the list count as gone |
 //! | [`listing`] | interval between reads of the list of backend servers |
@@ -58,6 +59,7 @@
 pub mod backoff;
 pub mod balance;
 pub mod budget;
+pub mod caller_limits;
 pub mod candidates;
 pub mod changed_lines;
 pub mod configuration;
--- a/crates/oliveworks-gateway/src/connection.rs
+++ b/crates/oliveworks-gateway/src/connection.rs
@@ -14,7 +14,7 @@
 use ntex::http::header::{HeaderName, HeaderValue};
 use ntex::http::{HttpServiceConfig, Method, Request, Response, StatusCode};
 use ntex::io::{Io, IoStatusUpdate};
-use ntex::util::{BytesMut, Either, select};
+use ntex::util::{BytesMut, Either};
 use oliveworks_gateway_core::attempts::Verdict;
 use tokio::time::{sleep, timeout};
 
@@ -139,22 +139,23 @@
 
     /// Waits for a request.
     pub async fn receive(&mut self, gateway: &Gateway) -> Received {
-        let limits = gateway.lookup().map(|lookup| lookup.configuration.limits);
-        let idle_ms = limits.map_or(IDLE_MS, |limits| limits.idle_timeout_ms) + IDLE_EXTRA_MS;
+        let limits = gateway.limits();
         let mut stopping = gateway.stopping.subscribe();
         self.state.enter(gateway.now(), Phase::Idle);
         let message = {
             let decoder = HeadDecoder { codec: &self.codec, state: &self.state, gateway };
-            let next = timeout(Duration::from_millis(idle_ms), self.io.recv(&decoder));
             let stop = async {
                 let _ = stopping.wait_for(|stopping| *stopping).await;
                 // The platform needs a moment to send new connections to other gateways.
                 sleep(Duration::from_millis(STOP_NOTICE_MS)).await;
             };
-            match select(next, stop).await {
-                Either::Left(Ok(message)) => message,
-                Either::Left(Err(_)) => return Received::End(EndReason::IdleTimeout),
-                Either::Right(()) => return Received::End(EndReason::Stop),
+            tokio::select! {
+                biased;
+                message = self.io.recv(&decoder) => message,
+                () = stop => return Received::End(EndReason::Stop),
+                () = wait_until_idle_too_long(gateway) => {
+                    return Received::End(EndReason::IdleTimeout);
+                }
             }
         };
         let (request, payload) = match message {
@@ -307,6 +308,27 @@
     }
 }
 
+/// Waits until a connection that is idle from now on has been so for too long, according to the
+/// limits at that time.
+async fn wait_until_idle_too_long(gateway: &Gateway) {
+    let idle_ms =
+        || gateway.limits().map_or(IDLE_MS, |limits| limits.idle_timeout_ms) + IDLE_EXTRA_MS;
+    wait_until_exceeded(gateway, idle_ms).await;
+}
+
+/// Waits until more time has passed than `limit_ms` returns at that time. A limit that is raised
+/// meanwhile counts at once, a lowered one from the next call on.
+async fn wait_until_exceeded(gateway: &Gateway, limit_ms: impl Fn() -> u64) {
+    let began = gateway.now();
+    loop {
+        let left_ms = (began + limit_ms()).saturating_sub(gateway.now());
+        if left_ms == 0 {
+            return;
+        }
+        sleep(Duration::from_millis(left_ms)).await;
+    }
+}
+
 fn verdict_of(error: &DecodeError) -> Verdict {
     match error {
         DecodeError::MaxHeaders | DecodeError::TooLarge(_) => Verdict::HeadTooLarge,
--- a/crates/oliveworks-gateway/src/records.rs
+++ b/crates/oliveworks-gateway/src/records.rs
@@ -41,6 +41,11 @@
                     .with("workspaces", configuration.workspaces.as_ref().map_or(0, Vec::len))
                     .write();
                 forget_waits(gateway, &configuration);
+                gateway.caller_limits.borrow_mut().adopt(
+                    gateway.now(),
+                    configuration.limits,
+                    gateway.settings.bounds.apply_ms,
+                );
                 *gateway.lookup.borrow_mut() = Some(Rc::new(Lookup::new(configuration)));
             }
             Record::Drain { failure_domain, drained: true } => {
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -11,7 +11,8 @@
 use oliveworks_gateway_core::backoff::Backoffs;
 use oliveworks_gateway_core::balance::{Balance, Target};
 use oliveworks_gateway_core::budget::{Budget, BudgetConfig};
-use oliveworks_gateway_core::configuration::Lookup;
+use oliveworks_gateway_core::caller_limits::CallerLimits;
+use oliveworks_gateway_core::configuration::{Limits, Lookup};
 use oliveworks_gateway_core::crashers::Crashers;
 use oliveworks_gateway_core::demand::ModelDemand;
 use oliveworks_gateway_core::departures::Departures;
@@ -212,6 +213,8 @@
     pub stopping: watch::Sender<bool>,
     /// Time at which the stop began.
     pub stop_began_at: Cell<Option<Millis>>,
+    /// Limits on what callers may send.
+    pub caller_limits: RefCell<CallerLimits>,
     /// Number of requests in flight.
     pub requests_in_flight: Cell<usize>,
     /// The connections that callers have open.
@@ -307,6 +310,7 @@
             plan_now: Notify::new(),
             stopping: watch::channel(false).0,
             stop_began_at: Cell::new(None),
+            caller_limits: RefCell::default(),
             requests_in_flight: Cell::new(0),
             caller_connections: OpenConnections::default(),
             traffic: Cell::new(false),
@@ -326,6 +330,11 @@
         self.clock.now().0
     }
 
+    /// Returns the most that callers may use; `None` before the first configuration.
+    pub fn limits(&self) -> Option<Limits> {
+        self.caller_limits.borrow().at(self.now())
+    }
+
     /// Returns the age of this gateway's proof that the store holds nothing newer, in ms; none
     /// without a proof.
     pub fn proof_age_ms(&self) -> Option<u64> {
