Open connections follow raised limits on heads and bodies

What callers saw: 431 or 413 for requests that the newest configuration allows, on connections that were opened, or bodies that began to arrive, before it was in force; also on those that were accepted before the first configuration. Cause: the codec keeps the limit on heads of the time of accept, and the limit on bodies was read before the wait.

Change: `HeadDecoder` compares what has arrived of a head with the limit of that moment, and each piece of a body is compared in the same way. A head of exactly `max_header_bytes` is allowed; before, it had to be shorter.

Ruled out: a new codec for each request (a limit raised while the head arrives would not count).

--- a/crates/oliveworks-gateway/src/callers.rs
+++ b/crates/oliveworks-gateway/src/callers.rs
@@ -20,7 +20,7 @@
 const ACCEPT_RETRY_MS: u64 = 20;
 
 async fn serve(gateway: Rc<Gateway>, io: Io) {
-    let mut connection = Connection::new(&gateway, io);
+    let mut connection = Connection::new(io);
     let _open = gateway.caller_connections.add(connection.state().clone());
     let (id_header, _) = gateway.dialect.request_id_header("");
     loop {
--- a/crates/oliveworks-gateway/src/connection.rs
+++ b/crates/oliveworks-gateway/src/connection.rs
@@ -1,6 +1,7 @@
 //! A caller's connection: requests are read completely before they are handled, answers are written
 //! piece by piece.
 
+use std::cell::Cell;
 use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::Duration;
@@ -75,11 +76,14 @@
     state: Rc<ConnectionState>,
 }
 
-/// Decodes the head of a request, and records when its first bytes have arrived.
+/// Decodes the head of a request up to the limit of the moment, and records when its first bytes have
+/// arrived.
 struct HeadDecoder<'a> {
     codec: &'a Codec,
     state: &'a ConnectionState,
     gateway: &'a Gateway,
+    /// Number of bytes of the head that the codec has consumed.
+    consumed: Cell<usize>,
 }
 
 impl Decoder for HeadDecoder<'_> {
@@ -90,7 +94,15 @@
         if !src.is_empty() {
             self.state.enter(self.gateway.now(), Phase::Head);
         }
-        self.codec.decode(src)
+        let arrived = self.consumed.get() + src.len();
+        let decoded = self.codec.decode(src)?;
+        self.consumed.set(arrived - src.len());
+        // The bytes that follow a complete head belong to the body or to the next request.
+        let length = if decoded.is_some() { self.consumed.get() } else { arrived };
+        match length > self.gateway.limits().map_or(HEAD_MAX, |limits| limits.max_header_bytes) {
+            true => Err(DecodeError::TooLarge(length)),
+            false => Ok(decoded),
+        }
     }
 }
 
@@ -106,10 +118,9 @@
 
 impl Connection {
     /// Creates the state of a connection that was just accepted.
-    pub fn new(gateway: &Gateway, io: Io) -> Connection {
-        let head_max =
-            gateway.lookup().map_or(HEAD_MAX, |l| l.configuration.limits.max_header_bytes);
-        let config = HttpServiceConfig::new().set_max_buf_size(head_max.max(1_024));
+    pub fn new(io: Io) -> Connection {
+        // The limit may change while the connection is open: `HeadDecoder` enforces it.
+        let config = HttpServiceConfig::new().set_max_buf_size(usize::MAX);
         let shared: SharedCfg = SharedCfg::new("callers").add(config).into();
         let codec = Codec::new(0, shared.get());
         Connection { io, codec, closes_after_answer: false, state: Rc::default() }
@@ -139,11 +150,15 @@
 
     /// Waits for a request.
     pub async fn receive(&mut self, gateway: &Gateway) -> Received {
-        let limits = gateway.limits();
         let mut stopping = gateway.stopping.subscribe();
         self.state.enter(gateway.now(), Phase::Idle);
         let message = {
-            let decoder = HeadDecoder { codec: &self.codec, state: &self.state, gateway };
+            let decoder = HeadDecoder {
+                codec: &self.codec,
+                state: &self.state,
+                gateway,
+                consumed: Cell::new(0),
+            };
             let stop = async {
                 let _ = stopping.wait_for(|stopping| *stopping).await;
                 // The platform needs a moment to send new connections to other gateways.
@@ -164,8 +179,7 @@
             Err(Either::Left(error)) => return Received::Invalid(verdict_of(&error)),
         };
         self.state.enter(gateway.now(), Phase::Body);
-        let body_max = limits.map_or(BODY_MAX, |limits| limits.max_body_bytes);
-        let body = match self.body(&request, payload, body_max).await {
+        let body = match self.body(gateway, &request, payload).await {
             Ok(body) => body,
             Err(received) => return received,
         };
@@ -182,9 +196,9 @@
 
     async fn body(
         &mut self,
+        gateway: &Gateway,
         request: &Request,
         payload: PayloadType,
-        max: usize,
     ) -> Result<Bytes, Received> {
         let decoder = match payload {
             PayloadType::None => return Ok(Bytes::new()),
@@ -194,11 +208,12 @@
         if request.head().expect() {
             let _ = self.io.encode_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
         }
+        let max = || gateway.limits().map_or(BODY_MAX, |limits| limits.max_body_bytes);
         let mut body = Vec::new();
         let read = async {
             loop {
                 match self.io.recv(&decoder).await {
-                    Ok(Some(PayloadItem::Chunk(chunk))) if body.len() + chunk.len() > max => {
+                    Ok(Some(PayloadItem::Chunk(chunk))) if body.len() + chunk.len() > max() => {
                         return Err(Received::Invalid(Verdict::BodyTooLarge));
                     }
                     Ok(Some(PayloadItem::Chunk(chunk))) => body.extend_from_slice(&chunk),
--- a/crates/oliveworks-gateway/src/readiness.rs
+++ b/crates/oliveworks-gateway/src/readiness.rs
@@ -16,7 +16,7 @@
 
 /// Serves a connection of the platform.
 pub async fn serve(gateway: Rc<Gateway>, io: Io) {
-    let mut connection = Connection::new(&gateway, io);
+    let mut connection = Connection::new(io);
     while let Received::Request(request) = connection.receive(&gateway).await {
         let path = request.target.split('?').next().unwrap_or_default();
         let answer = if path == gateway.dialect.ready_path() {
