A request that has begun to arrive is read and answered

What callers saw: a connection closed without an answer while the head of a request arrived: at the idle time-out, 2.3 s after a stop began, or because the stop itself ended meanwhile. A head that took longer than `header_timeout_ms` was cut at the idle time-out, without an answer. Cause: waiting for a request and reading its head were one wait, which the idle time-out and the stop ended; a stop waited for requests that were read completely, and for nothing else.

Change: only the wait for the first byte ends by an idle time-out or a stop, after a last look for bytes that arrived while the process stood still. From the first byte on, the head has `header_timeout_ms` (the newest, and the same reserve as the idle time-out), then 408; the body has 10 s as before. A stop waits for each connection that is not idle, up to the end of the grace period. Empty lines between requests begin no request.

Ruled out: bodies that arrive at a stop (read and answered before as well).

--- a/crates/oliveworks-gateway/src/caller_connections.rs
+++ b/crates/oliveworks-gateway/src/caller_connections.rs
@@ -132,6 +132,11 @@
         OpenConnection { open: self, id }
     }
 
+    /// Returns whether a connection has a request, or an answer that may still be in transit.
+    pub fn is_any_busy(&self) -> bool {
+        self.states.borrow().values().any(|state| state.phase.get() != Phase::Idle)
+    }
+
     /// Logs and counts the connections that the end of the process cuts off.
     pub fn record_process_end(&self, gateway: &Gateway) {
         for state in self.states.borrow().values() {
--- a/crates/oliveworks-gateway/src/connection.rs
+++ b/crates/oliveworks-gateway/src/connection.rs
@@ -2,6 +2,7 @@
 //! piece by piece.
 
 use std::cell::Cell;
+use std::convert::Infallible;
 use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,11 +28,14 @@
 const HEAD_MAX: usize = 16 << 10;
 const BODY_MAX: usize = 4 << 20;
 const IDLE_MS: u64 = 15_000;
+const HEAD_MS: u64 = 3_000;
 /// Time allowed for receiving a body, in ms.
 const BODY_MS: u64 = 10_000;
-/// Time by which a connection may be idle beyond the configured timeout, in ms, so that no request
-/// arrives while the connection is being closed.
-const IDLE_EXTRA_MS: u64 = 2_000;
+/// Time beyond the configured timeouts, in ms, so that what callers begin in time does not meet the
+/// end of the connection.
+const RESERVE_MS: u64 = 2_000;
+/// Time after the decision to close an idle connection in which its last bytes are read, in ms.
+const LAST_READ_MS: u64 = 50;
 /// Time allowed for sending the last bytes of a connection, in ms.
 const CLOSE_MS: u64 = 500;
 
@@ -76,11 +80,24 @@
     state: Rc<ConnectionState>,
 }
 
-/// Decodes the head of a request up to the limit of the moment, and records when its first bytes have
-/// arrived.
+/// Decodes the beginning of a request: discards empty lines before it, and leaves its bytes where they
+/// are.
+struct RequestStart;
+
+impl Decoder for RequestStart {
+    type Item = ();
+    type Error = Infallible;
+
+    fn decode(&self, src: &mut BytesMut) -> Result<Option<()>, Infallible> {
+        let is_line_end = |byte: &&u8| matches!(byte, b'\r' | b'\n');
+        src.advance_to(src.iter().take_while(is_line_end).count());
+        Ok((!src.is_empty()).then_some(()))
+    }
+}
+
+/// Decodes the head of a request up to the limit of the moment.
 struct HeadDecoder<'a> {
     codec: &'a Codec,
-    state: &'a ConnectionState,
     gateway: &'a Gateway,
     /// Number of bytes of the head that the codec has consumed.
     consumed: Cell<usize>,
@@ -91,9 +108,6 @@
     type Error = DecodeError;
 
     fn decode(&self, src: &mut BytesMut) -> Result<Option<Self::Item>, DecodeError> {
-        if !src.is_empty() {
-            self.state.enter(self.gateway.now(), Phase::Head);
-        }
         let arrived = self.consumed.get() + src.len();
         let decoded = self.codec.decode(src)?;
         self.consumed.set(arrived - src.len());
@@ -148,35 +162,17 @@
         Received::End(self.caller_end().await.unwrap_or(EndReason::CallerClosed))
     }
 
-    /// Waits for a request.
+    /// Waits for a request. Once its first byte has arrived, neither an idle timeout nor a stop closes
+    /// the connection before the request has been read or rejected.
     pub async fn receive(&mut self, gateway: &Gateway) -> Received {
-        let mut stopping = gateway.stopping.subscribe();
         self.state.enter(gateway.now(), Phase::Idle);
-        let message = {
-            let decoder = HeadDecoder {
-                codec: &self.codec,
-                state: &self.state,
-                gateway,
-                consumed: Cell::new(0),
-            };
-            let stop = async {
-                let _ = stopping.wait_for(|stopping| *stopping).await;
-                // The platform needs a moment to send new connections to other gateways.
-                sleep(Duration::from_millis(STOP_NOTICE_MS)).await;
-            };
-            tokio::select! {
-                biased;
-                message = self.io.recv(&decoder) => message,
-                () = stop => return Received::End(EndReason::Stop),
-                () = wait_until_idle_too_long(gateway) => {
-                    return Received::End(EndReason::IdleTimeout);
-                }
-            }
-        };
-        let (request, payload) = match message {
-            Ok(Some(message)) => message,
-            Ok(None) | Err(Either::Right(_)) => return self.ended_by_caller().await,
-            Err(Either::Left(error)) => return Received::Invalid(verdict_of(&error)),
+        if let Err(ended) = self.wait_for_request(gateway).await {
+            return ended;
+        }
+        self.state.enter(gateway.now(), Phase::Head);
+        let (request, payload) = match self.read_head(gateway).await {
+            Ok(head) => head,
+            Err(received) => return received,
         };
         self.state.enter(gateway.now(), Phase::Body);
         let body = match self.body(gateway, &request, payload).await {
@@ -194,6 +190,45 @@
         }))
     }
 
+    /// Waits for the first byte of a request.
+    async fn wait_for_request(&self, gateway: &Gateway) -> Result<(), Received> {
+        let reason = tokio::select! {
+            biased;
+            begun = self.wait_for_first_byte() => return begun,
+            () = wait_until_stop_is_noticed(gateway) => EndReason::Stop,
+            () = wait_until_idle_too_long(gateway) => EndReason::IdleTimeout,
+        };
+        // Bytes may have arrived during a pause of this process and still wait to be read.
+        let last_read = timeout(Duration::from_millis(LAST_READ_MS), self.wait_for_first_byte());
+        last_read.await.unwrap_or(Err(Received::End(reason)))
+    }
+
+    async fn wait_for_first_byte(&self) -> Result<(), Received> {
+        match self.io.recv(&RequestStart).await {
+            Ok(Some(())) => Ok(()),
+            Ok(None) | Err(_) => Err(self.ended_by_caller().await),
+        }
+    }
+
+    /// Reads the head of a request whose first byte has arrived.
+    async fn read_head(&self, gateway: &Gateway) -> Result<(Request, PayloadType), Received> {
+        let decoder = HeadDecoder { codec: &self.codec, gateway, consumed: Cell::new(0) };
+        let head_ms =
+            || gateway.limits().map_or(HEAD_MS, |limits| limits.header_timeout_ms) + RESERVE_MS;
+        let message = tokio::select! {
+            biased;
+            message = self.io.recv(&decoder) => message,
+            () = wait_until_exceeded(gateway, head_ms) => {
+                return Err(Received::Invalid(Verdict::TooSlow));
+            }
+        };
+        match message {
+            Ok(Some(head)) => Ok(head),
+            Ok(None) | Err(Either::Right(_)) => Err(self.ended_by_caller().await),
+            Err(Either::Left(error)) => Err(Received::Invalid(verdict_of(&error))),
+        }
+    }
+
     async fn body(
         &mut self,
         gateway: &Gateway,
@@ -323,11 +358,16 @@
     }
 }
 
+/// Waits until the process stops and the platform has had time to send new connections elsewhere.
+async fn wait_until_stop_is_noticed(gateway: &Gateway) {
+    let _ = gateway.stopping.subscribe().wait_for(|stopping| *stopping).await;
+    sleep(Duration::from_millis(STOP_NOTICE_MS)).await;
+}
+
 /// Waits until a connection that is idle from now on has been so for too long, according to the
 /// limits at that time.
 async fn wait_until_idle_too_long(gateway: &Gateway) {
-    let idle_ms =
-        || gateway.limits().map_or(IDLE_MS, |limits| limits.idle_timeout_ms) + IDLE_EXTRA_MS;
+    let idle_ms = || gateway.limits().map_or(IDLE_MS, |limits| limits.idle_timeout_ms) + RESERVE_MS;
     wait_until_exceeded(gateway, idle_ms).await;
 }
 
--- a/crates/oliveworks-gateway/src/process.rs
+++ b/crates/oliveworks-gateway/src/process.rs
@@ -76,8 +76,8 @@
     Ok(())
 }
 
-/// Waits until the platform has noticed the stop, and for requests in flight, up to the end of the
-/// grace period.
+/// Waits until the platform has noticed the stop, and for connections with a request, up to the end of
+/// the grace period.
 async fn stop(gateway: &Rc<Gateway>) {
     Event::new("stop_begins").with("open_requests", gateway.requests_in_flight.get()).write();
     let began = gateway.now();
@@ -88,7 +88,7 @@
     loop {
         let now = gateway.now();
         let noticed = now >= began + STOP_NOTICE_MS + 200;
-        if now >= last || (noticed && gateway.requests_in_flight.get() == 0) {
+        if now >= last || (noticed && !gateway.caller_connections.is_any_busy()) {
             break;
         }
         sleep(Duration::from_millis(50)).await;
