The last answer on a connection is not followed by a reset

What callers saw: a connection reset after an answer that came before the end of their bytes: 413, 431 or 400 while a body arrived, or the last answer of a stopping gateway while the next request was on its way. A reset may discard an answer that its caller has not read. Cause: the socket was closed with unread bytes in it.

Change: a connection that the gateway ends after an answer is read until its caller closes it, for 1 s at most, and what comes is discarded. Bytes of a request that cross the close of an idle connection, or follow the last answer before a stop, are recorded as `connection_ended` in `head` by `idle_timeout` or `stop`. Callers that asked for the end of the connection themselves are not waited for.

Ruled out: shutting down only the sending side first (RFC 9112, section 9.6): ntex does not offer it, and a second descriptor for each connection would halve the number of connections that a process may hold.

--- a/crates/oliveworks-gateway/src/callers.rs
+++ b/crates/oliveworks-gateway/src/callers.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
-use crate::caller_connections::{EndReason, Phase};
+use crate::caller_connections::EndReason;
 use crate::connection::{Connection, Received};
 use crate::relay;
 use crate::state::Gateway;
@@ -23,7 +23,7 @@
     let mut connection = Connection::new(io);
     let _open = gateway.caller_connections.add(connection.state().clone());
     let (id_header, _) = gateway.dialect.request_id_header("");
-    loop {
+    let reason = loop {
         let request = match connection.receive(&gateway).await {
             Received::Request(request) => request,
             Received::Invalid(verdict) => {
@@ -33,11 +33,11 @@
                 if end == relay::End::Torn {
                     record_end(&gateway, &connection, EndReason::CallerClosed).await;
                 }
-                break;
+                break None;
             }
             Received::End(reason) => {
                 connection.state().record_end(&gateway, reason);
-                break;
+                break Some(reason);
             }
         };
         if gateway.is_stopping() {
@@ -51,7 +51,9 @@
         gateway.requests_in_flight.set(gateway.requests_in_flight.get() - 1);
         match ended {
             Either::Left(relay::End::Whole) if connection.can_continue() => {}
-            Either::Left(relay::End::Whole) => break,
+            Either::Left(relay::End::Whole) => {
+                break gateway.is_stopping().then_some(EndReason::Stop);
+            }
             Either::Left(relay::End::Torn) => {
                 record_end(&gateway, &connection, EndReason::Torn).await;
                 connection.abort();
@@ -63,9 +65,8 @@
                 return;
             }
         }
-    }
-    connection.state().enter(gateway.now(), Phase::Closing);
-    connection.close().await;
+    };
+    connection.close(&gateway, reason).await;
 }
 
 /// Records the end of a connection: that by the caller if the caller has ended it, or else that
--- a/crates/oliveworks-gateway/src/connection.rs
+++ b/crates/oliveworks-gateway/src/connection.rs
@@ -38,6 +38,8 @@
 const LAST_READ_MS: u64 = 50;
 /// Time allowed for sending the last bytes of a connection, in ms.
 const CLOSE_MS: u64 = 500;
+/// Time allowed to the caller for closing a connection after the last answer on it, in ms.
+const LINGER_MS: u64 = 1_000;
 
 /// A request, read completely.
 pub struct ReceivedRequest {
@@ -77,6 +79,8 @@
     io: Io,
     codec: Codec,
     closes_after_answer: bool,
+    /// Whether the caller may send more than what was read.
+    may_send_more: bool,
     state: Rc<ConnectionState>,
 }
 
@@ -95,6 +99,20 @@
     }
 }
 
+/// Discards all bytes.
+struct Discard;
+
+impl Decoder for Discard {
+    type Item = ();
+    type Error = Infallible;
+
+    fn decode(&self, src: &mut BytesMut) -> Result<Option<()>, Infallible> {
+        let has_bytes = !src.is_empty();
+        src.clear();
+        Ok(has_bytes.then_some(()))
+    }
+}
+
 /// Decodes the head of a request up to the limit of the moment.
 struct HeadDecoder<'a> {
     codec: &'a Codec,
@@ -137,7 +155,13 @@
         let config = HttpServiceConfig::new().set_max_buf_size(usize::MAX);
         let shared: SharedCfg = SharedCfg::new("callers").add(config).into();
         let codec = Codec::new(0, shared.get());
-        Connection { io, codec, closes_after_answer: false, state: Rc::default() }
+        Connection {
+            io,
+            codec,
+            closes_after_answer: false,
+            may_send_more: true,
+            state: Rc::default(),
+        }
     }
 
     /// Returns the state of the connection.
@@ -166,6 +190,7 @@
     /// the connection before the request has been read or rejected.
     pub async fn receive(&mut self, gateway: &Gateway) -> Received {
         self.state.enter(gateway.now(), Phase::Idle);
+        self.may_send_more = true;
         if let Err(ended) = self.wait_for_request(gateway).await {
             return ended;
         }
@@ -179,6 +204,7 @@
             Ok(body) => body,
             Err(received) => return received,
         };
+        self.may_send_more = self.codec.keepalive();
         let head = request.head();
         let target = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
         let headers = headers_of(&request);
@@ -347,9 +373,35 @@
         self.io.on_disconnect()
     }
 
-    /// Closes the connection after the data written so far.
-    pub async fn close(self) {
+    /// Closes the connection after the data written so far. If bytes of another request arrive
+    /// meanwhile, the end is recorded with `reason`.
+    pub async fn close(self, gateway: &Gateway, reason: Option<EndReason>) {
+        let is_open = !self.io.is_closed();
+        self.state.enter(gateway.now(), Phase::Closing);
+        let lingers = self.closes_after_answer && self.may_send_more;
+        let has_discarded = lingers && self.discard_until_closed().await;
         let _ = timeout(Duration::from_millis(CLOSE_MS), self.io.shutdown()).await;
+        let is_cut = has_discarded || self.io.with_read_buf(|unread| !unread.is_empty());
+        if let Some(reason) = reason.filter(|_| is_open && is_cut) {
+            self.state.enter(gateway.now(), Phase::Head);
+            self.state.record_end(gateway, reason);
+        }
+    }
+
+    /// Reads and discards what the caller sends until it closes the connection, for a limited time,
+    /// and returns whether there was anything.
+    ///
+    /// Closing a connection with unread bytes resets it, and a reset may discard an answer that the
+    /// caller has not read yet.
+    async fn discard_until_closed(&self) -> bool {
+        let has_discarded = Cell::new(false);
+        let discard = async {
+            while let Ok(Some(())) = self.io.recv(&Discard).await {
+                has_discarded.set(true);
+            }
+        };
+        let _ = timeout(Duration::from_millis(LINGER_MS), discard).await;
+        has_discarded.get()
     }
 
     /// Terminates the connection, so that an unfinished answer does not look complete.
--- a/crates/oliveworks-gateway/src/readiness.rs
+++ b/crates/oliveworks-gateway/src/readiness.rs
@@ -37,7 +37,7 @@
             break;
         }
     }
-    connection.close().await;
+    connection.close(&gateway, None).await;
 }
 
 fn render_metrics(gateway: &Gateway) -> String {
