Bodies of requests are bounded in sum, and judged by their heads first

What callers could see: bodies were bounded one by one only.

Change: the capacity of all bodies, until their requests end, is bounded by `requests.bodies_max`, by default a quarter of the new setting `memory_mb` (from the platform's `limits.memory_mb`), 256 MB without it. A body of a stated length is accounted for before it is read, another one as it grows. Beyond the bound a request gets 503 with Retry-After, as not run, before (or, with no stated length, while) its body is read, and its connection ends with the answer; requests that hold memory go on. Route and key are judged before a body of over 16 KB is read; shorter ones are read first, so that their connections go on after a rejection. Counters `refused_memory`, `body_bytes`, `body_bytes_peak`; `explain` names the cause.

Not bounded by this: what sockets hold (16 KB read ahead, and the kernel's buffers), answers.

--- /dev/null
+++ b/crates/oliveworks-gateway/src/body.rs
@@ -0,0 +1,66 @@
+//! The body of a request while it arrives.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+
+use crate::body_memory::{BodyMemory, BodyShare, OutOfMemory};
+
+/// Size up to which a body is read before its request is judged, in bytes. The connection of a
+/// request that is rejected later can go on only if its body was read.
+const READ_UNJUDGED_MAX: usize = 16 << 10;
+/// Smallest capacity of a body whose length is not known, in bytes.
+const CAPACITY_MIN: usize = 1 << 10;
+
+/// Bytes of a body, and the memory that they hold.
+pub struct ArrivingBody {
+    bytes: Vec<u8>,
+    share: BodyShare,
+}
+
+impl ArrivingBody {
+    /// Creates an empty body.
+    pub fn new(memory: &Rc<BodyMemory>) -> ArrivingBody {
+        ArrivingBody { bytes: Vec::new(), share: memory.share() }
+    }
+
+    /// Returns the length of the body with `more` bytes.
+    pub fn length_with(&self, more: usize) -> usize {
+        self.bytes.len() + more
+    }
+
+    /// Returns whether a body of a length is too long to be read before its request is judged.
+    pub fn requires_judgement(length: usize) -> bool {
+        length > READ_UNJUDGED_MAX
+    }
+
+    /// Reserves memory for a body whose length is known.
+    ///
+    /// # Errors
+    /// Returns an error if the memory for bodies is used up.
+    pub fn reserve(&mut self, length: usize) -> Result<(), OutOfMemory> {
+        if length > self.bytes.capacity() {
+            self.share.grow_to(length)?;
+            self.bytes.reserve_exact(length - self.bytes.len());
+        }
+        Ok(())
+    }
+
+    /// Appends bytes.
+    ///
+    /// # Errors
+    /// Returns an error if the memory for bodies is used up.
+    pub fn append(&mut self, bytes: &[u8]) -> Result<(), OutOfMemory> {
+        let length = self.length_with(bytes.len());
+        if length > self.bytes.capacity() {
+            self.reserve(length.max(2 * self.bytes.capacity()).max(CAPACITY_MIN))?;
+        }
+        self.bytes.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    /// Returns the body, and the memory that it holds.
+    pub fn into_parts(self) -> (Bytes, BodyShare) {
+        (self.bytes.into(), self.share)
+    }
+}
--- a/crates/oliveworks-gateway/src/callers.rs
+++ b/crates/oliveworks-gateway/src/callers.rs
@@ -8,23 +8,30 @@
 use ntex::SharedCfg;
 use ntex::io::Io;
 use ntex::util::{Either, select};
+use oliveworks_gateway_core::attempts::Verdict;
+use oliveworks_gateway_core::configuration::Unmatched;
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
 use crate::caller_connections::EndReason;
-use crate::connection::{Connection, Received};
+use crate::connection::{Connection, Received, ReceivedRequest, Rejected};
+use crate::events::Event;
 use crate::relay;
 use crate::state::Gateway;
 
 /// Pause after a failed attempt to accept a connection, in ms.
 const ACCEPT_RETRY_MS: u64 = 20;
+/// Shortest retry time sent with a request whose body was not read, in ms: most requests that hold
+/// memory have ended by then.
+const RETRY_AFTER_MS: u64 = 1_000;
 
 async fn serve(gateway: Rc<Gateway>, io: Io) {
     let mut connection = Connection::new(io);
     let _open = gateway.caller_connections.add(connection.state().clone());
     let (id_header, _) = gateway.dialect.request_id_header("");
     let reason = loop {
-        let request = match connection.receive(&gateway).await {
+        let admit = |request: &ReceivedRequest| admit(&gateway, request);
+        let request = match connection.receive(&gateway, &admit).await {
             Received::Request(request) => request,
             Received::Invalid(verdict) => {
                 gateway.count("improper");
@@ -35,6 +42,11 @@
                 }
                 break None;
             }
+            Received::Rejected(request, rejected) => {
+                let id = request.header(&id_header).unwrap_or_default();
+                reject_unread(&gateway, &mut connection, id, rejected).await;
+                break None;
+            }
             Received::End(reason) => {
                 connection.state().record_end(&gateway, reason);
                 break Some(reason);
@@ -69,6 +81,47 @@
     connection.close(&gateway, reason).await;
 }
 
+/// Judges the route and the key of a request whose body is not read yet.
+fn admit(gateway: &Gateway, request: &ReceivedRequest) -> Result<(), Rejected> {
+    let asked = gateway.dialect.parse_request(&request.headers);
+    let asked = asked.map_err(|_| Rejected::Verdict(Verdict::BadRequest))?;
+    let lookup = gateway.lookup().ok_or(Rejected::Verdict(Verdict::NotRun))?;
+    let host = request.header("host").ok_or(Rejected::Verdict(Verdict::BadRequest))?;
+    let path = request.target.split('?').next().unwrap_or_default();
+    match lookup.find(host, path, asked.key.as_deref()) {
+        Ok(_) => Ok(()),
+        Err(Unmatched::NoRoute) => Err(Rejected::Verdict(Verdict::NoRoute)),
+        Err(Unmatched::NoKey) => Err(Rejected::Verdict(Verdict::NoKey)),
+    }
+}
+
+/// Rejects a request whose body was not read.
+async fn reject_unread(
+    gateway: &Gateway,
+    connection: &mut Connection,
+    id: &str,
+    rejected: Rejected,
+) {
+    gateway.count("requests");
+    let event = Event::new("request").with("request", id);
+    let (event, verdict) = match rejected {
+        Rejected::Verdict(verdict) => (event.debug("outcome", verdict), verdict),
+        Rejected::LacksMemory => {
+            gateway.count("refused_memory");
+            let event = event
+                .with("outcome", "refused: NotRun")
+                .with("steps", vec!["no memory for its body"]);
+            (event, Verdict::NotRun)
+        }
+    };
+    event.write();
+    connection.close_after_next_answer();
+    let end = relay::reject(gateway, connection, id, verdict, RETRY_AFTER_MS).await;
+    if end == relay::End::Torn {
+        record_end(gateway, connection, EndReason::CallerClosed).await;
+    }
+}
+
 /// Records the end of a connection: that by the caller if the caller has ended it, or else that
 /// for `reason`.
 async fn record_end(gateway: &Gateway, connection: &Connection, reason: EndReason) {
--- a/crates/oliveworks-gateway/src/connection.rs
+++ b/crates/oliveworks-gateway/src/connection.rs
@@ -20,6 +20,8 @@
 use oliveworks_gateway_core::attempts::Verdict;
 use tokio::time::{sleep, timeout};
 
+use crate::body::ArrivingBody;
+use crate::body_memory::{BodyShare, OutOfMemory};
 use crate::caller_connections::{ConnectionState, EndReason, Phase};
 use crate::dialect::Headers;
 use crate::state::{Gateway, STOP_NOTICE_MS};
@@ -51,6 +53,8 @@
     pub headers: Headers,
     /// Body of the request.
     pub body: Bytes,
+    /// Memory that the body holds.
+    share: Option<BodyShare>,
 }
 
 impl ReceivedRequest {
@@ -67,10 +71,54 @@
     Request(Box<ReceivedRequest>),
     /// An invalid request, which is answered with a verdict before the connection ends.
     Invalid(Verdict),
+    /// A request that was rejected before its body was read. The connection ends with the answer.
+    Rejected(Box<ReceivedRequest>, Rejected),
     /// End of the connection.
     End(EndReason),
 }
 
+/// Reason for rejecting a request before its body was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rejected {
+    /// The verdict on its head.
+    Verdict(Verdict),
+    /// The bodies of other requests use up the memory for them.
+    LacksMemory,
+}
+
+/// Reason for a body that was not read.
+enum Unread {
+    Rejected(Rejected),
+    Other(Received),
+}
+
+impl From<Rejected> for Unread {
+    fn from(rejected: Rejected) -> Unread {
+        Unread::Rejected(rejected)
+    }
+}
+
+impl From<OutOfMemory> for Unread {
+    fn from(_: OutOfMemory) -> Unread {
+        Unread::Rejected(Rejected::LacksMemory)
+    }
+}
+
+impl From<Received> for Unread {
+    fn from(received: Received) -> Unread {
+        Unread::Other(received)
+    }
+}
+
+impl From<Verdict> for Unread {
+    fn from(verdict: Verdict) -> Unread {
+        Unread::Other(Received::Invalid(verdict))
+    }
+}
+
+/// Judges a request by its head.
+pub type Admit<'a> = &'a dyn Fn(&ReceivedRequest) -> Result<(), Rejected>;
+
 /// Error for a connection that ended while an answer was written.
 pub struct Disconnected;
 
@@ -188,7 +236,8 @@
 
     /// Waits for a request. Once its first byte has arrived, neither an idle timeout nor a stop closes
     /// the connection before the request has been read or rejected.
-    pub async fn receive(&mut self, gateway: &Gateway) -> Received {
+    /// A request with a long body is judged by `admit` before the body is read.
+    pub async fn receive(&mut self, gateway: &Gateway, admit: Admit<'_>) -> Received {
         self.state.enter(gateway.now(), Phase::Idle);
         self.may_send_more = true;
         if let Err(ended) = self.wait_for_request(gateway).await {
@@ -200,20 +249,25 @@
             Err(received) => return received,
         };
         self.state.enter(gateway.now(), Phase::Body);
-        let body = match self.body(gateway, &request, payload).await {
-            Ok(body) => body,
-            Err(received) => return received,
-        };
-        self.may_send_more = self.codec.keepalive();
         let head = request.head();
-        let target = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
-        let headers = headers_of(&request);
-        Received::Request(Box::new(ReceivedRequest {
+        let mut received = ReceivedRequest {
             method: head.method.clone(),
-            target,
-            headers,
-            body,
-        }))
+            target: head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned(),
+            headers: headers_of(&request),
+            body: Bytes::new(),
+            share: None,
+        };
+        match self.body(gateway, &request, payload, || admit(&received)).await {
+            Ok(Some(body)) => {
+                let (body, share) = body.into_parts();
+                (received.body, received.share) = (body, Some(share));
+            }
+            Ok(None) => {}
+            Err(Unread::Rejected(why)) => return Received::Rejected(Box::new(received), why),
+            Err(Unread::Other(received)) => return received,
+        }
+        self.may_send_more = self.codec.keepalive();
+        Received::Request(Box::new(received))
     }
 
     /// Waits for the first byte of a request.
@@ -255,39 +309,49 @@
         }
     }
 
+    /// Reads the body of a request; `None` if it has none.
     async fn body(
-        &mut self,
+        &self,
         gateway: &Gateway,
         request: &Request,
         payload: PayloadType,
-    ) -> Result<Bytes, Received> {
+        admit: impl Fn() -> Result<(), Rejected>,
+    ) -> Result<Option<ArrivingBody>, Unread> {
         let decoder = match payload {
-            PayloadType::None => return Ok(Bytes::new()),
+            PayloadType::None => return Ok(None),
             PayloadType::Payload(decoder) => decoder,
-            PayloadType::Stream(_) => return Err(Received::Invalid(Verdict::BadRequest)),
+            PayloadType::Stream(_) => return Err(Verdict::BadRequest.into()),
         };
+        let mut body = ArrivingBody::new(&gateway.body_memory);
+        if let Some(length) = content_length(request) {
+            // The limit may be raised while the body arrives.
+            let length = length.min(max_body_bytes(gateway));
+            check_length(gateway, 0, length, &admit)?;
+            body.reserve(length)?;
+        }
         if request.head().expect() {
             let _ = self.io.encode_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
         }
-        let max = || gateway.limits().map_or(BODY_MAX, |limits| limits.max_body_bytes);
-        let mut body = Vec::new();
         let read = async {
             loop {
                 match self.io.recv(&decoder).await {
-                    Ok(Some(PayloadItem::Chunk(chunk))) if body.len() + chunk.len() > max() => {
-                        return Err(Received::Invalid(Verdict::BodyTooLarge));
+                    Ok(Some(PayloadItem::Chunk(chunk))) => {
+                        let length = body.length_with(chunk.len());
+                        check_length(gateway, body.length_with(0), length, &admit)?;
+                        body.append(&chunk)?;
                     }
-                    Ok(Some(PayloadItem::Chunk(chunk))) => body.extend_from_slice(&chunk),
                     Ok(Some(PayloadItem::Eof)) => return Ok(()),
-                    Ok(None) | Err(Either::Right(_)) => return Err(self.ended_by_caller().await),
-                    Err(Either::Left(_)) => return Err(Received::Invalid(Verdict::BadRequest)),
+                    Ok(None) | Err(Either::Right(_)) => {
+                        return Err(self.ended_by_caller().await.into());
+                    }
+                    Err(Either::Left(_)) => return Err(Verdict::BadRequest.into()),
                 }
             }
         };
         match timeout(Duration::from_millis(BODY_MS), read).await {
-            Ok(Ok(())) => Ok(body.into()),
-            Ok(Err(received)) => Err(received),
-            Err(_) => Err(Received::Invalid(Verdict::TooSlow)),
+            Ok(Ok(())) => Ok(Some(body)),
+            Ok(Err(unread)) => Err(unread),
+            Err(_) => Err(Verdict::TooSlow.into()),
         }
     }
 
@@ -436,6 +500,32 @@
     }
 }
 
+/// Returns the length of a body as its head states it.
+fn content_length(request: &Request) -> Option<usize> {
+    request.headers().get("content-length")?.to_str().ok()?.trim().parse().ok()
+}
+
+fn max_body_bytes(gateway: &Gateway) -> usize {
+    gateway.limits().map_or(BODY_MAX, |limits| limits.max_body_bytes)
+}
+
+/// Checks the length of a body that grows, before its bytes are held.
+fn check_length(
+    gateway: &Gateway,
+    before: usize,
+    length: usize,
+    admit: impl Fn() -> Result<(), Rejected>,
+) -> Result<(), Unread> {
+    if length > max_body_bytes(gateway) {
+        return Err(Verdict::BodyTooLarge.into());
+    }
+    let requires = ArrivingBody::requires_judgement;
+    if requires(length) && !requires(before) {
+        admit()?;
+    }
+    Ok(())
+}
+
 fn verdict_of(error: &DecodeError) -> Verdict {
     match error {
         DecodeError::MaxHeaders | DecodeError::TooLarge(_) => Verdict::HeadTooLarge,
--- a/crates/oliveworks-gateway/src/lib.rs
+++ b/crates/oliveworks-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`settings`] | the settings file |
 //! | [`dialect`] | interface to the adapter of a platform |
 //! | [`process`] | start and stop |
+//! | `body`, `body_memory` | bodies that arrive, and the memory that all of them share |
 //! | `caller_connections` | open connections of callers, and their ends without an answer |
 //! | `connection` | reads the requests of one connection and writes their answers |
 //! | [`reload`] | logs changes in settings that are read again |
@@ -41,6 +42,8 @@
 //! | `timers` | timers that include the time in which the host was suspended |
 //! | `readiness` | readiness checks and metrics for the platform |
 
+mod body;
+mod body_memory;
 mod caller_connections;
 mod callers;
 mod calls;
--- a/crates/oliveworks-gateway/src/readiness.rs
+++ b/crates/oliveworks-gateway/src/readiness.rs
@@ -17,7 +17,7 @@
 /// Serves a connection of the platform.
 pub async fn serve(gateway: Rc<Gateway>, io: Io) {
     let mut connection = Connection::new(io);
-    while let Received::Request(request) = connection.receive(&gateway).await {
+    while let Received::Request(request) = connection.receive(&gateway, &|_| Ok(())).await {
         let path = request.target.split('?').next().unwrap_or_default();
         let answer = if path == gateway.dialect.ready_path() {
             match gateway.is_ready() {
@@ -48,7 +48,10 @@
     let version = lookup.map_or(0, |lookup| lookup.configuration.version);
     let proof_age_ms = gateway.proof_age_ms();
     let unplanned = gateway.count_unplanned();
+    let (body_bytes, body_bytes_peak) = gateway.body_memory.held_and_peak();
     let now = [
+        ("body_bytes", body_bytes as u64),
+        ("body_bytes_peak", body_bytes_peak as u64),
         ("drained_failure_domains", drains.len() as u64),
         ("drained_open_requests", u64::from(open)),
         ("gateways_heard", gateway.peers.borrow().len() as u64),
--- a/crates/oliveworks-gateway/src/settings.rs
+++ b/crates/oliveworks-gateway/src/settings.rs
@@ -27,6 +27,9 @@
     /// as leaders.
     #[serde(default)]
     pub processor: Option<f64>,
+    /// Memory that this process may use, in MB.
+    #[serde(default)]
+    pub memory_mb: Option<usize>,
     /// The platform's store.
     pub store: Store,
     /// Guarantees that the gateway has to keep.
@@ -151,13 +154,22 @@
     pub full_at: f64,
     /// Largest answer that is buffered until it is complete, in bytes.
     pub answer_max: usize,
+    /// Largest sum of the bodies that are held at once, in bytes; by default a quarter of
+    /// `memory_mb`, or 256 MB if that is not set.
+    pub bodies_max: Option<usize>,
     /// Whether requests during which several backend servers ended in a row are rejected.
     pub refuse_crashers: bool,
 }
 
 impl Default for Requests {
     fn default() -> Requests {
-        Requests { connect_ms: 150, full_at: 1.0, answer_max: 8 << 20, refuse_crashers: true }
+        Requests {
+            connect_ms: 150,
+            full_at: 1.0,
+            answer_max: 8 << 20,
+            bodies_max: None,
+            refuse_crashers: true,
+        }
     }
 }
 
@@ -169,6 +181,13 @@
     1_000
 }
 
+/// Sum of the bodies that are held at once if neither it nor the memory of the process is set, in
+/// bytes.
+const BODIES_MAX: usize = 256 << 20;
+/// Part of the memory of the process that bodies may use. The rest is left for answers, records,
+/// and buffers of the sockets.
+const BODIES_MEMORY_DIVISOR: usize = 4;
+
 /// Part of a limit by which a read of the store may be late, in hundredths. Reads are not made more
 /// often because each one is charged.
 const READ_PERCENT: u64 = 65;
@@ -179,6 +198,12 @@
         self.processor.map(|share| (share * 100.0).round() as u32)
     }
 
+    /// Returns the largest sum of the bodies that are held at once, in bytes.
+    pub fn bodies_max(&self) -> usize {
+        let of_memory = self.memory_mb.map(|mb| (mb << 20) / BODIES_MEMORY_DIVISOR);
+        self.requests.bodies_max.or(of_memory).unwrap_or(BODIES_MAX)
+    }
+
     /// Returns the longest time for which the store holds back a read of the configuration and of
     /// drains, in ms. The store may fail to answer a read that arrives together with a change, so
     /// that only the next read returns the change. Both limits leave enough time for that.
@@ -230,6 +255,12 @@
         if self.processor.is_some_and(|share| !(share > 0.0 && share.is_finite())) {
             return Err("processor: must be more than 0".into());
         }
+        if self.memory_mb == Some(0) {
+            return Err("memory_mb: must be more than 0".into());
+        }
+        if self.requests.bodies_max == Some(0) {
+            return Err("requests.bodies_max: must be more than 0".into());
+        }
         if self.node.is_empty() {
             return Err("node: must not be empty".into());
         }
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -38,6 +38,7 @@
 use oliveworks_runtime::latencies::Latencies;
 use tokio::sync::{Notify, Semaphore, watch};
 
+use crate::body_memory::BodyMemory;
 use crate::caller_connections::OpenConnections;
 use crate::calls::Calls;
 use crate::dialect::{Dialect, Record, TOPICS, Topic};
@@ -213,6 +214,8 @@
     pub stopping: watch::Sender<bool>,
     /// Time at which the stop began.
     pub stop_began_at: Cell<Option<Millis>>,
+    /// Memory for the bodies of requests.
+    pub body_memory: Rc<BodyMemory>,
     /// Limits on what callers may send.
     pub caller_limits: RefCell<CallerLimits>,
     /// Number of requests in flight.
@@ -310,6 +313,7 @@
             plan_now: Notify::new(),
             stopping: watch::channel(false).0,
             stop_began_at: Cell::new(None),
+            body_memory: BodyMemory::new(settings.bodies_max()),
             caller_limits: RefCell::default(),
             requests_in_flight: Cell::new(0),
             caller_connections: OpenConnections::default(),
--- a/crates/oliveworks-gateway/tests/settings.rs
+++ b/crates/oliveworks-gateway/tests/settings.rs
@@ -28,6 +28,14 @@
     assert_eq!(planner.settle_ms, defaults.settle_ms);
 }
 
+#[test_case("", "", 256 << 20; "nothing")]
+#[test_case("node:", "memory_mb: 260\nnode:", 65 << 20; "the memory of the process")]
+#[test_case("node:", "memory_mb: 260\nrequests: {bodies_max: 1000}\nnode:", 1_000; "their own limit")]
+fn the_memory_for_bodies_follows_from(part: &str, change: &str, bytes: usize) {
+    let settings = read(&GOOD.replacen(part, change, 1)).expect("good settings");
+    assert_eq!(settings.bodies_max(), bytes);
+}
+
 #[test_case("node:", "processor: 0.18\nnode:", &["processor"]; "a capacity")]
 #[test_case("", "", &[]; "nothing")]
 #[test_case("drain_ms: 2000", "drain_ms: 2500", &["bounds.drain_ms"]; "a bound")]
@@ -47,6 +55,8 @@
 }
 
 #[test_case("node:", "processor: 0\nnode:", "processor"; "no processor")]
+#[test_case("node:", "memory_mb: 0\nnode:", "memory_mb"; "no memory")]
+#[test_case("policy:", "requests: {bodies_max: 0}\npolicy:", "requests.bodies_max"; "no memory for bodies")]
 #[test_case("spare_percent: 10", "spare_percent: 101", "policy.planner.spare_percent"; "too many spares")]
 #[test_case("spare_percent: 10", "staging_percent: 200", "policy.planner.staging_percent"; "more than all loads")]
 #[test_case("spare_percent: 10", "yield_margin: -0.1", "policy.planner.yield_margin"; "a negative load")]
--- a/crates/oliveworksctl/src/explain.rs
+++ b/crates/oliveworksctl/src/explain.rs
@@ -238,6 +238,7 @@
         Some("no place: Drained") => "every host of its service is in a drained failure domain",
         Some("no place in a region that may serve it") => "no region that may serve it has a place",
         Some("no place: None") => why_no_group(request_line),
+        Some("no memory for its body") => "the bodies of other requests filled the memory for them",
         Some("no repeat left") => "the retry budget was used up",
         Some("configuration too old to honour keys") => {
             "this gateway could not prove for too long that its key still holds"
--- a/crates/oliveworksctl/tests/logs.rs
+++ b/crates/oliveworksctl/tests/logs.rs
@@ -72,6 +72,7 @@
         silent("r-7", "torn: TimedOut", r#"["to i-8 at 3 ms: 2 open","i-8 silent at 480 ms","not sent elsewhere: NoRepeatLeft","taken back from i-8 at 900 ms"]"#),
         silent("r-8", "served late: sent again", r#"["to i-8 at 3 ms: 2 open","i-8 silent at 480 ms","to i-9 at 481 ms: 1 open","taken back from i-8 at 600 ms"]"#),
         silent("r-9", "torn: MayHaveRun", r#"["to i-8 at 3 ms: 2 open","i-8 silent at 480 ms","i-8 continues at 500 ms","i-8 Lost at 700 ms"]"#),
+        silent("r-12", "refused: NotRun", r#"["no memory for its body"]"#),
         line(650, "gateway-1", r#"{"kind":"connection_ended","reason":"caller_reset","during":"answer","request":"r-10","after_ms":31}"#),
         line(651, "gateway-1", r#"{"kind":"connection_ended","reason":"torn","during":"answer","request":"r-9","after_ms":31}"#),
         line(652, "gateway-1", r#"{"kind":"connection_ended","reason":"process_end","during":"answer","request":"r-11","after_ms":7300}"#),
@@ -91,6 +92,7 @@
 #[test_case("r-8", &["a host that it was sent to before fell silent"], &["was silent from"]; "another host served it")]
 #[test_case("r-9", &["the last answer broke off"], &["was silent from", "no complete answer"]; "a host that continued")]
 #[test_case("r-10", &["no complete answer after 31 ms: its caller reset the connection"], &[]; "a caller that left")]
+#[test_case("r-12", &["the bodies of other requests filled the memory for them"], &[]; "no memory for its body")]
 #[test_case("r-11", &["no complete answer after 7300 ms: the gateway's process ended"], &[]; "the end of the process")]
 fn a_request_is_explained(request: &str, says: &[&str], says_not: &[&str]) {
     let folder = folder(&format!("explain-{request}"));
