The end of a stop is logged before the connections that it cuts

The lines of a second are limited: many connections that the end of the process cuts could have displaced `stop_ends`.

--- a/crates/oliveworks-gateway/src/connection.rs
+++ b/crates/oliveworks-gateway/src/connection.rs
@@ -236,6 +236,7 @@
 
     /// Waits for a request. Once its first byte has arrived, neither an idle timeout nor a stop closes
     /// the connection before the request has been read or rejected.
+    ///
     /// A request with a long body is judged by `admit` before the body is read.
     pub async fn receive(&mut self, gateway: &Gateway, admit: Admit<'_>) -> Received {
         self.state.enter(gateway.now(), Phase::Idle);
--- a/crates/oliveworks-gateway/src/process.rs
+++ b/crates/oliveworks-gateway/src/process.rs
@@ -93,8 +93,8 @@
         }
         sleep(Duration::from_millis(50)).await;
     }
-    gateway.caller_connections.record_process_end(gateway);
     Event::new("stop_ends").with("cut_off", gateway.requests_in_flight.get()).write();
+    gateway.caller_connections.record_process_end(gateway);
     // The thread that writes the log gets time for the last lines.
     sleep(Duration::from_millis(20)).await;
 }
