--- a/crates/oliveworks-gateway/src/connection.rs
+++ b/crates/oliveworks-gateway/src/connection.rs
@@ -1,20 +1,28 @@
 //! A caller's connection: requests are read completely before they are handled, answers are written
 //! piece by piece.
 
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::future::poll_fn;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use ntex::SharedCfg;
+use ntex::codec::Decoder;
 use ntex::http::body::BodySize;
 use ntex::http::error::DecodeError;
 use ntex::http::h1::{Codec, Message, PayloadItem, PayloadType};
 use ntex::http::header::{HeaderName, HeaderValue};
 use ntex::http::{HttpServiceConfig, Method, Request, Response, StatusCode};
-use ntex::io::Io;
-use ntex::util::{Either, select};
+use ntex::io::{Io, IoStatusUpdate};
+use ntex::util::{BytesMut, Either};
 use oliveworks_gateway_core::attempts::Verdict;
 use tokio::time::{sleep, timeout};
 
+use crate::body::ArrivingBody;
+use crate::body_memory::{BodyShare, OutOfMemory};
+use crate::caller_connections::{ConnectionState, EndReason, Phase};
 use crate::dialect::Headers;
 use crate::state::{Gateway, STOP_NOTICE_MS};
 
@@ -22,13 +30,18 @@
 const HEAD_MAX: usize = 16 << 10;
 const BODY_MAX: usize = 4 << 20;
 const IDLE_MS: u64 = 15_000;
+const HEAD_MS: u64 = 3_000;
 /// Time allowed for receiving a body, in ms.
 const BODY_MS: u64 = 10_000;
-/// Time by which a connection may be idle beyond the configured timeout, in ms, so that no request
-/// arrives while the connection is being closed.
-const IDLE_EXTRA_MS: u64 = 2_000;
+/// Time beyond the configured timeouts, in ms, so that what callers begin in time does not meet the
+/// end of the connection.
+const RESERVE_MS: u64 = 2_000;
+/// Time after the decision to close an idle connection in which its last bytes are read, in ms.
+const LAST_READ_MS: u64 = 50;
 /// Time allowed for sending the last bytes of a connection, in ms.
 const CLOSE_MS: u64 = 500;
+/// Time allowed to the caller for closing a connection after the last answer on it, in ms.
+const LINGER_MS: u64 = 1_000;
 
 /// A request, read completely.
 pub struct ReceivedRequest {
@@ -40,6 +53,8 @@
     pub headers: Headers,
     /// Body of the request.
     pub body: Bytes,
+    /// Memory that the body holds.
+    share: Option<BodyShare>,
 }
 
 impl ReceivedRequest {
@@ -56,10 +71,54 @@
     Request(Box<ReceivedRequest>),
     /// An invalid request, which is answered with a verdict before the connection ends.
     Invalid(Verdict),
+    /// A request that was rejected before its body was read. The connection ends with the answer.
+    Rejected(Box<ReceivedRequest>, Rejected),
     /// End of the connection.
-    End,
+    End(EndReason),
 }
 
+/// Reason for rejecting a request before its body was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rejected {
+    /// The verdict on its head.
+    Verdict(Verdict),
+    /// The bodies of other requests use up the memory for them.
+    LacksMemory,
+}
+
+/// Reason for a body that was not read.
+enum Unread {
+    Rejected(Rejected),
+    Other(Received),
+}
+
+impl From<Rejected> for Unread {
+    fn from(rejected: Rejected) -> Unread {
+        Unread::Rejected(rejected)
+    }
+}
+
+impl From<OutOfMemory> for Unread {
+    fn from(_: OutOfMemory) -> Unread {
+        Unread::Rejected(Rejected::LacksMemory)
+    }
+}
+
+impl From<Received> for Unread {
+    fn from(received: Received) -> Unread {
+        Unread::Other(received)
+    }
+}
+
+impl From<Verdict> for Unread {
+    fn from(verdict: Verdict) -> Unread {
+        Unread::Other(Received::Invalid(verdict))
+    }
+}
+
+/// Judges a request by its head.
+pub type Admit<'a> = &'a dyn Fn(&ReceivedRequest) -> Result<(), Rejected>;
+
 /// Error for a connection that ended while an answer was written.
 pub struct Disconnected;
 
@@ -68,6 +127,63 @@
     io: Io,
     codec: Codec,
     closes_after_answer: bool,
+    /// Whether the caller may send more than what was read.
+    may_send_more: bool,
+    state: Rc<ConnectionState>,
+}
+
+/// Decodes the beginning of a request: discards empty lines before it, and leaves its bytes where they
+/// are.
+struct RequestStart;
+
+impl Decoder for RequestStart {
+    type Item = ();
+    type Error = Infallible;
+
+    fn decode(&self, src: &mut BytesMut) -> Result<Option<()>, Infallible> {
+        let is_line_end = |byte: &&u8| matches!(byte, b'\r' | b'\n');
+        src.advance_to(src.iter().take_while(is_line_end).count());
+        Ok((!src.is_empty()).then_some(()))
+    }
+}
+
+/// Discards all bytes.
+struct Discard;
+
+impl Decoder for Discard {
+    type Item = ();
+    type Error = Infallible;
+
+    fn decode(&self, src: &mut BytesMut) -> Result<Option<()>, Infallible> {
+        let has_bytes = !src.is_empty();
+        src.clear();
+        Ok(has_bytes.then_some(()))
+    }
+}
+
+/// Decodes the head of a request up to the limit of the moment.
+struct HeadDecoder<'a> {
+    codec: &'a Codec,
+    gateway: &'a Gateway,
+    /// Number of bytes of the head that the codec has consumed.
+    consumed: Cell<usize>,
+}
+
+impl Decoder for HeadDecoder<'_> {
+    type Item = <Codec as Decoder>::Item;
+    type Error = DecodeError;
+
+    fn decode(&self, src: &mut BytesMut) -> Result<Option<Self::Item>, DecodeError> {
+        let arrived = self.consumed.get() + src.len();
+        let decoded = self.codec.decode(src)?;
+        self.consumed.set(arrived - src.len());
+        // The bytes that follow a complete head belong to the body or to the next request.
+        let length = if decoded.is_some() { self.consumed.get() } else { arrived };
+        match length > self.gateway.limits().map_or(HEAD_MAX, |limits| limits.max_header_bytes) {
+            true => Err(DecodeError::TooLarge(length)),
+            false => Ok(decoded),
+        }
+    }
 }
 
 fn header(name: &str, value: &[u8]) -> Option<(HeaderName, HeaderValue)> {
@@ -82,84 +198,161 @@
 
 impl Connection {
     /// Creates the state of a connection that was just accepted.
-    pub fn new(gateway: &Gateway, io: Io) -> Connection {
-        let head_max =
-            gateway.lookup().map_or(HEAD_MAX, |l| l.configuration.limits.max_header_bytes);
-        let config = HttpServiceConfig::new().set_max_buf_size(head_max.max(1_024));
+    pub fn new(io: Io) -> Connection {
+        // The limit may change while the connection is open: `HeadDecoder` enforces it.
+        let config = HttpServiceConfig::new().set_max_buf_size(usize::MAX);
         let shared: SharedCfg = SharedCfg::new("callers").add(config).into();
-        Connection { io, codec: Codec::new(0, shared.get()), closes_after_answer: false }
-    }
-
-    /// Waits for a request.
-    pub async fn receive(&mut self, gateway: &Gateway) -> Received {
-        let limits = gateway.lookup().map(|lookup| lookup.configuration.limits);
-        let idle_ms = limits.map_or(IDLE_MS, |limits| limits.idle_timeout_ms) + IDLE_EXTRA_MS;
-        let mut stopping = gateway.stopping.subscribe();
-        let message = {
-            let next = timeout(Duration::from_millis(idle_ms), self.io.recv(&self.codec));
-            let stop = async {
-                let _ = stopping.wait_for(|stopping| *stopping).await;
-                // The platform needs a moment to send new connections to other gateways.
-                sleep(Duration::from_millis(STOP_NOTICE_MS)).await;
-            };
-            match select(next, stop).await {
-                Either::Left(Ok(message)) => message,
-                Either::Left(Err(_)) | Either::Right(()) => return Received::End,
-            }
-        };
-        let (request, payload) = match message {
-            Ok(Some(message)) => message,
-            Ok(None) | Err(Either::Right(_)) => return Received::End,
-            Err(Either::Left(error)) => return Received::Invalid(verdict_of(&error)),
-        };
-        let body_max = limits.map_or(BODY_MAX, |limits| limits.max_body_bytes);
-        let body = match self.body(&request, payload, body_max).await {
-            Ok(body) => body,
+        let codec = Codec::new(0, shared.get());
+        Connection {
+            io,
+            codec,
+            closes_after_answer: false,
+            may_send_more: true,
+            state: Rc::default(),
+        }
+    }
+
+    /// Returns the state of the connection.
+    pub fn state(&self) -> &Rc<ConnectionState> {
+        &self.state
+    }
+
+    /// Returns the reason for which the caller's side of the connection ended; `None` if it has not
+    /// ended.
+    pub async fn caller_end(&self) -> Option<EndReason> {
+        if !self.io.is_closed() {
+            return None;
+        }
+        match poll_fn(|cx| self.io.poll_status_update(cx)).await {
+            IoStatusUpdate::PeerGone(Some(_)) => Some(EndReason::CallerReset),
+            _ => Some(EndReason::CallerClosed),
+        }
+    }
+
+    /// Returns the end of a connection that the caller has ended.
+    async fn ended_by_caller(&self) -> Received {
+        Received::End(self.caller_end().await.unwrap_or(EndReason::CallerClosed))
+    }
+
+    /// Waits for a request. Once its first byte has arrived, neither an idle timeout nor a stop closes
+    /// the connection before the request has been read or rejected.
+    ///
+    /// A request with a long body is judged by `admit` before the body is read.
+    pub async fn receive(&mut self, gateway: &Gateway, admit: Admit<'_>) -> Received {
+        self.state.enter(gateway.now(), Phase::Idle);
+        self.may_send_more = true;
+        if let Err(ended) = self.wait_for_request(gateway).await {
+            return ended;
+        }
+        self.state.enter(gateway.now(), Phase::Head);
+        let (request, payload) = match self.read_head(gateway).await {
+            Ok(head) => head,
             Err(received) => return received,
         };
+        self.state.enter(gateway.now(), Phase::Body);
         let head = request.head();
-        let target = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
-        let headers = headers_of(&request);
-        Received::Request(Box::new(ReceivedRequest {
+        let mut received = ReceivedRequest {
             method: head.method.clone(),
-            target,
-            headers,
-            body,
-        }))
+            target: head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned(),
+            headers: headers_of(&request),
+            body: Bytes::new(),
+            share: None,
+        };
+        match self.body(gateway, &request, payload, || admit(&received)).await {
+            Ok(Some(body)) => {
+                let (body, share) = body.into_parts();
+                (received.body, received.share) = (body, Some(share));
+            }
+            Ok(None) => {}
+            Err(Unread::Rejected(why)) => return Received::Rejected(Box::new(received), why),
+            Err(Unread::Other(received)) => return received,
+        }
+        self.may_send_more = self.codec.keepalive();
+        Received::Request(Box::new(received))
+    }
+
+    /// Waits for the first byte of a request.
+    async fn wait_for_request(&self, gateway: &Gateway) -> Result<(), Received> {
+        let reason = tokio::select! {
+            biased;
+            begun = self.wait_for_first_byte() => return begun,
+            () = wait_until_stop_is_noticed(gateway) => EndReason::Stop,
+            () = wait_until_idle_too_long(gateway) => EndReason::IdleTimeout,
+        };
+        // Bytes may have arrived during a pause of this process and still wait to be read.
+        let last_read = timeout(Duration::from_millis(LAST_READ_MS), self.wait_for_first_byte());
+        last_read.await.unwrap_or(Err(Received::End(reason)))
     }
 
+    async fn wait_for_first_byte(&self) -> Result<(), Received> {
+        match self.io.recv(&RequestStart).await {
+            Ok(Some(())) => Ok(()),
+            Ok(None) | Err(_) => Err(self.ended_by_caller().await),
+        }
+    }
+
+    /// Reads the head of a request whose first byte has arrived.
+    async fn read_head(&self, gateway: &Gateway) -> Result<(Request, PayloadType), Received> {
+        let decoder = HeadDecoder { codec: &self.codec, gateway, consumed: Cell::new(0) };
+        let head_ms =
+            || gateway.limits().map_or(HEAD_MS, |limits| limits.header_timeout_ms) + RESERVE_MS;
+        let message = tokio::select! {
+            biased;
+            message = self.io.recv(&decoder) => message,
+            () = wait_until_exceeded(gateway, head_ms) => {
+                return Err(Received::Invalid(Verdict::TooSlow));
+            }
+        };
+        match message {
+            Ok(Some(head)) => Ok(head),
+            Ok(None) | Err(Either::Right(_)) => Err(self.ended_by_caller().await),
+            Err(Either::Left(error)) => Err(Received::Invalid(verdict_of(&error))),
+        }
+    }
+
+    /// Reads the body of a request; `None` if it has none.
     async fn body(
-        &mut self,
+        &self,
+        gateway: &Gateway,
         request: &Request,
         payload: PayloadType,
-        max: usize,
-    ) -> Result<Bytes, Received> {
+        admit: impl Fn() -> Result<(), Rejected>,
+    ) -> Result<Option<ArrivingBody>, Unread> {
         let decoder = match payload {
-            PayloadType::None => return Ok(Bytes::new()),
+            PayloadType::None => return Ok(None),
             PayloadType::Payload(decoder) => decoder,
-            PayloadType::Stream(_) => return Err(Received::Invalid(Verdict::BadRequest)),
+            PayloadType::Stream(_) => return Err(Verdict::BadRequest.into()),
         };
+        let mut body = ArrivingBody::new(&gateway.body_memory);
+        if let Some(length) = content_length(request) {
+            // The limit may be raised while the body arrives.
+            let length = length.min(max_body_bytes(gateway));
+            check_length(gateway, 0, length, &admit)?;
+            body.reserve(length)?;
+        }
         if request.head().expect() {
             let _ = self.io.encode_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
         }
-        let mut body = Vec::new();
         let read = async {
             loop {
                 match self.io.recv(&decoder).await {
-                    Ok(Some(PayloadItem::Chunk(chunk))) if body.len() + chunk.len() > max => {
-                        return Err(Received::Invalid(Verdict::BodyTooLarge));
+                    Ok(Some(PayloadItem::Chunk(chunk))) => {
+                        let length = body.length_with(chunk.len());
+                        check_length(gateway, body.length_with(0), length, &admit)?;
+                        body.append(&chunk)?;
                     }
-                    Ok(Some(PayloadItem::Chunk(chunk))) => body.extend_from_slice(&chunk),
                     Ok(Some(PayloadItem::Eof)) => return Ok(()),
-                    Ok(None) | Err(Either::Right(_)) => return Err(Received::End),
-                    Err(Either::Left(_)) => return Err(Received::Invalid(Verdict::BadRequest)),
+                    Ok(None) | Err(Either::Right(_)) => {
+                        return Err(self.ended_by_caller().await.into());
+                    }
+                    Err(Either::Left(_)) => return Err(Verdict::BadRequest.into()),
                 }
             }
         };
         match timeout(Duration::from_millis(BODY_MS), read).await {
-            Ok(Ok(())) => Ok(body.into()),
-            Ok(Err(received)) => Err(received),
-            Err(_) => Err(Received::Invalid(Verdict::TooSlow)),
+            Ok(Ok(())) => Ok(Some(body)),
+            Ok(Err(unread)) => Err(unread),
+            Err(_) => Err(Verdict::TooSlow.into()),
         }
     }
 
@@ -245,9 +438,35 @@
         self.io.on_disconnect()
     }
 
-    /// Closes the connection after the data written so far.
-    pub async fn close(self) {
+    /// Closes the connection after the data written so far. If bytes of another request arrive
+    /// meanwhile, the end is recorded with `reason`.
+    pub async fn close(self, gateway: &Gateway, reason: Option<EndReason>) {
+        let is_open = !self.io.is_closed();
+        self.state.enter(gateway.now(), Phase::Closing);
+        let lingers = self.closes_after_answer && self.may_send_more;
+        let has_discarded = lingers && self.discard_until_closed().await;
         let _ = timeout(Duration::from_millis(CLOSE_MS), self.io.shutdown()).await;
+        let is_cut = has_discarded || self.io.with_read_buf(|unread| !unread.is_empty());
+        if let Some(reason) = reason.filter(|_| is_open && is_cut) {
+            self.state.enter(gateway.now(), Phase::Head);
+            self.state.record_end(gateway, reason);
+        }
+    }
+
+    /// Reads and discards what the caller sends until it closes the connection, for a limited time,
+    /// and returns whether there was anything.
+    ///
+    /// Closing a connection with unread bytes resets it, and a reset may discard an answer that the
+    /// caller has not read yet.
+    async fn discard_until_closed(&self) -> bool {
+        let has_discarded = Cell::new(false);
+        let discard = async {
+            while let Ok(Some(())) = self.io.recv(&Discard).await {
+                has_discarded.set(true);
+            }
+        };
+        let _ = timeout(Duration::from_millis(LINGER_MS), discard).await;
+        has_discarded.get()
     }
 
     /// Terminates the connection, so that an unfinished answer does not look complete.
@@ -256,6 +475,58 @@
     }
 }
 
+/// Waits until the process stops and the platform has had time to send new connections elsewhere.
+async fn wait_until_stop_is_noticed(gateway: &Gateway) {
+    let _ = gateway.stopping.subscribe().wait_for(|stopping| *stopping).await;
+    sleep(Duration::from_millis(STOP_NOTICE_MS)).await;
+}
+
+/// Waits until a connection that is idle from now on has been so for too long, according to the
+/// limits at that time.
+async fn wait_until_idle_too_long(gateway: &Gateway) {
+    let idle_ms = || gateway.limits().map_or(IDLE_MS, |limits| limits.idle_timeout_ms) + RESERVE_MS;
+    wait_until_exceeded(gateway, idle_ms).await;
+}
+
+/// Waits until more time has passed than `limit_ms` returns at that time. A limit that is raised
+/// meanwhile counts at once, a lowered one from the next call on.
+async fn wait_until_exceeded(gateway: &Gateway, limit_ms: impl Fn() -> u64) {
+    let began = gateway.now();
+    loop {
+        let left_ms = (began + limit_ms()).saturating_sub(gateway.now());
+        if left_ms == 0 {
+            return;
+        }
+        sleep(Duration::from_millis(left_ms)).await;
+    }
+}
+
+/// Returns the length of a body as its head states it.
+fn content_length(request: &Request) -> Option<usize> {
+    request.headers().get("content-length")?.to_str().ok()?.trim().parse().ok()
+}
+
+fn max_body_bytes(gateway: &Gateway) -> usize {
+    gateway.limits().map_or(BODY_MAX, |limits| limits.max_body_bytes)
+}
+
+/// Checks the length of a body that grows, before its bytes are held.
+fn check_length(
+    gateway: &Gateway,
+    before: usize,
+    length: usize,
+    admit: impl Fn() -> Result<(), Rejected>,
+) -> Result<(), Unread> {
+    if length > max_body_bytes(gateway) {
+        return Err(Verdict::BodyTooLarge.into());
+    }
+    let requires = ArrivingBody::requires_judgement;
+    if requires(length) && !requires(before) {
+        admit()?;
+    }
+    Ok(())
+}
+
 fn verdict_of(error: &DecodeError) -> Verdict {
     match error {
         DecodeError::MaxHeaders | DecodeError::TooLarge(_) => Verdict::HeadTooLarge,
--- a/crates/oliveworks-gateway/src/process.rs
+++ b/crates/oliveworks-gateway/src/process.rs
@@ -76,8 +76,8 @@
     Ok(())
 }
 
-/// Waits until the platform has noticed the stop, and for requests in flight, up to the end of the
-/// grace period.
+/// Waits until the platform has noticed the stop, and for connections with a request, up to the end of
+/// the grace period.
 async fn stop(gateway: &Rc<Gateway>) {
     Event::new("stop_begins").with("open_requests", gateway.requests_in_flight.get()).write();
     let began = gateway.now();
@@ -88,12 +88,13 @@
     loop {
         let now = gateway.now();
         let noticed = now >= began + STOP_NOTICE_MS + 200;
-        if now >= last || (noticed && gateway.requests_in_flight.get() == 0) {
+        if now >= last || (noticed && !gateway.caller_connections.is_any_busy()) {
             break;
         }
         sleep(Duration::from_millis(50)).await;
     }
     Event::new("stop_ends").with("cut_off", gateway.requests_in_flight.get()).write();
+    gateway.caller_connections.record_process_end(gateway);
     // The thread that writes the log gets time for the last lines.
     sleep(Duration::from_millis(20)).await;
 }
