Backoffs and rate limits hold until the incarnation of their host ends

Cause: remove_unlisted dropped all that was learned about a target as soon as its entry lapsed. The last incarnation of each host is now remembered for ten minutes without an entry (the longest backoff), and backoffs and limits are kept as long. A record of a later incarnation ends them, also if the host restarted while its entry was away: until now only a restart between two records of a listed host did. Hosts whose entries tell no start have a new id in each incarnation, so the same id is the same incarnation.

What remove_unlisted drops, and whether a lapse may drop it: - backoffs, limits and permits: no; kept with the incarnation (buckets follow the limits, as before). - failures in the balance: no; kept with the incarnation. They halve every 1.5 s. - suspensions: not while they last (4 s at most); their count in a row ends with them if the host is unlisted. - cold state: yes. A host without a record is cold, and the record that lists it again was written later than any doubt. Recent sends to cold hosts were never dropped. - admission, speeds, times of log lines: yes. They are measured anew within 0.1 to 1 s.

Ruled out: keeping everything by incarnation (cold state of an unlisted host could then say warm); sharing the memory of gone hosts in `missing` (60 s, shorter than a backoff may be); keeping it until a later incarnation only (hosts that never return would fill it).

Path tests 80 passed, formats 99 passed.

--- a/crates/oliveworks-gateway-core/src/backoff.rs
+++ b/crates/oliveworks-gateway-core/src/backoff.rs
@@ -46,8 +46,8 @@
         self.until.remove(&target);
     }
 
-    /// Drops the backend servers for which `keep` returns false.
-    pub fn retain(&mut self, keep: impl Fn(Target) -> bool) {
-        self.until.retain(|target, _| keep(*target));
+    /// Drops the backend servers for which `keep` returns false, and backoffs that have ended.
+    pub fn retain(&mut self, now: Millis, keep: impl Fn(Target) -> bool) {
+        self.until.retain(|target, until| now < *until && keep(*target));
     }
 }
--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -37,6 +37,7 @@
 //! | [`group_id`] | ids of groups among those of all services |
 //! | [`fan_out`] | the gateways that a heartbeat is sent to |
 //! | [`load_report`] | the outstanding requests that a heartbeat reports |
+//! | [`incarnations`] | how long what was learned about a backend server is kept |
 //! | [`backoff`] | backend servers that requested a backoff |
 //! | [`rate_limits`] | total rate of all gateways to a backend server that announces a limit |
 //! | [`obstacles`] | what excludes a request from a target, and the result if no target is left |
@@ -71,6 +72,7 @@
 pub mod fan_out;
 pub mod freshness;
 pub mod group_id;
+pub mod incarnations;
 pub mod introductions;
 pub mod listing;
 pub mod load_report;
--- a/crates/oliveworks-gateway-core/src/suspensions.rs
+++ b/crates/oliveworks-gateway-core/src/suspensions.rs
@@ -58,8 +58,8 @@
         self.targets.get(&target).is_some_and(|suspension| suspension.in_a_row >= LOST_AFTER)
     }
 
-    /// Drops the targets for which `keep` returns false.
-    pub fn retain(&mut self, keep: impl Fn(Target) -> bool) {
-        self.targets.retain(|target, _| keep(*target));
+    /// Drops the targets for which `keep` returns false and whose suspension has ended.
+    pub fn retain(&mut self, now: Millis, keep: impl Fn(Target) -> bool) {
+        self.targets.retain(|target, suspension| now < suspension.until || keep(*target));
     }
 }
--- a/crates/oliveworks-gateway/src/server_list.rs
+++ b/crates/oliveworks-gateway/src/server_list.rs
@@ -85,8 +85,6 @@
     let known = known.filter(|known| server.holding.is_of_later_incarnation(known.holding.born));
     let Some(known) = known else { return false };
     gateway.count("hosts_started_again");
-    gateway.backoffs.borrow_mut().remove(Target::of(&server.id));
-    gateway.rate_limits.borrow_mut().limits.remove(Target::of(&server.id));
     Event::new("host_started_again")
         .with("host", &*server.id)
         .debug("born", server.holding.born)
@@ -96,6 +94,16 @@
     true
 }
 
+/// Records the incarnation of a listed backend server. What an earlier one asked for ends with it,
+/// also if the server was not listed when it restarted.
+fn record_incarnation(gateway: &Gateway, server: &BackendServer) {
+    let target = Target::of(&server.id);
+    if gateway.incarnations.borrow_mut().record_listed(target, server.holding.born) {
+        gateway.backoffs.borrow_mut().remove(target);
+        gateway.rate_limits.borrow_mut().limits.remove(target);
+    }
+}
+
 /// Marks the record of a backend server as draining if the server has announced that it leaves.
 fn with_leaving(gateway: &Gateway, record: Record) -> Record {
     match record {
@@ -139,6 +147,7 @@
         return Received::OfGoneHost;
     }
     let now = gateway.now();
+    record_incarnation(gateway, server);
     let restarted = has_restarted(gateway, server);
     let is_back = missing.record_listed(now, &server.id) && !restarted;
     gateway.planners.borrow_mut().handle_listed_host(now, server);
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -20,6 +20,7 @@
 use oliveworks_gateway_core::era::{Era, StoreEra};
 use oliveworks_gateway_core::freshness::Freshness;
 use oliveworks_gateway_core::group_id::GroupId;
+use oliveworks_gateway_core::incarnations::Incarnations;
 use oliveworks_gateway_core::introductions::Introductions;
 use oliveworks_gateway_core::load_report::ReportIntervals;
 use oliveworks_gateway_core::members::Members;
@@ -143,6 +144,8 @@
     pub crashers: RefCell<Crashers>,
     /// Notifies runs that a request was convicted of crashing its backend servers.
     pub convictions: Notify,
+    /// Incarnations of backend servers, listed or not.
+    pub incarnations: RefCell<Incarnations>,
     /// Backend servers in a backoff that they asked for.
     pub backoffs: RefCell<Backoffs>,
     /// Rate limits named by backend servers, and permits for them.
@@ -270,6 +273,7 @@
             suspensions: RefCell::default(),
             crashers: RefCell::default(),
             convictions: Notify::new(),
+            incarnations: RefCell::default(),
             backoffs: RefCell::default(),
             rate_limits: RefCell::default(),
             permits_received: Notify::new(),
@@ -465,19 +469,33 @@
     }
 
     /// Removes the state of backend servers that are no longer listed.
+    ///
+    /// What holds for an incarnation outlasts a lapse of its record. The rest is measured anew
+    /// within a second or so, or read from the record that lists the server again.
     pub fn remove_unlisted(&self) {
+        let now = self.now();
         let directory = self.directory.borrow();
         let listed: HashSet<Target> = directory.iter().map(|w| Target::of(&w.id)).collect();
-        self.balance.borrow_mut().retain(|target| listed.contains(&target));
-        self.suspensions.borrow_mut().retain(|target| listed.contains(&target));
-        self.backoffs.borrow_mut().retain(|target| listed.contains(&target));
-        self.rate_limits.borrow_mut().retain(self.now(), |target| listed.contains(&target));
-        self.limit_logged_at.borrow_mut().retain(|target, _| listed.contains(target));
-        self.admission.borrow_mut().retain(|target| listed.contains(&target));
-        self.speeds.borrow_mut().retain(|target| listed.contains(&target));
-        self.members.borrow_mut().retain(self.now());
+        let is_listed = |target: Target| listed.contains(&target);
+        self.remove_ended_incarnations(now, is_listed);
+        self.suspensions.borrow_mut().retain(now, is_listed);
+        self.limit_logged_at.borrow_mut().retain(|target, _| is_listed(*target));
+        self.admission.borrow_mut().retain(is_listed);
+        self.speeds.borrow_mut().retain(is_listed);
+        self.members.borrow_mut().retain(now);
         if let Some(slow_starts) = self.slow_starts.borrow_mut().as_mut() {
-            slow_starts.retain(self.now(), |target| listed.contains(&target));
+            slow_starts.retain(now, is_listed);
         }
     }
+
+    /// Removes what backend servers asked for, and the failures there, if their incarnation is no
+    /// longer known.
+    fn remove_ended_incarnations(&self, now: Millis, is_listed: impl Fn(Target) -> bool) {
+        let mut incarnations = self.incarnations.borrow_mut();
+        incarnations.sweep(now, is_listed);
+        let is_known = |target| incarnations.contains(target);
+        self.balance.borrow_mut().retain(is_known);
+        self.backoffs.borrow_mut().retain(now, is_known);
+        self.rate_limits.borrow_mut().retain(now, is_known);
+    }
 }
