A request that outlasts a stop is answered before the process ends

What callers saw: a request that was sent to a host and not answered within the grace period ended with the process, without an answer. It is now answered 100 ms before the end of the stop: 502, or 503 if nothing was sent. Streams that have begun are torn as before.

--- a/crates/oliveworks-gateway/src/process.rs
+++ b/crates/oliveworks-gateway/src/process.rs
@@ -16,9 +16,6 @@
 use crate::state::{Gateway, STOP_NOTICE_MS};
 use crate::{drains, leader, peer_replay, peers, records, reload};
 
-/// Time of the grace period that is left unused, in ms.
-const GRACE_MARGIN_MS: u64 = 700;
-
 /// Runs a gateway until SIGTERM. On SIGHUP, the settings are read again by `read`.
 ///
 /// # Errors
@@ -84,7 +81,7 @@
     gateway.stop_began_at.set(Some(began));
     gateway.stopping.send_replace(true);
     gateway.send_heartbeat_now();
-    let last = began + gateway.settings.bounds.grace_ms.saturating_sub(GRACE_MARGIN_MS);
+    let last = gateway.stop_ends_at().unwrap_or(began);
     loop {
         let now = gateway.now();
         let noticed = now >= began + STOP_NOTICE_MS + 200;
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -341,7 +341,9 @@
                 }
                 Step::Receptions(ReceptionEvent::Expired) => {
                     self.withdraw(&mut receptions);
-                    let verdict = self.attempts.verdict(self.deadline);
+                    let now = self.gateway.now();
+                    let is_late = now + DEADLINE_MARGIN_MS >= self.deadline;
+                    let verdict = self.attempts.verdict(if is_late { self.deadline } else { now });
                     return self.give_up(connection, verdict, RETRY_AFTER_MS).await;
                 }
                 Step::Convicted { until } => {
--- a/crates/oliveworks-gateway/src/relay/reception.rs
+++ b/crates/oliveworks-gateway/src/relay/reception.rs
@@ -24,6 +24,10 @@
 
 /// Time between two checks whether a silent host has ended, in ms.
 const ENDED_CHECK_INTERVAL_MS: u64 = 100;
+/// Time between two checks whether the process stops, in ms: far shorter than a stop.
+const STOP_CHECK_INTERVAL_MS: u64 = 1_000;
+/// Time before the end of a stop at which the last answers are sent, in ms.
+const LAST_ANSWERS_MS: u64 = 100;
 
 /// Head of an answer.
 #[derive(Clone, Debug)]
@@ -161,7 +165,7 @@
     Received(usize, Result<Data, Failure>),
     /// The place of the reception with this index has become silent.
     Silent(usize),
-    /// The time of the request is over.
+    /// The time of the request is over, or that of the process.
     Expired,
 }
 
@@ -180,7 +184,7 @@
     .await
 }
 
-/// Waits for the next event of the receptions, until `expires_at`.
+/// Waits for the next event of the receptions, until `expires_at` or the end of a stop.
 pub(super) async fn next_event(
     gateway: &Gateway,
     limit: SilenceLimit,
@@ -189,11 +193,14 @@
 ) -> ReceptionEvent {
     loop {
         let now = gateway.now();
+        let stop_ends_at = gateway.stop_ends_at();
+        let expires_at = stop_ends_at
+            .map_or(expires_at, |at| expires_at.min(at.saturating_sub(LAST_ANSWERS_MS)));
         let until = receptions.iter().filter_map(|reception| match reception.is_silent {
             true => Some(now + ENDED_CHECK_INTERVAL_MS),
             false => limit.stalled_at(gateway, reception),
         });
-        let until = until.fold(expires_at, Millis::min);
+        let until = until.fold(expires_at.min(now + STOP_CHECK_INTERVAL_MS), Millis::min);
         let arrived = gateway.within(until.saturating_sub(now), next_data(receptions)).await;
         if let Ok((index, data)) = arrived {
             return ReceptionEvent::Received(index, data);
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -76,6 +76,8 @@
 /// Time after the start of a stop during which new connections may still arrive, in ms. The
 /// platform checks the readiness of a process once a second and removes it after two failed checks.
 pub const STOP_NOTICE_MS: u64 = 2_300;
+/// Time of the grace period that is left unused, in ms.
+const GRACE_MARGIN_MS: u64 = 700;
 /// Gap between two ticks, in ms, after which the process counts as having been paused.
 const PAUSE_MIN_MS: u64 = 150;
 /// Gap between two ticks, in ms, after which waiting tasks check the clock again. For shorter gaps,
@@ -417,6 +419,13 @@
         self.send_now.notify_one();
     }
 
+    /// Returns the time at which a stop ends, with or without requests in flight; `None` if the
+    /// process is not stopping.
+    pub fn stop_ends_at(&self) -> Option<Millis> {
+        let grace_ms = self.settings.bounds.grace_ms.saturating_sub(GRACE_MARGIN_MS);
+        self.stop_began_at.get().map(|began| began + grace_ms)
+    }
+
     /// Returns whether the process is stopping.
     pub fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
