A copy of the store proves nothing before its writers had time to write again

What callers saw: a key that had been taken away over 5 s before (revoke_ms) was honoured again after the store came back from a copy, until the operator wrote again. Cause: a read of a copy counted as a proof unless some gateway told a newer version. After a start of all gateways none can, nor can one that the store had rejected since before the change. Class: that nothing newer is known counted as proof that nothing newer is, at one who had no way of knowing.

Change: in an era that is not the first (above 1, or one that replaced another in this life), a read of the store is a proof only if it shows the store 2.3 s (REWRITE_MS) or more after the first of all gateways observed the era. Heartbeats tell for how long the store may lack records, so a gateway that starts beside others does not wait. The last calls before that time end with it. Without revoke_ms nothing waits. A proof of before stays valid until it is 4 s old, as ever. Field complete_in_ms of store_era. Heartbeats change.

The span in which sound callers with keys are refused: from when the last proof is 4 s old (at a start of all gateways from the first read) until 2.3 s after the era became known. Shorter is not safe: a change acknowledged just after the last proof may be lost, and operators are taken to write again within 2.3 s.

Ruled out: ending it with the first configuration added to the copy (several may be rewritten in order); counting from when the store went away (a cut call may have lost its answer); a starting gateway's own patience in the first era (ordinary starts would be slower); a mark in the store that an era is complete (sound, but a topic to write): so a start of all gateways long after a drill refuses keys for 2.3 s too.

--- a/crates/oliveworks-gateway-core/src/era.rs
+++ b/crates/oliveworks-gateway-core/src/era.rs
@@ -10,6 +10,8 @@
 
 use crate::Millis;
 
+/// Highest era of a store that was never restored.
+const FIRST_ERA: Era = Era(1);
 /// Time after a restore of the store in which its writers may rewrite the records that the copy
 /// lacks, in ms. Records that are still missing after that time have gone.
 pub const REWRITE_MS: u64 = 2_300;
@@ -46,6 +48,8 @@
 pub struct StoreEra {
     era: Option<Era>,
     known_since: Millis,
+    /// Whether the store was restored: the era is not the first, or it replaced another one.
+    is_restored: bool,
 }
 
 impl StoreEra {
@@ -71,6 +75,21 @@
         self.known_since().map_or(0, |since| since + REWRITE_MS)
     }
 
+    /// Returns the time from which the store is complete: its writers have rewritten what a copy
+    /// lacked. 0 in the first era, in which nothing is missing, even if this gateway has just
+    /// started.
+    pub fn complete_from(&self) -> Millis {
+        if self.is_restored { self.lacks_records_until() } else { 0 }
+    }
+
+    /// Returns the earliest time from which the store is complete, as this gateway or one that has
+    /// reported a time for the same era knows it. A gateway that observed the restore earlier knows
+    /// an earlier time.
+    pub fn earliest_complete_from(&self, reported: impl Iterator<Item = (Era, Millis)>) -> Millis {
+        let of_era = reported.filter(|(era, _)| self.era == Some(*era)).map(|(_, from)| from);
+        of_era.fold(self.complete_from(), Millis::min)
+    }
+
     /// Returns the time until which other gateways may lack records. They may have learned of the
     /// era later: until then they may keep records that the store lacks, or lack them themselves.
     pub fn others_lack_records_until(&self) -> Millis {
@@ -88,6 +107,7 @@
             before => {
                 self.era = Some(era);
                 self.known_since = now;
+                self.is_restored = before.is_some() || era > FIRST_ERA;
                 EraChange::New { before }
             }
         }
--- a/crates/oliveworks-gateway-core/src/freshness.rs
+++ b/crates/oliveworks-gateway-core/src/freshness.rs
@@ -16,6 +16,13 @@
 /// between this check and the moment at which a backend server begins.
 const SAFE_PERCENT: u64 = 80;
 
+/// Whether a read that shows the store as of `shown_at` proves that it holds nothing newer, although
+/// the store may lack versions until `complete_from`. Without a bound on the use of revoked keys, it
+/// counts as one, since callers would otherwise be rejected for nothing.
+pub fn is_proof(shown_at: Millis, complete_from: Millis, revoke_ms: Option<u64>) -> bool {
+    revoke_ms.is_none() || shown_at >= complete_from
+}
+
 /// Time at which the configuration is known to have been current.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Freshness {
--- a/crates/oliveworks-gateway-core/src/versions.rs
+++ b/crates/oliveworks-gateway-core/src/versions.rs
@@ -4,6 +4,13 @@
 //! A store that was restored from an older copy holds older versions until the operators have
 //! written the newer ones again, so a read of it does not prove that there is nothing newer. The
 //! lag is bounded, because a version that was never acknowledged is not written again.
+//!
+//! No gateway may know the newer versions: all of them have started since, or the store rejected all
+//! of them before it was restored. So no read of a restored store proves anything before the
+//! operators have had time to rewrite their records, not even to a gateway that knows of no newer
+//! version. A gateway's proof from before the restore remains valid, and its age decides whether
+//! keys are accepted meanwhile. Rejected alternative: ending that time with the first configuration
+//! that is added to the copy. It may be an older one of several that are rewritten in order.
 
 use crate::Millis;
 use crate::era::REWRITE_MS;
--- a/crates/oliveworks-gateway-core/tests/restored_store/gateway.rs
+++ b/crates/oliveworks-gateway-core/tests/restored_store/gateway.rs
@@ -9,7 +9,7 @@
 use oliveworks_gateway_core::drains::Drains;
 use oliveworks_gateway_core::election::{Claim, Election, ElectionConfig, Heartbeat};
 use oliveworks_gateway_core::era::{Era, EraChange, StoreEra};
-use oliveworks_gateway_core::freshness::Freshness;
+use oliveworks_gateway_core::freshness::{self, Freshness};
 use oliveworks_gateway_core::missing::{Missing, StoreState};
 use oliveworks_gateway_core::position::Position;
 use oliveworks_gateway_core::read_cursor::ReadCursor;
@@ -17,6 +17,7 @@
 use oliveworks_gateway_core::sources::{LocalState, PeerState, ReadFrom};
 use oliveworks_gateway_core::versions::Lag;
 
+use crate::judge::REVOKE_MS;
 use crate::platform::{HostRecord, OperatorRecord};
 use crate::world::Variant;
 
@@ -72,6 +73,8 @@
     pub reads_store: bool,
     pub proved_at: Option<u64>,
     pub era: Era,
+    /// Time from which the store is complete in that era, if the peer knows any.
+    pub store_complete_from: Option<u64>,
     pub version: Option<u64>,
 }
 
@@ -336,7 +339,10 @@
         if !proves && self.variant != Variant::CopiesProve {
             return;
         }
+        let sound = !matches!(self.variant, Variant::CopiesProve | Variant::CopiesProveToAll);
+        let is_proof = freshness::is_proof(sent, self.store_complete_from(), Some(REVOKE_MS));
         match answered_by {
+            AnsweredBy::Store if sound && !is_proof => {}
             AnsweredBy::Store => self.freshness.proved(sent, 0),
             AnsweredBy::Gateway { age_ms: Some(age_ms), .. } => {
                 self.freshness.proved_by_peer(sent, 0, age_ms);
@@ -345,6 +351,13 @@
         }
     }
 
+    /// Returns the earliest time from which the store is known to be complete.
+    pub fn store_complete_from(&self) -> u64 {
+        let reported =
+            self.peers.values().filter_map(|peer| Some((peer.era, peer.store_complete_from?)));
+        self.era.earliest_complete_from(reported)
+    }
+
     fn apply_drains(
         &mut self,
         now: u64,
--- a/crates/oliveworks-gateway-core/tests/restored_store/judge.rs
+++ b/crates/oliveworks-gateway-core/tests/restored_store/judge.rs
@@ -8,7 +8,7 @@
 use crate::world::{Node, World};
 
 /// Time after which no gateway may accept a revoked key, in ms.
-const REVOKE_MS: u64 = 5_000;
+pub const REVOKE_MS: u64 = 5_000;
 /// Time within which a version must be in force at a gateway without faults, in ms.
 const APPLY_MS: u64 = 3_000;
 /// Time without faults of a gateway and of the store after which the version is checked, in ms.
--- a/crates/oliveworks-gateway-core/tests/restored_store/main.rs
+++ b/crates/oliveworks-gateway-core/tests/restored_store/main.rs
@@ -65,6 +65,13 @@
     }
 }
 
+/// The rule that the runs above need.
+#[test]
+fn a_first_read_of_a_copy_that_proves_causes_a_breach() {
+    let run = |seed| run_with(seed, Variant::CopiesProveToAll, CommonFaults::OfAllGateways);
+    assert!((0..COMMON_FAULT_SEEDS).any(|seed| !run(seed).breaches().is_empty()));
+}
+
 /// The checks detect each fault that the rules prevent. A copy that proves too much is rarely read
 /// by a gateway that lacks a version, so the seeds of some variants begin shortly before such a run.
 #[test_case(Variant::OffsetsWithoutEras, 0; "offsets are taken for places")]
--- a/crates/oliveworks-gateway-core/tests/restored_store/world.rs
+++ b/crates/oliveworks-gateway-core/tests/restored_store/world.rs
@@ -33,8 +33,10 @@
     Sound,
     /// All positions belong to the same era.
     OffsetsWithoutEras,
-    /// A read proves freshness even if other gateways know a newer version.
+    /// Any read of a copy proves freshness, even if other gateways know a newer version.
     CopiesProve,
+    /// A read of a copy proves freshness if no gateway is known to hold a newer version.
+    CopiesProveToAll,
     /// A starting gateway reads the store without asking other gateways.
     StartsFromStore,
     /// A drain missing from a read of all newest records counts as ended.
@@ -263,6 +265,7 @@
             reads_store: gateway.reads_store(now),
             proved_at: gateway.freshness.age_ms(now).and_then(|age| now.checked_sub(age)),
             era: gateway.era.era(),
+            store_complete_from: gateway.era.known_since().map(|_| gateway.store_complete_from()),
             version: gateway.version,
         };
         for other in 0..self.nodes.len() {
--- a/crates/oliveworks-gateway/src/eras.rs
+++ b/crates/oliveworks-gateway/src/eras.rs
@@ -26,6 +26,22 @@
         self.store_era.get().may_lack_records(self.now())
     }
 
+    /// Returns the earliest time from which the store is known to be complete, to this gateway or to
+    /// another one. A read that shows an earlier state of the store proves nothing.
+    pub fn store_complete_from(&self) -> Millis {
+        let peers = self.peers.borrow();
+        let reported =
+            peers.values().filter_map(|peer| Some((peer.era, peer.store_complete_from?)));
+        self.store_era.get().earliest_complete_from(reported)
+    }
+
+    /// Returns for how long the store may still lack records, in ms; `None` if no era is known.
+    pub fn store_incomplete_ms(&self) -> Option<u64> {
+        let now = self.now();
+        let is_known = self.store_era.get().known_since().is_some();
+        is_known.then(|| self.store_complete_from().saturating_sub(now))
+    }
+
     /// Processes the era named in the store's answer to a call sent at `sent`, and returns its
     /// meaning.
     pub fn record_store_era(&self, sent: Millis, named: &NamedEra, call: &str) -> EraChange {
@@ -71,6 +87,7 @@
             .with("before", before.map(|era| era.0))
             .with("told_by", reported_by)
             .with("version_held", self.version_held())
+            .with("complete_in_ms", self.store_incomplete_ms())
             .with("hosts_known", self.directory.borrow().len())
             .with("drains_in_force", self.drains.borrow().failure_domains().len())
             .write();
--- a/crates/oliveworks-gateway/src/heartbeat.rs
+++ b/crates/oliveworks-gateway/src/heartbeat.rs
@@ -55,6 +55,9 @@
     proof_age_ms: Option<u64>,
     /// Newest era of the store known to the sender.
     era: Era,
+    /// Time for which the store may still lack records in that era, in ms; none if the sender knows
+    /// no era.
+    store_incomplete_ms: Option<u64>,
     /// Newest configuration version held by the sender.
     version: Option<u64>,
     /// Processor capacity of the sender, in percent of a core; none if it is not set.
@@ -147,6 +150,7 @@
         reads_store: gateway.reads_store(),
         proof_age_ms: gateway.proof_age_ms(),
         era: gateway.era(),
+        store_incomplete_ms: gateway.store_incomplete_ms(),
         version: gateway.version_held(),
         processor_percent: gateway.settings.processor_percent(),
         figures: Figures::OfGateway,
@@ -344,6 +348,8 @@
         // A proof older than this process is treated like no proof.
         proved_at: beat.proof_age_ms.and_then(|age_ms| now.checked_sub(age_ms)),
         era: beat.era,
+        // Counted from the arrival, so the transmission makes the time later and never earlier.
+        store_complete_from: beat.store_incomplete_ms.map(|ms| now + ms),
         version: beat.version,
         processor_percent: beat.processor_percent,
     };
@@ -373,6 +379,7 @@
             reads_store: false,
             proved_at: None,
             era: Era::default(),
+            store_complete_from: None,
             version: None,
             processor_percent: None,
         });
--- a/crates/oliveworks-gateway/src/records.rs
+++ b/crates/oliveworks-gateway/src/records.rs
@@ -91,6 +91,10 @@
         if gateway.store_may_lack_records() {
             wait_ms = wait_ms.min(SETTLING_WAIT_MS);
         }
+        if let Some(left_ms @ 1..) = gateway.store_incomplete_ms() {
+            // The end of this call is then the first proof.
+            wait_ms = wait_ms.min(left_ms);
+        }
         let Some(step) = follower.step(wait_ms).await else { continue };
         let (sent, held_ms, source) = (step.sent, step.held_ms, step.source);
         // An answer with records proves the state of the store only at the time of the call, which
@@ -119,7 +123,7 @@
 
 /// Records the age of the proof that the configuration is current.
 fn record_proof(gateway: &Gateway, sent: Millis, held_ms: u64, source: RecordSource) {
-    if !gateway.step_proves(gateway.now()) {
+    if !gateway.step_proves(gateway.now(), sent + held_ms, source) {
         return;
     }
     let mut freshness = gateway.freshness.get();
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -62,6 +62,9 @@
     pub proved_at: Option<Millis>,
     /// Newest era of the store known to the peer, as of its last heartbeat.
     pub era: Era,
+    /// Time from which the store is complete in that era, according to the peer; none if the peer
+    /// knows no era.
+    pub store_complete_from: Option<Millis>,
     /// Newest configuration version held by the peer; none if it holds no version or sent no
     /// heartbeat to this gateway.
     pub version: Option<u64>,
--- a/crates/oliveworks-gateway/src/versions.rs
+++ b/crates/oliveworks-gateway/src/versions.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use oliveworks_gateway_core::Millis;
+use oliveworks_gateway_core::{Millis, freshness};
 use rand::seq::IteratorRandom;
 use tokio::time::sleep;
 
@@ -109,28 +109,37 @@
         heartbeat_at.zip(since).is_some_and(|(heartbeat_at, since)| heartbeat_at < since)
     }
 
-    /// Updates the lag of the store after a step, and returns whether the step proves that there is
-    /// nothing newer than what this gateway holds. Logs when the store begins or ceases to be
-    /// behind, and counts the steps that prove nothing.
-    pub fn step_proves(&self, now: Millis) -> bool {
+    /// Updates the lag of the store after a step that shows the store as of `shown_at`, and returns
+    /// whether the step proves that there is nothing newer than what this gateway holds. Logs when
+    /// the store begins or ceases to be behind, and counts the steps that prove nothing.
+    pub fn step_proves(&self, now: Millis, shown_at: Millis, source: RecordSource) -> bool {
         let known = self.version_held().max(self.newest_reported_version());
         let mut lag = self.store_lag.get();
         let behind_ms = lag.behind_ms(now);
-        let proves = lag.proves(now, self.stored_version.get(), known, self.has_lost_contact());
+        let keeps_up = lag.proves(now, self.stored_version.get(), known, self.has_lost_contact());
         self.store_lag.set(lag);
-        match (proves, behind_ms) {
+        match (keeps_up, behind_ms) {
             (false, None) => self.log_store_lag("store_lacks_version", known, 0),
             (true, Some(behind_ms)) if lag.behind_ms(now).is_none() => {
                 self.log_store_lag("store_holds_version_again", known, behind_ms);
             }
             _ => {}
         }
+        let proves = keeps_up && self.shows_complete_store(shown_at, source);
         if !proves {
             self.count("reads_that_prove_nothing");
         }
         proves
     }
 
+    /// Returns whether a step shows the store at a time when it held all versions. Another gateway's
+    /// proof meets this rule already where it was made.
+    fn shows_complete_store(&self, shown_at: Millis, source: RecordSource) -> bool {
+        let revoke_ms = self.settings.bounds.revoke_ms;
+        source != RecordSource::Store
+            || freshness::is_proof(shown_at, self.store_complete_from(), revoke_ms)
+    }
+
     /// Logs that the store begins or ceases to be behind the versions known to gateways.
     fn log_store_lag(&self, kind: &str, known: Option<u64>, after_ms: u64) {
         Event::new(kind)
