A reader whose list of backend servers is old is not asked about it

What callers saw: requests reached a host up to 2.57 s after the store had acknowledged that it leaves (drain_ms 2,000), sent by gateways that had the store all the time. Cause: they followed a reader that was cut from the store in silence, and left it only when its proof about the configuration was old. That may be young at the cut while the list is a read behind; and a question that the reader holds back keeps the asker for half a second more.

Change: heartbeats and answers tell the age of the list, counted from the read of the store that it reflects. About the list, a gateway is asked only while that is below the time between two reads and 300 ms; a question for changes is given up once it is more. A whole list is still asked for. What counts the age of a list by the configuration's proof elsewhere (missing hosts, late records) stays: it asks whether the store was reached.

Ruled out: one age for both topics (the configuration's is renewed by held calls, the list's is not); telling departures themselves (needs an order between two sources); a shorter interval of reads (priced).

--- a/crates/oliveworks-gateway/src/follow.rs
+++ b/crates/oliveworks-gateway/src/follow.rs
@@ -21,7 +21,7 @@
 
 /// First and longest pause after a failed call, in ms. The pause doubles with each failure.
 const RETRY_MS: (u64, u64) = (40, 320);
-/// Time between two checks whether a call to the store is still worth waiting for, in ms.
+/// Time between two checks whether an answer is still worth waiting for, in ms.
 const CALL_CHECK_MS: u64 = 100;
 /// Pause of a gateway that has no source, in ms. A heartbeat of another gateway may name one.
 const NO_SOURCE_MS: u64 = 50;
@@ -66,6 +66,8 @@
         /// Age of the gateway's proof, when it answered, that the store holds nothing newer; none
         /// without a proof.
         proof_age_ms: Option<u64>,
+        /// Age of the gateway's list of backend servers when it answered, in ms; none without one.
+        list_age_ms: Option<u64>,
         /// Newest configuration version that the gateway knows the store to hold.
         stored_version: Option<u64>,
     },
@@ -84,6 +86,14 @@
     }
 }
 
+/// Waits until a gateway's list of backend servers is too old for it to be asked for changes of the
+/// list. It may hold a question back for longer.
+async fn until_list_is_old(gateway: &Gateway, address: SocketAddr) {
+    while !sources::has_old_list(gateway, address) {
+        sleep(Duration::from_millis(CALL_CHECK_MS)).await;
+    }
+}
+
 impl Step {
     /// Creates the step of a call to the store that returned neither records nor a proof.
     fn empty(sent: Millis) -> Step {
@@ -121,13 +131,20 @@
     pub async fn step(&mut self, wait_ms: u64) -> Option<Step> {
         let gateway = self.client.gateway().clone();
         self.discard_former_position(&gateway);
-        let read_from = sources::choose_source(&gateway, &self.cursor);
+        let read_from = sources::choose_source(&gateway, &self.cursor, self.topic);
         self.log_source(&gateway, read_from);
+        // A whole list is better late than not at all.
+        let follows_list = self.topic == Topic::BackendServers && self.position().is_some();
         let step = async {
             match read_from {
                 ReadFrom::Store | ReadFrom::StoreTrial => {
                     self.step_in_store(&gateway, wait_ms).await
                 }
+                ReadFrom::Gateway(address) if follows_list => tokio::select! {
+                    biased;
+                    step = self.step_through_peer(&gateway, address) => step,
+                    () = until_list_is_old(&gateway, address) => None,
+                },
                 ReadFrom::Gateway(address) => self.step_through_peer(&gateway, address).await,
                 ReadFrom::Nobody => {
                     sleep(Duration::from_millis(NO_SOURCE_MS)).await;
@@ -250,13 +267,13 @@
                 if let Some(ago) = answer.store_failed_ms_ago {
                     gateway.store_failed_for_peer(sent.saturating_sub(ago));
                 }
-                let Answer { proof_age_ms, stored_version, .. } = answer;
+                let Answer { proof_age_ms, list_age_ms, stored_version, .. } = answer;
                 Some(Step {
                     records: answer.records,
                     snapshot: answer.snapshot,
                     sent,
                     held_ms: answer.held_ms,
-                    source: RecordSource::Gateway { proof_age_ms, stored_version },
+                    source: RecordSource::Gateway { proof_age_ms, list_age_ms, stored_version },
                 })
             }
             Err(why) => {
--- a/crates/oliveworks-gateway/src/heartbeat.rs
+++ b/crates/oliveworks-gateway/src/heartbeat.rs
@@ -53,6 +53,8 @@
     reads_store: bool,
     /// Age of the sender's proof that the store holds nothing newer, in ms; none without a proof.
     proof_age_ms: Option<u64>,
+    /// Age of the sender's list of backend servers, in ms; none if the sender has no list.
+    list_age_ms: Option<u64>,
     /// Newest era of the store known to the sender.
     era: Era,
     /// Time for which the store may still lack records in that era, in ms; none if the sender knows
@@ -149,6 +151,7 @@
         store_answers: gateway.reads_for_others(),
         reads_store: gateway.reads_store(),
         proof_age_ms: gateway.proof_age_ms(),
+        list_age_ms: gateway.list_age_ms(),
         era: gateway.era(),
         store_incomplete_ms: gateway.store_incomplete_ms(),
         version: gateway.version_held(),
@@ -347,6 +350,7 @@
         reads_store: beat.reads_store,
         // A proof older than this process is treated like no proof.
         proved_at: beat.proof_age_ms.and_then(|age_ms| now.checked_sub(age_ms)),
+        list_read_at: beat.list_age_ms.map(|age_ms| now.saturating_sub(age_ms)),
         era: beat.era,
         // Counted from the arrival, so the transmission makes the time later and never earlier.
         store_complete_from: beat.store_incomplete_ms.map(|ms| now + ms),
@@ -378,6 +382,7 @@
             store_answers: true,
             reads_store: false,
             proved_at: None,
+            list_read_at: None,
             era: Era::default(),
             store_complete_from: None,
             version: None,
--- a/crates/oliveworks-gateway/src/peer_replay.rs
+++ b/crates/oliveworks-gateway/src/peer_replay.rs
@@ -72,6 +72,8 @@
     /// Age, at the time of the answer, of the proof that the store held nothing newer, in ms; none
     /// without a proof.
     pub proof_age_ms: Option<u64>,
+    /// Age of the answering gateway's list of backend servers, in ms; none if it has no list.
+    pub list_age_ms: Option<u64>,
     /// Newest configuration version that the answering gateway knows the store to hold.
     pub stored_version: Option<u64>,
     /// Time since a call to the store last failed, at the answering gateway or at a gateway that it
@@ -277,6 +279,7 @@
         next,
         held_ms: 0,
         proof_age_ms,
+        list_age_ms: gateway.list_age_ms(),
         stored_version: gateway.stored_version.get(),
         store_failed_ms_ago,
     })
--- a/crates/oliveworks-gateway/src/records.rs
+++ b/crates/oliveworks-gateway/src/records.rs
@@ -116,7 +116,8 @@
     if records.is_empty() {
         return;
     }
-    let source = RecordSource::Gateway { proof_age_ms: None, stored_version: None };
+    let source =
+        RecordSource::Gateway { proof_age_ms: None, list_age_ms: None, stored_version: None };
     let step = Step { records, snapshot: false, sent: gateway.now(), held_ms: 0, source };
     apply_configuration(gateway, step, follower.position());
 }
--- a/crates/oliveworks-gateway/src/server_list.rs
+++ b/crates/oliveworks-gateway/src/server_list.rs
@@ -219,6 +219,7 @@
     }
     log_listed(&newly_listed);
     note_list_read(gateway, sent, held_ms, source);
+    record_list_age(gateway, sent, held_ms, source);
     missing::sweep(gateway, &mut missing);
     gateway.remove_unlisted();
     if let Some(slow_starts) = gateway.slow_starts.borrow_mut().as_mut() {
@@ -227,6 +228,19 @@
     ListUpdate { new: !newly_listed.is_empty(), kept }
 }
 
+/// Records the age of the list, which decides whether other gateways ask this one about it.
+fn record_list_age(gateway: &Gateway, sent: Millis, held_ms: u64, source: RecordSource) {
+    let mut freshness = gateway.list_freshness.get();
+    match source {
+        RecordSource::Store => freshness.proved(sent, held_ms),
+        RecordSource::Gateway { list_age_ms: Some(age_ms), .. } => {
+            freshness.proved_by_peer(sent, held_ms, age_ms);
+        }
+        RecordSource::Gateway { list_age_ms: None, .. } => return,
+    }
+    gateway.list_freshness.set(freshness);
+}
+
 /// Notes the time up to which the list is known. A list from another gateway is only as recent as
 /// the last answer that the other gateway received from the store.
 fn note_list_read(gateway: &Gateway, sent: Millis, held_ms: u64, source: RecordSource) {
@@ -250,6 +264,11 @@
 }
 
 impl Gateway {
+    /// Returns the age of this gateway's list of backend servers, in ms; `None` if it has no list.
+    pub fn list_age_ms(&self) -> Option<u64> {
+        self.list_freshness.get().age_ms(self.now())
+    }
+
     /// Records that the list of backend servers names a departure before a position. The reader of
     /// the failure domain, which learns of it first, reports it at once.
     fn record_departure(&self, position: Position) {
--- a/crates/oliveworks-gateway/src/sources.rs
+++ b/crates/oliveworks-gateway/src/sources.rs
@@ -21,11 +21,15 @@
 /// Time that a proof may be older than the longest time for which the store holds a call back, in
 /// ms: the round trip to the store and the transmission of the heartbeat with the proof.
 const PROOF_SLACK_MS: u64 = 400;
+/// Time that a reader's list of backend servers may be older than the time between two reads of it,
+/// in ms: the round trip to the store and two heartbeats. The rest of the limit within which a
+/// leaving server is noticed is left for another gateway's read.
+const LIST_SLACK_MS: u64 = 300;
 /// Time during which a gateway that did not answer is not asked again, in ms.
 const UNRESPONSIVE_MS: u64 = 2_000;
 
 /// Returns the source of the next step of a topic.
-pub fn choose_source(gateway: &Gateway, cursor: &ReadCursor) -> ReadFrom {
+pub fn choose_source(gateway: &Gateway, cursor: &ReadCursor, topic: Topic) -> ReadFrom {
     let now = gateway.now();
     let own = LocalState {
         name: &gateway.settings.node,
@@ -35,7 +39,7 @@
         era: gateway.era(),
     };
     let peers = gateway.peers.borrow();
-    let source = cursor.source(now, own, recent_peers(gateway, &peers), rand::random());
+    let source = cursor.source(now, own, recent_peers(gateway, &peers, topic), rand::random());
     match source {
         ReadFrom::Store => gateway.is_reader.set(true),
         ReadFrom::Gateway(_) | ReadFrom::Nobody => gateway.is_reader.set(false),
@@ -44,8 +48,13 @@
     source
 }
 
-/// Returns the gateways from which a message arrived recently.
-fn recent_peers<'a>(gateway: &Gateway, peers: &'a BTreeMap<String, Peer>) -> Vec<PeerState<'a>> {
+/// Returns the gateways from which a message arrived recently, with the proofs that count for a
+/// topic.
+fn recent_peers<'a>(
+    gateway: &Gateway,
+    peers: &'a BTreeMap<String, Peer>,
+    topic: Topic,
+) -> Vec<PeerState<'a>> {
     let now = gateway.now();
     let unresponsive = gateway.unresponsive_peers.borrow();
     let domain = &gateway.settings.failure_domain;
@@ -59,7 +68,8 @@
             store_answers: peer.store_answers,
             reads_store: peer.reads_store,
             proof_age_ms: peer.proved_at.map(|at| now - at),
-            has_recent_proof: peer.proved_at.is_some_and(|at| is_recent(gateway, now, at)),
+            has_recent_proof: peer.proved_at.is_some_and(|at| is_recent(gateway, now, at))
+                && !(topic == Topic::BackendServers && is_list_old(gateway, now, peer)),
             is_unresponsive: unresponsive
                 .get(&peer.address)
                 .is_some_and(|at| now < at + UNRESPONSIVE_MS),
@@ -97,6 +107,22 @@
     now < proved_at + gateway.settings.configuration_wait_ms() + PROOF_SLACK_MS
 }
 
+/// Returns whether a gateway's list of backend servers is older than that of a reader. A gateway
+/// that has not read it yet is about to.
+fn is_list_old(gateway: &Gateway, now: Millis, peer: &Peer) -> bool {
+    let limit_ms = gateway.settings.servers_every_ms() + LIST_SLACK_MS;
+    peer.list_read_at.is_some_and(|at| now >= at + limit_ms)
+}
+
+/// Returns whether the gateway at an address has a list of backend servers that is older than that
+/// of a reader.
+pub fn has_old_list(gateway: &Gateway, address: SocketAddr) -> bool {
+    let now = gateway.now();
+    let peers = gateway.peers.borrow();
+    let mut at_address = peers.values().filter(|peer| peer.address == address);
+    at_address.all(|peer| is_list_old(gateway, now, peer))
+}
+
 /// Returns whether an answer of the store to this gateway is as recent as those to a reader are.
 fn knows_store_answers(gateway: &Gateway) -> bool {
     let proved_at = gateway.store_proved_at.get();
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -60,6 +60,9 @@
     pub reads_store: bool,
     /// Time of the peer's proof that the store held nothing newer; none without a proof.
     pub proved_at: Option<Millis>,
+    /// Time of the read of the store that the peer's list of backend servers reflects; none if the
+    /// peer has no list.
+    pub list_read_at: Option<Millis>,
     /// Newest era of the store known to the peer, as of its last heartbeat.
     pub era: Era,
     /// Time from which the store is complete in that era, according to the peer; none if the peer
@@ -99,6 +102,9 @@
     pub directory: RefCell<Directory>,
     /// Time up to which the store's list of backend servers is known.
     pub list_read_at: Cell<Millis>,
+    /// Age of the list of backend servers. Unlike `list_read_at`, a list from another gateway counts
+    /// from that gateway's read of the list, not from its last answer of the store.
+    pub list_freshness: Cell<Freshness>,
     /// Whether the list of backend servers has been read at least once.
     pub directory_read: Cell<bool>,
     /// Backend servers that are missing from the list or gone. A leader that cannot reach the store
@@ -251,6 +257,7 @@
             freshness: Cell::default(),
             directory: RefCell::default(),
             list_read_at: Cell::new(0),
+            list_freshness: Cell::default(),
             directory_read: Cell::new(false),
             missing: RefCell::default(),
             replay_buffers: TOPICS.into_iter().map(|topic| (topic, Default::default())).collect(),
