Failing test: a group is taken apart because a sound host is silent

Callers lose a serving group for the time of a repair, and the model its spare, because a head or a member accepts connections and answers nothing for 0.5 to 2 s, and then goes on.

--- a/crates/oliveworks-gateway-core/tests/planner/drain.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/drain.rs
@@ -44,7 +44,7 @@
                 }
                 Command::Probe { server, .. } => match world.holding(&server) {
                     Some(holding) => leader.planner.handle_report(world.now, &server, &holding),
-                    None => leader.planner.handle_silence(world.now, &server, false),
+                    None => record_failed_probe(&mut leader.planner, world, &server),
                 },
             }
         }
--- a/crates/oliveworks-gateway-core/tests/planner/leader.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/leader.rs
@@ -56,7 +56,7 @@
             listed_hosts.insert(server.id.clone());
             match world.holding(&server.id) {
                 Some(holding) => planner.handle_report(world.now, &server.id, &holding),
-                None => planner.handle_silence(world.now, &server.id, false),
+                None => record_failed_probe(&mut planner, world, &server.id),
             }
         }
         planner.adopt_ended(ended);
@@ -86,7 +86,7 @@
             match command {
                 Command::Probe { server, .. } => match world.holding(&server) {
                     Some(holding) => self.planner.handle_report(world.now, &server, &holding),
-                    None => self.planner.handle_silence(world.now, &server, false),
+                    None => record_failed_probe(&mut self.planner, world, &server),
                 },
                 Command::Order { server, order, expects, .. } => {
                     self.send_order(world, server, order, expects);
@@ -112,7 +112,7 @@
         order: Order,
         expects: Option<u64>,
     ) {
-        let silent = world.hosts.get(&server).is_none_or(|host| world.now < host.silent_until);
+        let silent = !world.answers(&server);
         let late = world.rng.random_bool(world.late_share);
         let outcome = if late {
             let delay = world.rng.random_range(2_000..12_000);
@@ -128,3 +128,8 @@
         self.planner.handle_order_outcome(world.now, &server, &order, outcome);
     }
 }
+
+/// Passes the failure of a probe to a planner.
+pub fn record_failed_probe(planner: &mut Planner, world: &World, id: &BackendServerId) {
+    planner.handle_silence(world.now, id, false);
+}
--- a/crates/oliveworks-gateway-core/tests/planner/main.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/main.rs
@@ -9,6 +9,7 @@
 mod policy;
 mod restart;
 mod safety;
+mod silent;
 mod spread;
 mod stale;
 mod starved;
--- a/crates/oliveworks-gateway-core/tests/planner/safety.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/safety.rs
@@ -32,6 +32,8 @@
     /// Whether all processes are killed at once: the earlier leader sends no more orders, and the
     /// new leader is busy.
     kills: bool,
+    /// Whether sound hosts fall silent for a moment, one or many at once.
+    silences: bool,
 }
 
 /// Runs a seed: 10 s to form groups, 60 s with faults, 40 s without. Returns the violations, and
@@ -135,6 +137,9 @@
         }
         world.restart(&id);
     }
+    if disturbances.silences && world.rng.random_bool(0.02) {
+        silence_hosts(world, leaders);
+    }
     if world.rng.random_bool(0.003) {
         // The leader pauses. Another leader takes over and adopts the ended groups of the earlier
         // leader or none.
@@ -153,6 +158,23 @@
     }
 }
 
+/// Duration of the silence of a sound host, in ms.
+const SILENCE_MS: std::ops::Range<u64> = 500..2_000;
+/// Number of hosts that fall silent at once, at most.
+const SILENT_AT_ONCE_MAX: u32 = 8;
+
+/// Makes sound hosts silent for a moment. Gateways observe that their groups have stalled.
+fn silence_hosts(world: &mut World, leaders: &mut [Leader]) {
+    for _ in 0..world.rng.random_range(1..=SILENT_AT_ONCE_MAX) {
+        let Some(id) = world.random_host() else { return };
+        let until = world.now + world.rng.random_range(SILENCE_MS);
+        if let Some(host) = world.hosts.get_mut(&id) {
+            host.unresponsive_until = until;
+        }
+        suspect(world, leaders, &id);
+    }
+}
+
 /// Default number of seeds. More seeds can be run manually.
 const SEEDS: u64 = 60;
 /// Environment variable that overrides the number of seeds.
@@ -189,8 +211,10 @@
 #[test_case(Disturbances { lagging_reports: true, ..Disturbances::default() }; "while answers lag")]
 #[test_case(Disturbances { kills: true, ..Disturbances::default() }; "after all processes were killed")]
 #[test_case(Disturbances { kills: true, old_lists: true, ..Disturbances::default() }; "and the list is old")]
-#[test_case(Disturbances { restarts: true, old_lists: true, slow_handover: true, drains: true, kills: true, lagging_reports: true }; "with all of it")]
+#[test_case(Disturbances { restarts: true, old_lists: true, slow_handover: true, drains: true, kills: true, lagging_reports: true, silences: false }; "with all of it")]
 #[test_case(Disturbances { slow_handover: true, ..Disturbances::default() }; "when a new leader begins late")]
+#[test_case(Disturbances { silences: true, ..Disturbances::default() }; "while sound hosts fall silent")]
+#[test_case(Disturbances { restarts: true, old_lists: true, slow_handover: true, drains: true, kills: true, lagging_reports: true, silences: true }; "with all of it and silences")]
 fn no_rule_is_broken(disturbances: Disturbances) {
     for seed in 0..seeds() {
         let (violations, large, small) = run_with(seed, HostFaults::default(), disturbances);
--- a/crates/oliveworks-gateway-core/tests/planner/world.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/world.rs
@@ -15,7 +15,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-pub use crate::leader::Leader;
+pub use crate::leader::{Leader, record_failed_probe};
 
 pub const TICK_MS: u64 = 20;
 pub const FORM_MS: u64 = 300;
@@ -77,7 +77,10 @@
     pub server: BackendServer,
     pub alive: bool,
     pub pace: f64,
+    /// Time until which the host is cut off: no connection to it can be opened.
     pub silent_until: u64,
+    /// Time until which the host accepts connections and answers nothing, although it is sound.
+    pub unresponsive_until: u64,
     pub fence: u64,
     pub epoch: u64,
     pub last_model: Option<String>,
@@ -104,6 +107,7 @@
             alive: true,
             pace: 1.0,
             silent_until: 0,
+            unresponsive_until: 0,
             fence: 0,
             epoch: 0,
             last_model: None,
@@ -393,8 +397,15 @@
         }
     }
 
+    /// Whether a host receives and answers calls now.
+    pub fn answers(&self, id: &BackendServerId) -> bool {
+        self.hosts.get(id).is_some_and(|host| {
+            host.alive && self.now >= host.silent_until && self.now >= host.unresponsive_until
+        })
+    }
+
     fn newest_holding(&self, id: &BackendServerId) -> Option<Holding> {
-        let host = self.hosts.get(id).filter(|host| host.alive && self.now >= host.silent_until)?;
+        let host = self.hosts.get(id).filter(|_| self.answers(id))?;
         Some(Holding {
             models: host.last_model.iter().cloned().collect(),
             staging: host.staging.clone(),
