A group ends for a silent host only if its silence lasts

What callers saw: a group whose head or member answered nothing for 0.5 to 2 s and then went on was taken apart, its streams with it, and its spare used up. Cause: one probe without an answer in its 120 ms (two if no gateway suspected the group) made a host lost, and a lost member ends a group: its members leave and join others under a new epoch. A probe that nobody answered counted like one that found no host.

Change: a failed probe says which it was. Refused, or no connection in time: as before, and as fast. A connection without an answer: the host is silent. It gets no orders, is probed each 80 ms, is not chosen for a new group or spare, and nothing of its domain is preempted meanwhile; it counts in its domain as before, so that nothing else is loaded for it. It is lost after 2.5 s (sound silences last up to 2 s; a hung process holds its group for that long). Such a silence is no sign that a domain is down. A group whose end is decided for another reason does not wait for a silent head: its members leave by themselves, as with a lost one.

Ruled out: a longer time-out for all probes (repairs after crashes would wait too); leaving the group out of the table (gateways would end its answers; they suspend it already); hiding silent hosts from the quotas (their spares would be loaded a second time).

A host that stays silent is replaced within 4.0 s.

--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -70,7 +70,7 @@
 use group::{Group, Phase};
 use host::Host;
 pub use loads::LoadBudget;
-pub use order::{Command, ModelLoad, Order, Outcome, PlannerConfig, ServingGroup};
+pub use order::{Command, ModelLoad, Order, Outcome, PlannerConfig, ProbeFailure, ServingGroup};
 use outage::Outages;
 use pressure::Demand;
 use shares::ShareAdjuster;
@@ -328,13 +328,13 @@
         }
     }
 
-    /// Handles a host that did not answer. `refused` is whether its address reported that nothing
-    /// listens there.
-    pub fn handle_silence(&mut self, now: Millis, id: &str, refused: bool) {
+    /// Handles a failed probe of a host.
+    pub fn handle_probe_failure(&mut self, now: Millis, id: &str, failure: ProbeFailure) {
         let Some(host) = self.hosts.get_mut(id) else { return };
         let was_suspected = host.suspected && !host.is_lost();
-        host.record_silence(now, refused);
-        if was_suspected {
+        host.record_probe_failure(now, failure);
+        // A host that accepts connections does not show that its domain is down.
+        if was_suspected && failure != ProbeFailure::Unanswered {
             self.outages.add(now, &host.server.domain);
         }
     }
@@ -373,7 +373,7 @@
         let slow: Vec<&Host> = members.filter(|host| host.is_slow()).collect();
         let Some(first) = slow.first() else { return false };
         let here = self.hosts.values().filter(|host| host.server.domain == first.server.domain);
-        let able = here.filter(|host| host.is_eligible() && host.has_copy(&group.model));
+        let able = here.filter(|host| host.is_assignable() && host.has_copy(&group.model));
         let spare =
             able.filter(|host| match host.group.and_then(|epoch| self.groups.get(&epoch)) {
                 Some(group) => group.phase == Phase::Spare,
--- a/crates/oliveworks-gateway-core/src/planner/advance.rs
+++ b/crates/oliveworks-gateway-core/src/planner/advance.rs
@@ -183,7 +183,8 @@
             self.end_group(now, group, reason);
             return;
         }
-        if head.is_lost() {
+        // The end of the group is decided already, and does not wait for a head that is silent.
+        if head.is_lost() || head.is_silent() {
             self.abandon(now, group.epoch, EndReason::HeadSilent);
             return;
         }
--- a/crates/oliveworks-gateway-core/src/planner/allocation.rs
+++ b/crates/oliveworks-gateway-core/src/planner/allocation.rs
@@ -132,7 +132,7 @@
         return None;
     }
     let mut order: Vec<&Host> = domain.free.clone();
-    order.retain(|host| !short.is_reserved(domain, host, model));
+    order.retain(|host| host.is_assignable() && !short.is_reserved(domain, host, model));
     order.sort_by_key(|host| warmth(host, model));
     order.truncate(model.size);
     if order.len() < model.size {
--- a/crates/oliveworks-gateway-core/src/planner/describe.rs
+++ b/crates/oliveworks-gateway-core/src/planner/describe.rs
@@ -18,6 +18,7 @@
         for host in self.hosts.values() {
             let what = match host.group.and_then(|epoch| self.groups.get(&epoch)) {
                 _ if host.is_lost() => "lost".to_owned(),
+                _ if host.is_silent() => "silent".to_owned(),
                 _ if host.server.draining || host.unlisted => "leaving".to_owned(),
                 _ if host.is_slow() => "slow".to_owned(),
                 Some(group) if host.drained => {
--- a/crates/oliveworks-gateway-core/src/planner/domain.rs
+++ b/crates/oliveworks-gateway-core/src/planner/domain.rs
@@ -38,7 +38,7 @@
     pub(super) name: &'a str,
     /// Number of eligible hosts.
     pub(super) eligible: usize,
-    /// Hosts that may join a group, including spares.
+    /// Hosts that may join a group, including spares. Silent ones count, but are not chosen.
     pub(super) free: Vec<&'a Host>,
     /// Number of groups by model, including those that are being formed.
     pub(super) groups: BTreeMap<&'a str, usize>,
@@ -48,6 +48,8 @@
     pub(super) steady: bool,
     /// Whether the domain is returning from an outage, with more hosts to be listed.
     pub(super) returning: bool,
+    /// Whether an eligible host is silent.
+    pub(super) has_silent_host: bool,
     /// Whether a group of the domain is being formed or dissolved.
     pub(super) in_transition: bool,
     /// Model for which groups of this domain are being preempted.
@@ -116,6 +118,7 @@
         let domain = domains.entry(&host.server.domain).or_default();
         domain.name = &host.server.domain;
         domain.eligible += 1;
+        domain.has_silent_host |= host.is_silent();
         let group = host.group.and_then(|epoch| planner.groups.get(&epoch));
         match group {
             Some(group) if group.phase == Phase::Spare => domain.free.push(host),
--- a/crates/oliveworks-gateway-core/src/planner/early_service.rs
+++ b/crates/oliveworks-gateway-core/src/planner/early_service.rs
@@ -51,7 +51,7 @@
         let load_ms = (model.load_ms as f64 * queue) as u64;
         let hosts = group.members.iter().filter_map(|id| planner.hosts.get(id));
         for host in
-            hosts.filter(|host| host.is_eligible() && host.loads_for(group.epoch, &model.name))
+            hosts.filter(|host| host.is_assignable() && host.loads_for(group.epoch, &model.name))
         {
             let begun_at = if host.joined == Some(group.epoch) { host.joined_at } else { now };
             let left_ms = (begun_at + load_ms).saturating_sub(now);
@@ -86,7 +86,7 @@
     }
     let warm = |host: &&Host| warmth(host, model) != Warmth::Cold;
     let mut hosts: Vec<&Host> = domain.free.iter().copied().filter(warm).collect();
-    hosts.retain(|host| !short.is_reserved(domain, host, model));
+    hosts.retain(|host| host.is_assignable() && !short.is_reserved(domain, host, model));
     if hosts.len() >= model.size {
         return None;
     }
--- a/crates/oliveworks-gateway-core/src/planner/host.rs
+++ b/crates/oliveworks-gateway-core/src/planner/host.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use super::{Command, Order, Outcome};
+use super::{Command, Order, Outcome, ProbeFailure};
 use crate::Millis;
 use crate::backend_servers::{BackendServer, Born, Holding, MemberState, Membership};
 use crate::configuration::Model;
@@ -11,8 +11,12 @@
 pub(super) const PROBE_EVERY_MS: u64 = 80;
 /// Time between two probes of a host that does not answer, in ms.
 const LOST_PROBE_EVERY_MS: u64 = 700;
-/// Number of unanswered probes after which a host counts as lost.
+/// Number of probes without a connection after which a host counts as lost.
 const MISSED_PROBES_MAX: u32 = 2;
+/// Time for which a host may accept connections and answer nothing before it counts as lost, in ms.
+/// A sound host may be silent for up to two seconds, and a hung one keeps its group from serving
+/// for this time.
+const SILENCE_MAX_MS: u64 = 2_500;
 /// Time after which an unanswered order is sent again, in ms.
 const ORDER_RETRY_MS: u64 = 300;
 /// Time for which an unanswered order may still be carried out, in ms.
@@ -63,9 +67,13 @@
     /// Newest epoch for which an order to join or open went unanswered.
     pub(super) unanswered: Option<u64>,
     unanswered_at: Millis,
+    /// Number of consecutive probes for which no connection could be opened.
     missed_probes: u32,
-    /// Whether gateways observe no progress in the host's group. One missed answer then marks the
-    /// host as lost.
+    /// Time since which the host accepts connections and answers nothing; `None` if it answers or
+    /// is lost.
+    silent_since: Option<Millis>,
+    /// Whether gateways observe no progress in the host's group. One probe without a connection
+    /// then marks the host as lost.
     pub(super) suspected: bool,
     /// Whether the reported pace marks the host as slow.
     slow: bool,
@@ -115,6 +123,7 @@
             unanswered: None,
             unanswered_at: 0,
             missed_probes: 0,
+            silent_since: None,
             suspected: false,
             slow: false,
             pace: 1.0,
@@ -190,45 +199,87 @@
 
     pub(super) fn mark_answering(&mut self) {
         self.missed_probes = 0;
+        self.silent_since = None;
         self.suspected = false;
         self.probing = false;
     }
 
-    pub(super) fn record_silence(&mut self, now: Millis, refused: bool) {
+    /// Handles a failed probe.
+    pub(super) fn record_probe_failure(&mut self, now: Millis, failure: ProbeFailure) {
         self.probing = false;
         self.probed_at = now;
-        self.missed_probes +=
-            if std::mem::take(&mut self.suspected) { MISSED_PROBES_MAX } else { 1 };
-        if refused {
+        let was_suspected = std::mem::take(&mut self.suspected);
+        match failure {
             // Nothing listens at the address, or a network partition produces that answer. The host
             // receives no work, but it may still be running.
-            self.missed_probes = self.missed_probes.max(MISSED_PROBES_MAX);
-        } else if self.missed_probes < MISSED_PROBES_MAX {
-            self.wants_probe = true;
+            ProbeFailure::Refused => self.mark_lost(),
+            ProbeFailure::Unreachable if was_suspected => self.mark_lost(),
+            ProbeFailure::Unreachable => self.record_missed_probe(),
+            ProbeFailure::Unanswered => self.record_unanswered_probe(now),
         }
     }
 
-    /// Marks the host as suspected: it is probed at once, and one missed answer marks it as lost.
+    fn mark_lost(&mut self) {
+        self.missed_probes = self.missed_probes.max(MISSED_PROBES_MAX);
+        self.silent_since = None;
+    }
+
+    fn record_missed_probe(&mut self) {
+        self.missed_probes += 1;
+        match self.is_lost() {
+            true => self.mark_lost(),
+            false => self.wants_probe = true,
+        }
+    }
+
+    /// Handles a probe that the host accepted and did not answer. The host runs, and its process
+    /// may continue, so it is lost only if the silence lasts: the end of its group cannot be
+    /// undone.
+    fn record_unanswered_probe(&mut self, now: Millis) {
+        if self.is_lost() {
+            return;
+        }
+        self.missed_probes = 0;
+        let since = *self.silent_since.get_or_insert(now);
+        if now >= since + SILENCE_MAX_MS {
+            self.mark_lost();
+        }
+    }
+
+    /// Whether the host accepts connections and answers nothing, but not for so long that it is
+    /// lost.
+    pub(super) fn is_silent(&self) -> bool {
+        self.silent_since.is_some()
+    }
+
+    /// Marks the host as suspected: it is probed at once, and one probe without a connection marks
+    /// it as lost.
     pub(super) fn suspect(&mut self) {
         self.wants_probe = true;
         self.suspected = true;
     }
 
-    /// Whether the host does not answer.
+    /// Whether the host cannot be reached, or has not answered for long.
     pub(super) fn is_lost(&self) -> bool {
         self.missed_probes >= MISSED_PROBES_MAX
     }
 
-    /// Whether the host answers, is listed and is not leaving.
+    /// Whether the host is not lost, is listed and is not leaving.
     pub(super) fn is_available(&self) -> bool {
         !self.is_lost() && !self.unlisted && !self.server.draining
     }
 
-    /// Whether the host may be assigned to a group or load a model.
+    /// Whether the host counts for the groups and loads of its domain. A silent host does, since it
+    /// is expected to continue.
     pub(super) fn is_eligible(&self) -> bool {
         self.is_available() && !self.slow && !self.drained
     }
 
+    /// Whether the host may be chosen for a new group now.
+    pub(super) fn is_assignable(&self) -> bool {
+        self.is_eligible() && !self.is_silent()
+    }
+
     /// Whether the host is slow.
     pub(super) fn is_slow(&self) -> bool {
         self.slow
@@ -396,6 +447,7 @@
     pub(super) fn may_order(&self, now: Millis) -> bool {
         let retry_at = self.ordered_at + ORDER_RETRY_MS;
         !self.order_pending
+            && !self.is_silent()
             && now >= retry_at
             && (!self.probe_first || self.reported_at >= retry_at)
     }
@@ -428,7 +480,7 @@
             }
             Outcome::Gone => {
                 self.replaced = true;
-                self.record_silence(now, true);
+                self.record_probe_failure(now, ProbeFailure::Refused);
                 return;
             }
             Outcome::Unanswered => {
@@ -493,8 +545,9 @@
         self.wants_probe |= waited >= first && now >= self.probed_at + every;
     }
 
-    /// Returns a probe if one is due. A probe is postponed while its answer, `lag_ms` old, would
-    /// predate the last order, unless it is in doubt whether the host answers at all.
+    /// Returns a probe if one is due. A silent host is probed until it answers or is lost. A probe is
+    /// postponed while its answer, `lag_ms` old, would predate the last order, unless it is in doubt
+    /// whether the host answers at all.
     pub(super) fn probe(&mut self, now: Millis, lag_ms: u64) -> Option<Command> {
         if self.pace > USUAL_PACE && self.is_available() {
             self.request_slow_probe(now);
@@ -506,10 +559,14 @@
             self.is_lost() && !self.unlisted && now >= self.probed_at + LOST_PROBE_EVERY_MS;
         let retry_at = self.ordered_at + ORDER_RETRY_MS;
         let probe_first = self.probe_first && now >= retry_at && self.reported_at < retry_at;
-        if self.probing || !(self.wants_probe || lost_due || probe_first) {
+        if self.is_silent() && now < self.probed_at + PROBE_EVERY_MS {
+            return None;
+        }
+        let due = self.wants_probe || lost_due || probe_first || self.is_silent();
+        if self.probing || !due {
             return None;
         }
-        let in_doubt = self.suspected || self.missed_probes > 0;
+        let in_doubt = self.suspected || self.missed_probes > 0 || self.is_silent();
         if self.predates_last_order(now, lag_ms) && !in_doubt {
             return None;
         }
--- a/crates/oliveworks-gateway-core/src/planner/observations.rs
+++ b/crates/oliveworks-gateway-core/src/planner/observations.rs
@@ -1,6 +1,6 @@
 //! Observations of hosts from sources other than their answers to this leader.
 
-use super::Planner;
+use super::{Planner, ProbeFailure};
 use crate::Millis;
 use crate::backend_servers::Born;
 
@@ -24,7 +24,7 @@
     pub fn mark_replaced(&mut self, now: Millis, id: &str) {
         if let Some(host) = self.hosts.get_mut(id) {
             host.replaced = true;
-            host.record_silence(now, true);
+            host.record_probe_failure(now, ProbeFailure::Refused);
         }
     }
 
--- a/crates/oliveworks-gateway-core/src/planner/order.rs
+++ b/crates/oliveworks-gateway-core/src/planner/order.rs
@@ -68,7 +68,7 @@
     },
     /// Request the state of a backend server. The answer is passed to
     /// [`Planner::handle_report`](super::Planner::handle_report) or
-    /// [`Planner::handle_silence`](super::Planner::handle_silence).
+    /// [`Planner::handle_probe_failure`](super::Planner::handle_probe_failure).
     Probe {
         /// Backend server to probe.
         server: BackendServerId,
@@ -102,6 +102,18 @@
     Unanswered,
 }
 
+/// Reason why a probe returned no state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeFailure {
+    /// The address refuses connections, since nothing listens there.
+    Refused,
+    /// No connection could be opened in time: the host is down or cut off.
+    Unreachable,
+    /// A connection was opened, but no valid answer arrived in time. The host runs, and its process
+    /// may only pause.
+    Unanswered,
+}
+
 /// A serving group as gateways need to know it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServingGroup {
--- a/crates/oliveworks-gateway-core/src/planner/preemption.rs
+++ b/crates/oliveworks-gateway-core/src/planner/preemption.rs
@@ -21,8 +21,10 @@
     let short = Shortage::of(planner, &domains);
     let mut models: Vec<&Model> = planner.engine.models.iter().filter(|m| m.size > 1).collect();
     models.sort_by_key(|model| std::cmp::Reverse(model.size));
-    let mut without_transition = domains.values().filter(|domain| !domain.in_transition);
-    without_transition.find_map(|domain| {
+    // A silent host may not be able to join the group for which others would end.
+    let mut candidates =
+        domains.values().filter(|domain| !domain.in_transition && !domain.has_silent_host);
+    candidates.find_map(|domain| {
         let beneficiary = models.iter().find(|model| domain.missing_groups(planner, model) > 0)?;
         let epochs = preemptable_groups(&short, domain, beneficiary)?;
         Some(Preemption { epochs, model: beneficiary.name.clone() })
--- a/crates/oliveworks-gateway-core/src/planner/spares.rs
+++ b/crates/oliveworks-gateway-core/src/planner/spares.rs
@@ -58,7 +58,7 @@
             .iter()
             .map(|model| (model.name.as_str(), domain.loading_spares(model)))
             .collect();
-        for host in domain.free.iter().filter(|host| host.group.is_none()) {
+        for host in domain.free.iter().filter(|host| host.group.is_none() && host.is_assignable()) {
             if grouped.iter().any(|model| host.held_last(&model.name)) {
                 continue;
             }
--- a/crates/oliveworks-gateway-core/tests/planner/leader.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/leader.rs
@@ -131,5 +131,5 @@
 
 /// Passes the failure of a probe to a planner.
 pub fn record_failed_probe(planner: &mut Planner, world: &World, id: &BackendServerId) {
-    planner.handle_silence(world.now, id, false);
+    planner.handle_probe_failure(world.now, id, world.probe_failure(id));
 }
--- a/crates/oliveworks-gateway-core/tests/planner/safety.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/safety.rs
@@ -180,8 +180,9 @@
 /// Environment variable that overrides the number of seeds.
 const SEEDS_VARIABLE: &str = "OLIVEWORKS_SEEDS";
 
-fn seeds() -> u64 {
-    std::env::var(SEEDS_VARIABLE).ok().and_then(|text| text.parse().ok()).unwrap_or(SEEDS)
+/// Returns the number of seeds to run: `default`, unless it is overridden.
+pub fn seeds(default: u64) -> u64 {
+    std::env::var(SEEDS_VARIABLE).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
 #[test]
@@ -189,7 +190,7 @@
     for seed in std::env::var("SEED")
         .ok()
         .and_then(|t| t.parse().ok())
-        .map_or(0..seeds(), |s: u64| s..s + 1)
+        .map_or(0..seeds(SEEDS), |s: u64| s..s + 1)
     {
         let (violations, large, small) = run(seed, HostFaults::default());
         assert!(violations.is_empty(), "seed {seed}: {:?}", &violations[..violations.len().min(3)]);
@@ -216,7 +217,7 @@
 #[test_case(Disturbances { silences: true, ..Disturbances::default() }; "while sound hosts fall silent")]
 #[test_case(Disturbances { restarts: true, old_lists: true, slow_handover: true, drains: true, kills: true, lagging_reports: true, silences: true }; "with all of it and silences")]
 fn no_rule_is_broken(disturbances: Disturbances) {
-    for seed in 0..seeds() {
+    for seed in 0..seeds(SEEDS) {
         let (violations, large, small) = run_with(seed, HostFaults::default(), disturbances);
         assert!(violations.is_empty(), "seed {seed}: {:?}", &violations[..violations.len().min(3)]);
         assert!(large >= 1 && small >= 2, "seed {seed}: {large} large, {small} small at the end");
--- a/crates/oliveworks-gateway-core/tests/planner/silent.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/silent.rs
@@ -4,10 +4,11 @@
 use std::collections::BTreeSet;
 
 use oliveworks_gateway_core::backend_servers::{BackendServerId, MemberState};
-use oliveworks_gateway_core::planner::{Command, Order, ServingGroup};
+use oliveworks_gateway_core::planner::{Command, Order, PlannerConfig, ServingGroup};
 use rand::RngExt;
 use test_case::test_case;
 
+use crate::safety::seeds;
 use crate::world::*;
 
 /// Longest silence of a sound host, in ms.
@@ -16,6 +17,12 @@
 const SUSPECT_EVERY_MS: u64 = 100;
 /// Time within which a group whose host stays silent is replaced, in ms.
 const HUNG_REPAIR_MS: u64 = 4_000;
+/// Number of hosts that fall silent at once, at most, in runs with random silences.
+const SILENT_AT_ONCE_MAX: u32 = 8;
+/// Default number of seeds of these runs.
+const SILENCE_SEEDS: u64 = 6;
+/// Age of the state that hosts report when their answer arrives, in ms.
+const REPORT_LAG_MS: u64 = 200;
 /// Seeds of the runs that measure repairs.
 const REPAIR_SEEDS: u64 = 8;
 
@@ -138,6 +145,50 @@
     assert_eq!(world.violations, Vec::<String>::new());
 }
 
+/// Random silences of several hosts at once, while leaders change: no group ends and no host loads
+/// a model.
+#[test]
+fn groups_outlast_random_silences_and_changes_of_leader() {
+    for seed in 0..seeds(SILENCE_SEEDS) {
+        let mut world = World::new(seed, HostFaults::default());
+        world.report_lag_ms = REPORT_LAG_MS;
+        world.engine.report_lag_ms = REPORT_LAG_MS;
+        let (mut world, mut leader) = formed_of(world, FEW, PlannerConfig::default());
+        run_for(&mut world, &mut leader, 45_000, true);
+        let before = groups(&world, &leader);
+        let mut fence = 1;
+        let until = world.now + 30_000;
+        while world.now < until {
+            let silent = silence_random_hosts(&mut world);
+            let time_ms = world.rng.random_range(0..1_500);
+            run_suspected(&mut world, &mut leader, &silent, time_ms);
+            if world.rng.random_bool(0.3) {
+                fence += 1;
+                leader = Leader::take_over(&world, fence, leader.planner.ended().collect());
+            }
+        }
+        run_for(&mut world, &mut leader, 10_000, true);
+        assert_eq!(groups(&world, &leader), before, "seed {seed}");
+        assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+/// Makes hosts silent, and returns them. Each answers for a while between two of its silences.
+fn silence_random_hosts(world: &mut World) -> Vec<BackendServerId> {
+    const ANSWERS_MS: u64 = 1_000;
+    let mut silent = Vec::new();
+    for _ in 0..world.rng.random_range(1..=SILENT_AT_ONCE_MAX) {
+        let Some(id) = world.random_host() else { continue };
+        if world.now < world.hosts[&id].unresponsive_until + ANSWERS_MS {
+            continue;
+        }
+        let time_ms = world.rng.random_range(500..=LONGEST_SILENCE_MS);
+        silence(world, std::slice::from_ref(&id), time_ms);
+        silent.push(id);
+    }
+    silent
+}
+
 /// A host that stays silent holds its group for a limited time.
 #[test_case(Silent::Head; "a head")]
 #[test_case(Silent::Member; "a member")]
--- a/crates/oliveworks-gateway-core/tests/planner/world.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/world.rs
@@ -11,7 +11,7 @@
     BackendServer, BackendServerId, Born, Holding, MemberState, Membership,
 };
 use oliveworks_gateway_core::configuration::{Engine, Model};
-use oliveworks_gateway_core::planner::{ModelLoad, Order, Outcome, PlannerConfig};
+use oliveworks_gateway_core::planner::{ModelLoad, Order, Outcome, PlannerConfig, ProbeFailure};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -404,6 +404,15 @@
         })
     }
 
+    /// Returns what a probe of a host that does not answer shows.
+    pub fn probe_failure(&self, id: &BackendServerId) -> ProbeFailure {
+        let host = self.hosts.get(id).filter(|host| host.alive && self.now >= host.silent_until);
+        match host {
+            Some(_) => ProbeFailure::Unanswered,
+            None => ProbeFailure::Unreachable,
+        }
+    }
+
     fn newest_holding(&self, id: &BackendServerId) -> Option<Holding> {
         let host = self.hosts.get(id).filter(|_| self.answers(id))?;
         Some(Holding {
--- a/crates/oliveworks-gateway/src/exchange.rs
+++ b/crates/oliveworks-gateway/src/exchange.rs
@@ -51,6 +51,15 @@
     Large,
 }
 
+/// Reason why a call on a new connection has no complete answer.
+#[derive(Debug)]
+pub enum CallError {
+    /// No connection could be opened.
+    NoConnection(NoConnection),
+    /// A connection was opened, but no complete answer arrived on it in time.
+    NoAnswer,
+}
+
 impl fmt::Display for ExchangeError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -17,7 +17,7 @@
 use crate::calls::CallKind;
 use crate::dialect::Call;
 use crate::events::Event;
-use crate::exchange::{self, Exchange, ExchangeError, MISDIRECTED, NoConnection, Reply};
+use crate::exchange::{self, CallError, Exchange, ExchangeError, MISDIRECTED, Reply};
 use crate::host_statements::Sender;
 use crate::state::Gateway;
 use crate::takeover::{ProbeOutcome, apply_probe, probe};
@@ -124,21 +124,21 @@
 }
 
 /// Calls a backend server on a new connection and processes the statements of the answer about its
-/// sender. The error is whether the address refused the connection.
+/// sender.
 pub async fn call_server(
     gateway: &Gateway,
     server: &str,
     address: SocketAddr,
     call: &Call,
     within_ms: u64,
-) -> Result<Reply, bool> {
+) -> Result<Reply, CallError> {
     let incarnation = gateway.directory.borrow().born(server);
     let opened = Exchange::open(address, within_ms).await;
-    let mut open = opened.map_err(|why| why == NoConnection::Refused)?;
+    let mut open = opened.map_err(CallError::NoConnection)?;
     let sent_at = gateway.now();
     gateway.count_own_call(server);
     let answer = exchange::call(&mut open, address, call, within_ms).await;
-    let reply = answer.map_err(|_: ExchangeError| false)?;
+    let reply = answer.map_err(|_: ExchangeError| CallError::NoAnswer)?;
     if reply.status != MISDIRECTED {
         let answered = gateway.dialect.parse_answer(reply.status, &reply.headers);
         let sender = Sender { server, incarnation, sent_at, to_request: false };
--- a/crates/oliveworks-gateway/src/takeover.rs
+++ b/crates/oliveworks-gateway/src/takeover.rs
@@ -6,12 +6,12 @@
 
 use log::warn;
 use oliveworks_gateway_core::backend_servers::{BackendServer, Holding};
-use oliveworks_gateway_core::planner::Planner;
+use oliveworks_gateway_core::planner::{Planner, ProbeFailure};
 use oliveworks_gateway_core::planners::{PlannerChange, Takeover};
 
 use crate::calls::CallKind;
 use crate::events::Event;
-use crate::exchange::Reply;
+use crate::exchange::{CallError, NoConnection, Reply};
 use crate::leader::call_server;
 use crate::state::Gateway;
 
@@ -89,7 +89,7 @@
     let now = gateway.now();
     match outcome {
         ProbeOutcome::Holding(holding) => planner.handle_report(now, server, holding),
-        ProbeOutcome::Silent { refused } => planner.handle_silence(now, server, *refused),
+        ProbeOutcome::Failed(failure) => planner.handle_probe_failure(now, server, *failure),
         ProbeOutcome::Replaced => planner.mark_replaced(now, server),
     }
 }
@@ -98,11 +98,8 @@
 pub enum ProbeOutcome {
     /// The state that the server reports.
     Holding(Holding),
-    /// The server does not answer.
-    Silent {
-        /// Whether nothing listens at its address.
-        refused: bool,
-    },
+    /// The server does not report its state.
+    Failed(ProbeFailure),
     /// Another backend server answers at the address.
     Replaced,
 }
@@ -123,8 +120,16 @@
         Ok(Reply { status, body, .. }) => match gateway.dialect.parse_report(status, &body) {
             Ok(Some(holding)) => ProbeOutcome::Holding(holding),
             Ok(None) => ProbeOutcome::Replaced,
-            Err(_) => ProbeOutcome::Silent { refused: false },
+            Err(_) => ProbeOutcome::Failed(ProbeFailure::Unanswered),
         },
-        Err(refused) => ProbeOutcome::Silent { refused },
+        Err(error) => ProbeOutcome::Failed(probe_failure(&error)),
+    }
+}
+
+fn probe_failure(error: &CallError) -> ProbeFailure {
+    match error {
+        CallError::NoConnection(NoConnection::Refused) => ProbeFailure::Refused,
+        CallError::NoConnection(NoConnection::Silent) => ProbeFailure::Unreachable,
+        CallError::NoAnswer => ProbeFailure::Unanswered,
     }
 }
