An unanswered order outlives the incarnation that it was sent to

Cause: a host that has restarted has forgotten its fence, its epochs and its count of orders, so a first join that expects a count of 0, and an open that expects 1, fit the new incarnation. The leader forgot with the restart that an order had gone unanswered, took the group for certainly ended and freed its members.

Host::reset keeps the last unanswered order. end_group then abandons the group: each member leaves it by itself before it is free, which costs a call to each member and only after an unanswered order.

Not covered: unanswered orders of a former leader.

The simulated pool drops late orders at a restart otherwise; the test adds them by itself.

--- a/crates/oliveworks-gateway-core/src/planner/host.rs
+++ b/crates/oliveworks-gateway-core/src/planner/host.rs
@@ -141,11 +141,12 @@
         }
     }
 
-    /// Resets the state of a host that restarted. Only its assignment to a group and its drain
-    /// remain.
+    /// Resets the state of a host that restarted. Only its assignment to a group, its drain and the
+    /// last unanswered order remain: the order may reach the new incarnation, which does not know
+    /// that it belongs to an earlier one.
     pub(super) fn reset(&mut self, now: Millis, server: &BackendServer) {
-        let (group, drained) = (self.group, self.drained);
-        *self = Host { group, drained, ..Host::new(now, server) };
+        let Host { group, drained, unanswered, unanswered_at, .. } = *self;
+        *self = Host { group, drained, unanswered, unanswered_at, ..Host::new(now, server) };
     }
 
     pub(super) fn update_record(&mut self, now: Millis, server: &BackendServer) {
--- a/crates/oliveworks-gateway-core/tests/planner/restart.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/restart.rs
@@ -4,6 +4,7 @@
 //! probe and belonged to no group any more, while the leader counted its group as open, so the
 //! domain served no requests until the end of the run.
 
+use oliveworks_gateway_core::planner::{Order, Outcome};
 use test_case::test_case;
 
 use crate::world::*;
@@ -41,3 +42,38 @@
     run_for(&mut world, &mut leader, TICK_MS, true);
     assert_eq!(leader.planner.describe(), before);
 }
+
+/// Guards against members that join another group while their head serves: unanswered orders to the
+/// previous incarnation of the head let the next one join and open the old group.
+#[test_case("large"; "a large group")]
+#[test_case("small"; "a small group")]
+fn late_orders_to_the_previous_incarnation_free_no_members(model: &str) {
+    let (mut world, mut leader) = formed(FEW);
+    run_for(&mut world, &mut leader, 45_000, true);
+    let serving = leader.planner.serving(world.now);
+    let group = serving.iter().find(|group| group.model == model).expect("a group").clone();
+    let (epoch, members) = (group.epoch, group.members);
+    let head = members[0].clone();
+    let (membership, ..) = world.hosts[&head].group.clone().expect("a membership");
+    let name = membership.name;
+    let join =
+        Order::Join { group: name.clone(), epoch, model: model.into(), members: members.clone() };
+    let open = Order::Open { group: name, epoch };
+    leader.planner.handle_order_outcome(world.now, &head, &open, Outcome::Unanswered);
+    // The next incarnation joins within the time of a warm join.
+    world.hosts.get_mut(&head).expect("a host").staging = vec![model.into()];
+    world.restart(&head);
+    let (restarted_at, fence) = (world.now, leader.fence);
+    world.late.push((restarted_at + TICK_MS, fence, head.clone(), join, Some(0)));
+    world.late.push((restarted_at + 2_000, fence, head.clone(), open, Some(1)));
+    // The leader learns of the restart by the head's record, when the head serves again, and cannot
+    // reach the head.
+    world.hosts.get_mut(&head).expect("a host").silent_until = restarted_at + 10_000;
+    while world.now < restarted_at + 3_000 {
+        world.step();
+    }
+    assert!(world.head_serves(epoch, &members), "the next incarnation opens the old group");
+    leader.read_list(&world);
+    run_for(&mut world, &mut leader, 15_000, true);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
