--- a/crates/oliveworks-gateway-core/src/planner/outage.rs
+++ b/crates/oliveworks-gateway-core/src/planner/outage.rs
@@ -5,11 +5,11 @@
 //! groups without requests seem to be alive for seconds, and requests are sent to one group after
 //! the other. Therefore, once several hosts of a domain stop answering within a heartbeat and
 //! gateways observed no progress in their groups, all other hosts of the domain are probed at once,
-//! and one probe without a connection marks them as lost. A host that accepts
-//! connections and does not answer is not counted: it runs and has a network. Rejected: counting every host that does not answer,
-//! because a leader that is partitioned from a domain would dissolve groups that the gateways of
-//! that domain reach well. Rejected: taking the remaining hosts as lost without a probe, because
-//! several hosts may fail in a domain that is otherwise up.
+//! and one probe without a connection marks them as lost. A host that accepts connections and does
+//! not answer is not counted: it runs and has a network. Rejected: counting every host that does
+//! not answer, because a leader that is partitioned from a domain would dissolve groups that the
+//! gateways of that domain reach well. Rejected: taking the remaining hosts as lost without a
+//! probe, because several hosts may fail in a domain that is otherwise up.
 
 use std::collections::BTreeMap;
 
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -5,6 +5,7 @@
 mod placing;
 mod reception;
 mod sending;
+mod silence;
 
 use std::future::pending;
 use std::pin::{Pin, pin};
@@ -19,12 +20,11 @@
 use oliveworks_gateway_core::crashers::Features;
 use oliveworks_gateway_core::demand::ModelKey;
 use oliveworks_gateway_core::events::Progress;
-use oliveworks_gateway_core::group_id::GroupId;
 use oliveworks_gateway_core::obstacles::NoPlace;
 use oliveworks_gateway_core::timeliness::{Goal, Served, Timeliness};
 
 use forwarding::Forwarded;
-use reception::{Reception, ReceptionEvent, SilenceLimit, next_event};
+use reception::{Data, Reception, ReceptionEvent, next_event};
 use sending::{NotSent, Rejection};
 use tokio::time::sleep;
 
@@ -47,12 +47,6 @@
 /// Shortest retry time sent while the configuration is too old to honour keys, in ms.
 const RETRY_AFTER_STALE_MS: u64 = 1_000;
 
-/// Silence, in ms, after which a repeatable request without a model is sent to another backend
-/// server as well.
-const PLAIN_SILENCE_MS: u64 = 400;
-/// Factor on the goal of the route. The product is used in place of `PLAIN_SILENCE_MS` if it is
-/// longer.
-const PLAIN_SILENCE_GOALS: u64 = 2;
 /// Time before the deadline at which the final answer is sent, in ms, if no other answer has begun.
 const DEADLINE_MARGIN_MS: u64 = 30;
 /// Time after a search for another place without success until the next one, in ms, while an answer
@@ -309,42 +303,15 @@
                     search_at = self.next_search(&receptions);
                 }
                 Step::Receptions(ReceptionEvent::Received(index, received)) => {
-                    let mut reception = receptions.swap_remove(index);
-                    let forwarded = match received {
-                        Ok(data) => {
-                            self.record_end_of_silence(&mut reception);
-                            let others = receptions.len();
-                            self.forward_data(connection, &mut reception, data, others).await
-                        }
-                        Err(failure) => Forwarded::Failed(failure),
-                    };
-                    match forwarded {
-                        Forwarded::Completed => {
-                            self.withdraw(&mut receptions);
-                            return (End::Whole, self.count_served().into());
-                        }
-                        Forwarded::CallerGone => return (End::Torn, "left".into()),
-                        Forwarded::Nothing => receptions.push(reception),
-                        Forwarded::Part => {
-                            self.withdraw(&mut receptions);
-                            receptions.push(reception);
-                        }
-                        Forwarded::Failed(failure) => {
-                            let next = self.end_reception(reception, failure).await;
-                            let ended = self.give_up_if_last(connection, &receptions, next).await;
-                            if let Some(ended) = ended {
-                                return ended;
-                            }
-                        }
+                    let reception = receptions.swap_remove(index);
+                    let ended = self.receive(connection, &mut receptions, reception, received);
+                    if let Some(ended) = ended.await {
+                        return ended;
                     }
                     search_at = self.next_search(&receptions);
                 }
                 Step::Receptions(ReceptionEvent::Expired) => {
-                    self.withdraw(&mut receptions);
-                    let now = self.gateway.now();
-                    let is_late = now + DEADLINE_MARGIN_MS >= self.deadline;
-                    let verdict = self.attempts.verdict(if is_late { self.deadline } else { now });
-                    return self.give_up(connection, verdict, RETRY_AFTER_MS).await;
+                    return self.expire(connection, &mut receptions).await;
                 }
                 Step::Convicted { until } => {
                     if !receptions.is_empty() {
@@ -357,6 +324,57 @@
         }
     }
 
+    /// Processes data of an answer, or the failure to receive it. Returns the end of the request if
+    /// this ends it. `others` are the other answers that are awaited.
+    async fn receive<'r>(
+        &mut self,
+        connection: &mut Connection,
+        others: &mut Vec<Reception<'r>>,
+        mut reception: Reception<'r>,
+        received: Result<Data, Failure>,
+    ) -> Option<(End, String)> {
+        let forwarded = match received {
+            Ok(data) => {
+                self.record_end_of_silence(&mut reception);
+                self.forward_data(connection, &mut reception, data, others.len()).await
+            }
+            Err(failure) => Forwarded::Failed(failure),
+        };
+        match forwarded {
+            Forwarded::Completed => {
+                self.withdraw(others);
+                Some((End::Whole, self.count_served().into()))
+            }
+            Forwarded::CallerGone => Some((End::Torn, "left".into())),
+            Forwarded::Nothing => {
+                others.push(reception);
+                None
+            }
+            Forwarded::Part => {
+                self.withdraw(others);
+                others.push(reception);
+                None
+            }
+            Forwarded::Failed(failure) => {
+                let next = self.end_reception(reception, failure).await;
+                self.give_up_if_last(connection, others, next).await
+            }
+        }
+    }
+
+    /// Ends a request whose time, or that of the process, is over.
+    async fn expire(
+        &mut self,
+        connection: &mut Connection,
+        receptions: &mut Vec<Reception<'_>>,
+    ) -> (End, String) {
+        self.withdraw(receptions);
+        let now = self.gateway.now();
+        let is_late = now + DEADLINE_MARGIN_MS >= self.deadline;
+        let verdict = self.attempts.verdict(if is_late { self.deadline } else { now });
+        self.give_up(connection, verdict, RETRY_AFTER_MS).await
+    }
+
     /// Waits for the next event: at the receptions, or at a search for another place, which begins
     /// at `search_at`.
     async fn step<'r>(
@@ -403,52 +421,6 @@
         (may_send && all_silent).then_some(now)
     }
 
-    /// Returns the longest silence of a place before the request is sent to another one as well.
-    fn silence_limit(&self) -> SilenceLimit {
-        if self.route.repeat != Repeat::Idempotent {
-            return SilenceLimit::Unlimited;
-        }
-        if self.model.is_some() {
-            return SilenceLimit::Group { pass_ms: self.pass_ms };
-        }
-        match self.attempts.sent() < self.route.max_attempts {
-            true => SilenceLimit::Plain {
-                silence_ms: PLAIN_SILENCE_MS.max(self.route.goal_ms * PLAIN_SILENCE_GOALS),
-            },
-            false => SilenceLimit::Unlimited,
-        }
-    }
-
-    fn record_silence(&mut self, reception: &mut Reception<'_>) {
-        reception.is_silent = true;
-        let (now, place) = (self.gateway.now(), &reception.place);
-        self.log.push(format!("{} silent at {} ms", place.server, now - self.received));
-        self.gateway.count("attempt_stalled");
-        let Some(epoch) = place.epoch else { return };
-        let target = place.candidate.target;
-        if !self.gateway.suspensions.borrow().is_suspended(now, target) {
-            let last = self.gateway.balance.borrow().last_progress(target).unwrap_or(now);
-            Event::new("group_stands_still")
-                .with("host", &*place.server)
-                .with("epoch", epoch)
-                .with("silent_ms", now - last)
-                .with("longest_pass_ms", self.pass_ms)
-                .with("request", self.asked.id.as_str())
-                .write();
-            self.gateway.suspensions.borrow_mut().suspend(now, target);
-        }
-        self.gateway.record_unreachable(&place.server);
-        self.gateway.report_stalled_group(GroupId::of(&self.service, epoch));
-    }
-
-    fn record_end_of_silence(&mut self, reception: &mut Reception<'_>) {
-        if std::mem::take(&mut reception.is_silent) {
-            let at = self.gateway.now() - self.received;
-            self.log.push(format!("{} continues at {at} ms", reception.place.server));
-            self.gateway.count("silences_ended");
-        }
-    }
-
     /// Drops answers that are not awaited any longer. Silent places get a penalty in later choices.
     fn withdraw(&mut self, receptions: &mut Vec<Reception<'_>>) {
         let at = self.gateway.now() - self.received;
