--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -22,6 +22,7 @@
 //! | [`residency`] | regions that may serve a request |
 //! | [`freshness`] | whether the configuration is recent enough to accept keys |
 //! | [`versions`] | whether the store or this gateway lacks a version that others hold |
+//! | [`caller_limits`] | limits on what callers may send, while configurations change them |
 //! | [`backend_servers`] | state of backend servers according to the platform's records |
 //! | [`missing`] | time after which backend servers that are missing from the list count as gone |
 //! | [`listing`] | interval between reads of the list of backend servers |
@@ -37,6 +38,7 @@
 //! | [`group_id`] | ids of groups among those of all services |
 //! | [`fan_out`] | the gateways that a heartbeat is sent to |
 //! | [`load_report`] | the outstanding requests that a heartbeat reports |
+//! | [`incarnations`] | how long what was learned about a backend server is kept |
 //! | [`backoff`] | backend servers that requested a backoff |
 //! | [`rate_limits`] | total rate of all gateways to a backend server that announces a limit |
 //! | [`obstacles`] | what excludes a request from a target, and the result if no target is left |
@@ -58,6 +60,7 @@
 pub mod backoff;
 pub mod balance;
 pub mod budget;
+pub mod caller_limits;
 pub mod candidates;
 pub mod changed_lines;
 pub mod configuration;
@@ -71,6 +74,7 @@
 pub mod fan_out;
 pub mod freshness;
 pub mod group_id;
+pub mod incarnations;
 pub mod introductions;
 pub mod listing;
 pub mod load_report;
--- a/crates/oliveworks-gateway/src/process.rs
+++ b/crates/oliveworks-gateway/src/process.rs
@@ -16,9 +16,6 @@
 use crate::state::{Gateway, STOP_NOTICE_MS};
 use crate::{drains, leader, peer_replay, peers, records, reload};
 
-/// Time of the grace period that is left unused, in ms.
-const GRACE_MARGIN_MS: u64 = 700;
-
 /// Runs a gateway until SIGTERM. On SIGHUP, the settings are read again by `read`.
 ///
 /// # Errors
@@ -76,24 +73,25 @@
     Ok(())
 }
 
-/// Waits until the platform has noticed the stop, and for requests in flight, up to the end of the
-/// grace period.
+/// Waits until the platform has noticed the stop, and for connections with a request, up to the end of
+/// the grace period.
 async fn stop(gateway: &Rc<Gateway>) {
     Event::new("stop_begins").with("open_requests", gateway.requests_in_flight.get()).write();
     let began = gateway.now();
     gateway.stop_began_at.set(Some(began));
     gateway.stopping.send_replace(true);
     gateway.send_heartbeat_now();
-    let last = began + gateway.settings.bounds.grace_ms.saturating_sub(GRACE_MARGIN_MS);
+    let last = gateway.stop_ends_at().unwrap_or(began);
     loop {
         let now = gateway.now();
         let noticed = now >= began + STOP_NOTICE_MS + 200;
-        if now >= last || (noticed && gateway.requests_in_flight.get() == 0) {
+        if now >= last || (noticed && !gateway.caller_connections.is_any_busy()) {
             break;
         }
         sleep(Duration::from_millis(50)).await;
     }
     Event::new("stop_ends").with("cut_off", gateway.requests_in_flight.get()).write();
+    gateway.caller_connections.record_process_end(gateway);
     // The thread that writes the log gets time for the last lines.
     sleep(Duration::from_millis(20)).await;
 }
--- a/crates/oliveworks-gateway/src/records.rs
+++ b/crates/oliveworks-gateway/src/records.rs
@@ -41,6 +41,11 @@
                     .with("workspaces", configuration.workspaces.as_ref().map_or(0, Vec::len))
                     .write();
                 forget_waits(gateway, &configuration);
+                gateway.caller_limits.borrow_mut().adopt(
+                    gateway.now(),
+                    configuration.limits,
+                    gateway.settings.bounds.apply_ms,
+                );
                 *gateway.lookup.borrow_mut() = Some(Rc::new(Lookup::new(configuration)));
             }
             Record::Drain { failure_domain, drained: true } => {
@@ -91,6 +96,10 @@
         if gateway.store_may_lack_records() {
             wait_ms = wait_ms.min(SETTLING_WAIT_MS);
         }
+        if let Some(left_ms @ 1..) = gateway.store_incomplete_ms() {
+            // The end of this call is then the first proof.
+            wait_ms = wait_ms.min(left_ms);
+        }
         let Some(step) = follower.step(wait_ms).await else { continue };
         let (sent, held_ms, source) = (step.sent, step.held_ms, step.source);
         // An answer with records proves the state of the store only at the time of the call, which
@@ -112,14 +121,15 @@
     if records.is_empty() {
         return;
     }
-    let source = RecordSource::Gateway { proof_age_ms: None, stored_version: None };
+    let source =
+        RecordSource::Gateway { proof_age_ms: None, list_age_ms: None, stored_version: None };
     let step = Step { records, snapshot: false, sent: gateway.now(), held_ms: 0, source };
     apply_configuration(gateway, step, follower.position());
 }
 
 /// Records the age of the proof that the configuration is current.
 fn record_proof(gateway: &Gateway, sent: Millis, held_ms: u64, source: RecordSource) {
-    if !gateway.step_proves(gateway.now()) {
+    if !gateway.step_proves(gateway.now(), sent + held_ms, source) {
         return;
     }
     let mut freshness = gateway.freshness.get();
--- a/crates/oliveworks-gateway/src/server_list.rs
+++ b/crates/oliveworks-gateway/src/server_list.rs
@@ -85,8 +85,6 @@
     let known = known.filter(|known| server.holding.is_of_later_incarnation(known.holding.born));
     let Some(known) = known else { return false };
     gateway.count("hosts_started_again");
-    gateway.backoffs.borrow_mut().remove(Target::of(&server.id));
-    gateway.rate_limits.borrow_mut().limits.remove(Target::of(&server.id));
     Event::new("host_started_again")
         .with("host", &*server.id)
         .debug("born", server.holding.born)
@@ -96,6 +94,16 @@
     true
 }
 
+/// Records the incarnation of a listed backend server. What an earlier one asked for ends with it,
+/// also if the server was not listed when it restarted.
+fn record_incarnation(gateway: &Gateway, server: &BackendServer) {
+    let target = Target::of(&server.id);
+    if gateway.incarnations.borrow_mut().record_listed(target, server.holding.born) {
+        gateway.backoffs.borrow_mut().remove(target);
+        gateway.rate_limits.borrow_mut().limits.remove(target);
+    }
+}
+
 /// Marks the record of a backend server as draining if the server has announced that it leaves.
 fn with_leaving(gateway: &Gateway, record: Record) -> Record {
     match record {
@@ -139,6 +147,7 @@
         return Received::OfGoneHost;
     }
     let now = gateway.now();
+    record_incarnation(gateway, server);
     let restarted = has_restarted(gateway, server);
     let is_back = missing.record_listed(now, &server.id) && !restarted;
     gateway.planners.borrow_mut().handle_listed_host(now, server);
@@ -219,6 +228,7 @@
     }
     log_listed(&newly_listed);
     note_list_read(gateway, sent, held_ms, source);
+    record_list_age(gateway, sent, held_ms, source);
     missing::sweep(gateway, &mut missing);
     gateway.remove_unlisted();
     if let Some(slow_starts) = gateway.slow_starts.borrow_mut().as_mut() {
@@ -227,6 +237,19 @@
     ListUpdate { new: !newly_listed.is_empty(), kept }
 }
 
+/// Records the age of the list, which decides whether other gateways ask this one about it.
+fn record_list_age(gateway: &Gateway, sent: Millis, held_ms: u64, source: RecordSource) {
+    let mut freshness = gateway.list_freshness.get();
+    match source {
+        RecordSource::Store => freshness.proved(sent, held_ms),
+        RecordSource::Gateway { list_age_ms: Some(age_ms), .. } => {
+            freshness.proved_by_peer(sent, held_ms, age_ms);
+        }
+        RecordSource::Gateway { list_age_ms: None, .. } => return,
+    }
+    gateway.list_freshness.set(freshness);
+}
+
 /// Notes the time up to which the list is known. A list from another gateway is only as recent as
 /// the last answer that the other gateway received from the store.
 fn note_list_read(gateway: &Gateway, sent: Millis, held_ms: u64, source: RecordSource) {
@@ -250,6 +273,11 @@
 }
 
 impl Gateway {
+    /// Returns the age of this gateway's list of backend servers, in ms; `None` if it has no list.
+    pub fn list_age_ms(&self) -> Option<u64> {
+        self.list_freshness.get().age_ms(self.now())
+    }
+
     /// Records that the list of backend servers names a departure before a position. The reader of
     /// the failure domain, which learns of it first, reports it at once.
     fn record_departure(&self, position: Position) {
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -11,7 +11,8 @@
 use oliveworks_gateway_core::backoff::Backoffs;
 use oliveworks_gateway_core::balance::{Balance, Target};
 use oliveworks_gateway_core::budget::{Budget, BudgetConfig};
-use oliveworks_gateway_core::configuration::Lookup;
+use oliveworks_gateway_core::caller_limits::CallerLimits;
+use oliveworks_gateway_core::configuration::{Limits, Lookup};
 use oliveworks_gateway_core::crashers::Crashers;
 use oliveworks_gateway_core::demand::ModelDemand;
 use oliveworks_gateway_core::departures::Departures;
@@ -20,6 +21,7 @@
 use oliveworks_gateway_core::era::{Era, StoreEra};
 use oliveworks_gateway_core::freshness::Freshness;
 use oliveworks_gateway_core::group_id::GroupId;
+use oliveworks_gateway_core::incarnations::Incarnations;
 use oliveworks_gateway_core::introductions::Introductions;
 use oliveworks_gateway_core::load_report::ReportIntervals;
 use oliveworks_gateway_core::members::Members;
@@ -37,6 +39,8 @@
 use oliveworks_runtime::latencies::Latencies;
 use tokio::sync::{Notify, Semaphore, watch};
 
+use crate::body_memory::BodyMemory;
+use crate::caller_connections::OpenConnections;
 use crate::calls::Calls;
 use crate::dialect::{Dialect, Record, TOPICS, Topic};
 use crate::events::Event;
@@ -60,8 +64,14 @@
     pub reads_store: bool,
     /// Time of the peer's proof that the store held nothing newer; none without a proof.
     pub proved_at: Option<Millis>,
+    /// Time of the read of the store that the peer's list of backend servers reflects; none if the
+    /// peer has no list.
+    pub list_read_at: Option<Millis>,
     /// Newest era of the store known to the peer, as of its last heartbeat.
     pub era: Era,
+    /// Time from which the store is complete in that era, according to the peer; none if the peer
+    /// knows no era.
+    pub store_complete_from: Option<Millis>,
     /// Newest configuration version held by the peer; none if it holds no version or sent no
     /// heartbeat to this gateway.
     pub version: Option<u64>,
@@ -72,6 +82,8 @@
 /// Time after the start of a stop during which new connections may still arrive, in ms. The
 /// platform checks the readiness of a process once a second and removes it after two failed checks.
 pub const STOP_NOTICE_MS: u64 = 2_300;
+/// Time of the grace period that is left unused, in ms.
+const GRACE_MARGIN_MS: u64 = 700;
 /// Gap between two ticks, in ms, after which the process counts as having been paused.
 const PAUSE_MIN_MS: u64 = 150;
 /// Gap between two ticks, in ms, after which waiting tasks check the clock again. For shorter gaps,
@@ -96,6 +108,9 @@
     pub directory: RefCell<Directory>,
     /// Time up to which the store's list of backend servers is known.
     pub list_read_at: Cell<Millis>,
+    /// Age of the list of backend servers. Unlike `list_read_at`, a list from another gateway counts
+    /// from that gateway's read of the list, not from its last answer of the store.
+    pub list_freshness: Cell<Freshness>,
     /// Whether the list of backend servers has been read at least once.
     pub directory_read: Cell<bool>,
     /// Backend servers that are missing from the list or gone. A leader that cannot reach the store
@@ -143,6 +158,8 @@
     pub crashers: RefCell<Crashers>,
     /// Notifies runs that a request was convicted of crashing its backend servers.
     pub convictions: Notify,
+    /// Incarnations of backend servers, listed or not.
+    pub incarnations: RefCell<Incarnations>,
     /// Backend servers in a backoff that they asked for.
     pub backoffs: RefCell<Backoffs>,
     /// Rate limits named by backend servers, and permits for them.
@@ -211,8 +228,14 @@
     pub stopping: watch::Sender<bool>,
     /// Time at which the stop began.
     pub stop_began_at: Cell<Option<Millis>>,
+    /// Memory for the bodies of requests.
+    pub body_memory: Rc<BodyMemory>,
+    /// Limits on what callers may send.
+    pub caller_limits: RefCell<CallerLimits>,
     /// Number of requests in flight.
     pub requests_in_flight: Cell<usize>,
+    /// The connections that callers have open.
+    pub caller_connections: OpenConnections,
     /// Whether any gateway has received a request.
     pub traffic: Cell<bool>,
     /// Incarnation of this process, a random number.
@@ -248,6 +271,7 @@
             freshness: Cell::default(),
             directory: RefCell::default(),
             list_read_at: Cell::new(0),
+            list_freshness: Cell::default(),
             directory_read: Cell::new(false),
             missing: RefCell::default(),
             replay_buffers: TOPICS.into_iter().map(|topic| (topic, Default::default())).collect(),
@@ -270,6 +294,7 @@
             suspensions: RefCell::default(),
             crashers: RefCell::default(),
             convictions: Notify::new(),
+            incarnations: RefCell::default(),
             backoffs: RefCell::default(),
             rate_limits: RefCell::default(),
             permits_received: Notify::new(),
@@ -304,7 +329,10 @@
             plan_now: Notify::new(),
             stopping: watch::channel(false).0,
             stop_began_at: Cell::new(None),
+            body_memory: BodyMemory::new(settings.bodies_max()),
+            caller_limits: RefCell::default(),
             requests_in_flight: Cell::new(0),
+            caller_connections: OpenConnections::default(),
             traffic: Cell::new(false),
             incarnation,
             counters: RefCell::default(),
@@ -322,6 +350,11 @@
         self.clock.now().0
     }
 
+    /// Returns the most that callers may use; `None` before the first configuration.
+    pub fn limits(&self) -> Option<Limits> {
+        self.caller_limits.borrow().at(self.now())
+    }
+
     /// Returns the age of this gateway's proof that the store holds nothing newer, in ms; none
     /// without a proof.
     pub fn proof_age_ms(&self) -> Option<u64> {
@@ -396,6 +429,13 @@
         self.send_now.notify_one();
     }
 
+    /// Returns the time at which a stop ends, with or without requests in flight; `None` if the
+    /// process is not stopping.
+    pub fn stop_ends_at(&self) -> Option<Millis> {
+        let grace_ms = self.settings.bounds.grace_ms.saturating_sub(GRACE_MARGIN_MS);
+        self.stop_began_at.get().map(|began| began + grace_ms)
+    }
+
     /// Returns whether the process is stopping.
     pub fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
@@ -465,19 +505,33 @@
     }
 
     /// Removes the state of backend servers that are no longer listed.
+    ///
+    /// What holds for an incarnation outlasts a lapse of its record. The rest is measured anew
+    /// within a second or so, or read from the record that lists the server again.
     pub fn remove_unlisted(&self) {
+        let now = self.now();
         let directory = self.directory.borrow();
         let listed: HashSet<Target> = directory.iter().map(|w| Target::of(&w.id)).collect();
-        self.balance.borrow_mut().retain(|target| listed.contains(&target));
-        self.suspensions.borrow_mut().retain(|target| listed.contains(&target));
-        self.backoffs.borrow_mut().retain(|target| listed.contains(&target));
-        self.rate_limits.borrow_mut().retain(self.now(), |target| listed.contains(&target));
-        self.limit_logged_at.borrow_mut().retain(|target, _| listed.contains(target));
-        self.admission.borrow_mut().retain(|target| listed.contains(&target));
-        self.speeds.borrow_mut().retain(|target| listed.contains(&target));
-        self.members.borrow_mut().retain(self.now());
+        let is_listed = |target: Target| listed.contains(&target);
+        self.remove_ended_incarnations(now, is_listed);
+        self.suspensions.borrow_mut().retain(now, is_listed);
+        self.limit_logged_at.borrow_mut().retain(|target, _| is_listed(*target));
+        self.admission.borrow_mut().retain(is_listed);
+        self.speeds.borrow_mut().retain(is_listed);
+        self.members.borrow_mut().retain(now);
         if let Some(slow_starts) = self.slow_starts.borrow_mut().as_mut() {
-            slow_starts.retain(self.now(), |target| listed.contains(&target));
+            slow_starts.retain(now, is_listed);
         }
     }
+
+    /// Removes what backend servers asked for, and the failures there, if their incarnation is no
+    /// longer known.
+    fn remove_ended_incarnations(&self, now: Millis, is_listed: impl Fn(Target) -> bool) {
+        let mut incarnations = self.incarnations.borrow_mut();
+        incarnations.sweep(now, is_listed);
+        let is_known = |target| incarnations.contains(target);
+        self.balance.borrow_mut().retain(is_known);
+        self.backoffs.borrow_mut().retain(now, is_known);
+        self.rate_limits.borrow_mut().retain(now, is_known);
+    }
 }
