--- a/crates/oliveworks-gateway-core/tests/planner/silent.rs
+++ b/crates/oliveworks-gateway-core/tests/planner/silent.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 
 use oliveworks_gateway_core::backend_servers::{BackendServerId, MemberState};
-use oliveworks_gateway_core::planner::{Command, Order, PlannerConfig, ServingGroup};
+use oliveworks_gateway_core::planner::{Command, Order, PlannerConfig, ProbeFailure, ServingGroup};
 use rand::RngExt;
 use test_case::test_case;
 
@@ -23,6 +23,9 @@
 const SILENCE_SEEDS: u64 = 6;
 /// Age of the state that hosts report when their answer arrives, in ms.
 const REPORT_LAG_MS: u64 = 200;
+/// Number of probes of a host, in two seconds without an answer that is read in time: two to find it
+/// lost, and one each 0.7 s from then on.
+const PROBES_MAX: usize = 5;
 /// Seeds of the runs that measure repairs.
 const REPAIR_SEEDS: u64 = 8;
 
@@ -287,3 +290,50 @@
     println!("repaired after {times:?} ms");
     assert!(times.iter().all(|time_ms| *time_ms <= HOT_REPAIR_MS), "{times:?}");
 }
+
+/// Returns how often hosts are probed while none of their answers is read in time.
+fn probes_without_answers(
+    world: &mut World,
+    leader: &mut Leader,
+    hosts: &BTreeSet<BackendServerId>,
+    time_ms: u64,
+) -> usize {
+    let until = world.now + time_ms;
+    let mut probes = 0;
+    while world.now < until {
+        world.step();
+        for command in leader.planner.tick(world.now) {
+            match command {
+                Command::Order { server, order, expects, .. } => {
+                    leader.send_order(world, server, order, expects);
+                }
+                Command::Probe { server, .. } if hosts.contains(&server) => {
+                    probes += 1;
+                    let failure = ProbeFailure::Unanswered;
+                    leader.planner.handle_probe_failure(world.now, &server, failure);
+                }
+                Command::Probe { server, .. } => {
+                    if let Some(holding) = world.holding(&server) {
+                        leader.planner.handle_report(world.now, &server, &holding);
+                    }
+                }
+            }
+        }
+    }
+    probes
+}
+
+/// Guards against probing most hosts of a large pool again and again because the leader is too slow
+/// to read their answers in time: the probes made it slower still, and no groups were formed.
+#[test]
+fn hosts_without_a_group_in_service_are_probed_rarely_while_answers_are_late() {
+    let (mut world, mut leader) = serving_pool();
+    let serving = leader.planner.serving(world.now);
+    let in_service: BTreeSet<_> = serving.into_iter().flat_map(|group| group.members).collect();
+    let all = world.hosts.keys().cloned().collect::<BTreeSet<_>>();
+    let others: BTreeSet<_> = all.difference(&in_service).cloned().collect();
+    assert!(!others.is_empty());
+    leader.planner.request_reports();
+    let probes = probes_without_answers(&mut world, &mut leader, &others, LONGEST_SILENCE_MS);
+    assert!(probes <= PROBES_MAX * others.len(), "{probes} probes of {} hosts", others.len());
+}
