A stop tells which requests it left without an answer, and how far each had come

Cause: the logs of a stop named one number, the requests cut off at its end. An answer that a host still worked on, one that had failed, and one that was complete here and not yet with its caller could not be told apart, nor a request that the stop ended from one past its deadline. Change: connection_ended has progress (not_sent, server_at_work, server_failed, undelivered) and stop_ms; stop_ends counts the connections that ended without an answer by progress; a request that the stop ends has a step that says so; oliveworksctl explain names the stop and the gateway. Ruled out: reading it off request lines alone; a process that ends writes none for the requests that it cuts off. No behaviour changed.

--- a/crates/oliveworks-gateway/src/caller_connections.rs
+++ b/crates/oliveworks-gateway/src/caller_connections.rs
@@ -72,12 +72,39 @@
     }
 }
 
+/// How far the answer to a request that was read completely has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum AnswerProgress {
+    /// The request has not been sent to a backend server.
+    #[default]
+    NotSent,
+    /// A backend server has the request and may be working on it.
+    ServerAtWork,
+    /// Each backend server that the request was sent to has failed.
+    ServerFailed,
+    /// The answer is complete here, and the caller has not received all of it.
+    Undelivered,
+}
+
+impl AnswerProgress {
+    fn name(self) -> &'static str {
+        match self {
+            AnswerProgress::NotSent => "not_sent",
+            AnswerProgress::ServerAtWork => "server_at_work",
+            AnswerProgress::ServerFailed => "server_failed",
+            AnswerProgress::Undelivered => "undelivered",
+        }
+    }
+}
+
 /// State of a connection, which outlives the tasks that serve it.
 #[derive(Debug, Default)]
 pub struct ConnectionState {
     phase: Cell<Phase>,
     /// Time at which the phase began.
     since: Cell<Millis>,
+    /// Progress of the answer, in the phase in which a request is answered.
+    progress: Cell<AnswerProgress>,
     /// Id of the request that is being answered; empty if it has none or is not read yet.
     request: RefCell<String>,
 }
@@ -96,22 +123,36 @@
     /// Enters the phase in which a request is answered.
     pub fn enter_answer(&self, now: Millis, request: &str) {
         self.enter(now, Phase::Answer);
+        self.progress.set(AnswerProgress::NotSent);
         request.clone_into(&mut self.request.borrow_mut());
     }
 
+    /// Records the progress of the answer.
+    pub fn set_progress(&self, progress: AnswerProgress) {
+        self.progress.set(progress);
+    }
+
     /// Logs and counts the end of the connection, unless no request lacked its answer.
     pub fn record_end(&self, gateway: &Gateway, reason: EndReason) {
         let phase = self.phase.get();
         if !phase.has_request() {
             return;
         }
-        let (phase, reason) = (phase.name(), reason.name());
-        gateway.count(&format!("connections_ended_in_{phase}_{reason}"));
+        let (phase_name, reason) = (phase.name(), reason.name());
+        gateway.count(&format!("connections_ended_in_{phase_name}_{reason}"));
+        let progress = (phase == Phase::Answer).then(|| self.progress.get().name());
+        let now = gateway.now();
+        let stop_ms = gateway.stop_began_at.get().map(|began| now.saturating_sub(began));
+        if stop_ms.is_some() {
+            gateway.caller_connections.count_end_in_stop(progress.unwrap_or(phase_name));
+        }
         Event::new("connection_ended")
             .with("reason", reason)
-            .with("during", phase)
+            .with("during", phase_name)
+            .with("progress", progress)
             .with("request", self.request.borrow().as_str())
-            .with("after_ms", gateway.now().saturating_sub(self.since.get()))
+            .with("after_ms", now.saturating_sub(self.since.get()))
+            .with("stop_ms", stop_ms)
             .write();
     }
 }
@@ -121,6 +162,9 @@
 pub struct OpenConnections {
     last_id: Cell<u64>,
     states: RefCell<BTreeMap<u64, Rc<ConnectionState>>>,
+    /// Number of connections that ended without a complete answer since the stop of this process
+    /// began, by the progress of the answer, or by the phase if the request was not read.
+    ended_in_stop: RefCell<BTreeMap<&'static str, u64>>,
 }
 
 impl OpenConnections {
@@ -137,6 +181,16 @@
         self.states.borrow().values().any(|state| state.phase.get() != Phase::Idle)
     }
 
+    fn count_end_in_stop(&self, progress: &'static str) {
+        *self.ended_in_stop.borrow_mut().entry(progress).or_default() += 1;
+    }
+
+    /// Returns the numbers of connections that ended without a complete answer since the stop of
+    /// this process began, by the progress of the answer.
+    pub fn ended_in_stop(&self) -> BTreeMap<&'static str, u64> {
+        self.ended_in_stop.borrow().clone()
+    }
+
     /// Logs and counts the connections that the end of the process cuts off.
     pub fn record_process_end(&self, gateway: &Gateway) {
         for state in self.states.borrow().values() {
--- a/crates/oliveworks-gateway/src/connection.rs
+++ b/crates/oliveworks-gateway/src/connection.rs
@@ -22,7 +22,7 @@
 
 use crate::body::ArrivingBody;
 use crate::body_memory::{BodyShare, OutOfMemory};
-use crate::caller_connections::{ConnectionState, EndReason, Phase};
+use crate::caller_connections::{AnswerProgress, ConnectionState, EndReason, Phase};
 use crate::dialect::Headers;
 use crate::state::{Gateway, STOP_NOTICE_MS};
 
@@ -394,6 +394,7 @@
         headers: &[(String, Bytes)],
         body: Bytes,
     ) -> Result<(), Disconnected> {
+        self.state.set_progress(AnswerProgress::Undelivered);
         let size = BodySize::Sized(body.len() as u64);
         self.head(status, &headers.to_vec(), size)?;
         if !body.is_empty() {
@@ -429,6 +430,7 @@
     /// # Errors
     /// Returns an error if the caller has disconnected.
     pub async fn end(&mut self) -> Result<(), Disconnected> {
+        self.state.set_progress(AnswerProgress::Undelivered);
         self.io.encode(Message::Chunk(None), &self.codec).map_err(|_| Disconnected)?;
         self.io.flush(true).await.map_err(|_| Disconnected)
     }
--- a/crates/oliveworks-gateway/src/process.rs
+++ b/crates/oliveworks-gateway/src/process.rs
@@ -5,6 +5,7 @@
 
 use anyhow::Context;
 use oliveworks_runtime::clock::Clock;
+use serde_json::json;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::sleep;
@@ -76,7 +77,10 @@
 /// Waits until the platform has noticed the stop, and for connections with a request, up to the end of
 /// the grace period.
 async fn stop(gateway: &Rc<Gateway>) {
-    Event::new("stop_begins").with("open_requests", gateway.requests_in_flight.get()).write();
+    Event::new("stop_begins")
+        .with("open_requests", gateway.requests_in_flight.get())
+        .with("grace_ms", gateway.settings.bounds.grace_ms)
+        .write();
     let began = gateway.now();
     gateway.stop_began_at.set(Some(began));
     gateway.stopping.send_replace(true);
@@ -90,8 +94,13 @@
         }
         sleep(Duration::from_millis(50)).await;
     }
-    Event::new("stop_ends").with("cut_off", gateway.requests_in_flight.get()).write();
+    let cut_off = gateway.requests_in_flight.get();
     gateway.caller_connections.record_process_end(gateway);
+    Event::new("stop_ends")
+        .with("cut_off", cut_off)
+        .with("without_answer", json!(gateway.caller_connections.ended_in_stop()))
+        .with("after_ms", gateway.now().saturating_sub(began))
+        .write();
     // The thread that writes the log gets time for the last lines.
     sleep(Duration::from_millis(20)).await;
 }
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -28,6 +28,7 @@
 use sending::{NotSent, Rejection};
 use tokio::time::sleep;
 
+use crate::caller_connections::AnswerProgress;
 use crate::connection::{Connection, Disconnected, ReceivedRequest};
 use crate::crashers::{FailedRun, features};
 use crate::dialect::{Headers, RequestInfo};
@@ -49,6 +50,8 @@
 
 /// Time before the deadline at which the final answer is sent, in ms, if no other answer has begun.
 const DEADLINE_MARGIN_MS: u64 = 30;
+/// Step of a request that the stop of this process ends.
+const ENDED_BY_STOP: &str = "the gateway's stop ends";
 /// Time after a search for another place without success until the next one, in ms, while an answer
 /// of a silent place is awaited or a stream is to be resumed.
 const SEARCH_INTERVAL_MS: u64 = 500;
@@ -270,6 +273,7 @@
         let mut receptions = Vec::new();
         let mut search_at = Some(self.gateway.now());
         loop {
+            connection.state().set_progress(self.answer_progress(&receptions));
             let step = self.step(&features, conviction.as_mut(), &mut receptions, search_at);
             match step.await {
                 Step::Sent(reception) => {
@@ -362,6 +366,15 @@
         }
     }
 
+    /// Returns how far the answer has come; `receptions` are the answers that are awaited.
+    fn answer_progress(&self, receptions: &[Reception<'_>]) -> AnswerProgress {
+        match (receptions.is_empty(), self.attempts.sent()) {
+            (false, _) => AnswerProgress::ServerAtWork,
+            (true, 0) => AnswerProgress::NotSent,
+            (true, _) => AnswerProgress::ServerFailed,
+        }
+    }
+
     /// Ends a request whose time, or that of the process, is over.
     async fn expire(
         &mut self,
@@ -371,6 +384,9 @@
         self.withdraw(receptions);
         let now = self.gateway.now();
         let is_late = now + DEADLINE_MARGIN_MS >= self.deadline;
+        if !is_late {
+            self.log.push(format!("{ENDED_BY_STOP} at {} ms", now - self.received));
+        }
         let verdict = self.attempts.verdict(if is_late { self.deadline } else { now });
         self.give_up(connection, verdict, RETRY_AFTER_MS).await
     }
--- a/crates/oliveworksctl/src/explain.rs
+++ b/crates/oliveworksctl/src/explain.rs
@@ -55,6 +55,9 @@
 /// Kind of the line on a connection that ended while a request had no complete answer.
 const CONNECTION_ENDED_KIND: &str = "connection_ended";
 
+/// Start of the step of a request that was ended by the stop of its gateway.
+const ENDED_BY_STOP: &str = "the gateway's stop ends";
+
 /// Explanation of a request from logs.
 #[derive(Serialize)]
 struct Explanation {
@@ -168,7 +171,21 @@
         "torn" => "the gateway broke the answer off",
         _ => "the connection ended for an unknown reason",
     };
-    format!("no complete answer after {after_ms} ms: {why}")
+    format!("no complete answer after {after_ms} ms: {why}{}", stop_of(line))
+}
+
+/// Describes the stop during which a connection ended, and how far the answer had come; empty if
+/// the gateway was not stopping.
+fn stop_of(line: &Line) -> String {
+    let Some(stop_ms) = line.event.number("stop_ms") else { return String::new() };
+    let progress = match line.event.text("progress").unwrap_or_default() {
+        "not_sent" => ", and the request had not been sent to a host",
+        "server_at_work" => ", and a host had the request and may have been working on it",
+        "server_failed" => ", and the hosts that it was sent to had failed",
+        "undelivered" => ", and its caller had not received all of a complete answer",
+        _ => "",
+    };
+    format!(", {stop_ms} ms after the stop of {} began{progress}", line.process)
 }
 
 /// Describes the silence that a request without an answer waited for in vain; `None` if it ended
@@ -229,6 +246,12 @@
     if let Some(silence) = unended_silence(request_line) {
         return format!("{outcome} after {took_ms} ms, sent {sent} times: {silence}");
     }
+    if steps(request_line).any(|step| step.starts_with(ENDED_BY_STOP)) {
+        let node = &request_line.process;
+        return format!(
+            "{outcome} after {took_ms} ms, sent {sent} times: ended by the stop of {node}"
+        );
+    }
     let was_silent = steps(request_line).any(|step| step.contains(" silent at "));
     let why = match last_decision {
         Some("no place: Full") => "every group that may serve it was full",
--- a/crates/oliveworksctl/tests/logs.rs
+++ b/crates/oliveworksctl/tests/logs.rs
@@ -76,6 +76,8 @@
         line(650, "gateway-1", r#"{"kind":"connection_ended","reason":"caller_reset","during":"answer","request":"r-10","after_ms":31}"#),
         line(651, "gateway-1", r#"{"kind":"connection_ended","reason":"torn","during":"answer","request":"r-9","after_ms":31}"#),
         line(652, "gateway-1", r#"{"kind":"connection_ended","reason":"process_end","during":"answer","request":"r-11","after_ms":7300}"#),
+        line(653, "gateway-1", r#"{"kind":"connection_ended","reason":"process_end","during":"answer","progress":"undelivered","request":"r-14","after_ms":900,"stop_ms":7300}"#),
+        silent("r-13", "torn: MayHaveRun", r#"["to i-8 at 3 ms: 2 open","taken back from i-8 at 880 ms","the gateway's stop ends at 880 ms"]"#),
     ]);
     let first: Vec<String> = first.collect();
     std::fs::write(folder.join("gateway-1.log"), first.join("\n")).unwrap();
@@ -94,6 +96,8 @@
 #[test_case("r-10", &["no complete answer after 31 ms: its caller reset the connection"], &[]; "a caller that left")]
 #[test_case("r-12", &["the bodies of other requests filled the memory for them"], &[]; "no memory for its body")]
 #[test_case("r-11", &["no complete answer after 7300 ms: the gateway's process ended"], &[]; "the end of the process")]
+#[test_case("r-13", &["ended by the stop of gateway-1"], &[]; "a stream that the stop ended")]
+#[test_case("r-14", &["the gateway's process ended, 7300 ms after the stop of gateway-1 began, and its caller had not received all of a complete answer"], &[]; "an answer that the stop kept from its caller")]
 fn a_request_is_explained(request: &str, says: &[&str], says_not: &[&str]) {
     let folder = folder(&format!("explain-{request}"));
     let output = ctl(&["explain", request, "--logs", folder.to_str().unwrap()]);
