Settings: the grace period and the window of repeats are in seconds, with fractions

Cause: the template of the settings appended three zeros to the platform's seconds, so a period of 2.5 s became 2.5000 ms and a gateway with it refused its settings or stopped at once. Change: bounds.grace_s and bounds.repeat_window_s, numbers of seconds, in place of grace_ms and repeat_window_ms. Ruled out: arithmetic in the template, which has none. Conclusion: any period that the platform names can be read.

--- a/crates/oliveworks-gateway/src/process.rs
+++ b/crates/oliveworks-gateway/src/process.rs
@@ -79,7 +79,7 @@
 async fn stop(gateway: &Rc<Gateway>) {
     Event::new("stop_begins")
         .with("open_requests", gateway.requests_in_flight.get())
-        .with("grace_ms", gateway.settings.bounds.grace_ms)
+        .with("grace_ms", gateway.settings.bounds.grace_ms())
         .write();
     let began = gateway.now();
     gateway.stop_began_at.set(Some(began));
--- a/crates/oliveworks-gateway/src/settings.rs
+++ b/crates/oliveworks-gateway/src/settings.rs
@@ -105,8 +105,8 @@
     pub drain_ms: u64,
     /// Time after which a published configuration is in force, in ms.
     pub apply_ms: u64,
-    /// Grace period of a stopping process, in ms.
-    pub grace_ms: u64,
+    /// Grace period of a stopping process, in seconds.
+    pub grace_s: f64,
     /// Time after which a revoked key is no longer honoured, in ms; none if it is not limited.
     #[serde(default)]
     pub revoke_ms: Option<u64>,
@@ -114,8 +114,8 @@
     pub repeat_ratio: f64,
     /// Repeated sends allowed in addition per window, over all gateways.
     pub repeat_extra: f64,
-    /// Length of the window, in ms.
-    pub repeat_window_ms: u64,
+    /// Length of the window, in seconds.
+    pub repeat_window_s: f64,
     /// Time after which a drained failure domain gets no requests, in ms; none if it is not
     /// limited.
     #[serde(default)]
@@ -125,6 +125,23 @@
     pub slow_start: Option<SlowStartBound>,
 }
 
+impl Bounds {
+    /// Returns the grace period of a stopping process, in ms.
+    pub fn grace_ms(&self) -> u64 {
+        whole_ms(self.grace_s)
+    }
+
+    /// Returns the length of the window of repeated sends, in ms.
+    pub fn repeat_window_ms(&self) -> u64 {
+        whole_ms(self.repeat_window_s)
+    }
+}
+
+/// Returns the whole milliseconds of a time in seconds.
+fn whole_ms(seconds: f64) -> u64 {
+    (seconds * 1_000.0) as u64
+}
+
 /// Losses that may occur at once.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -242,8 +259,8 @@
             ("store.heartbeat_ms", self.store.heartbeat_ms),
             ("bounds.drain_ms", self.bounds.drain_ms),
             ("bounds.apply_ms", self.bounds.apply_ms),
-            ("bounds.grace_ms", self.bounds.grace_ms),
-            ("bounds.repeat_window_ms", self.bounds.repeat_window_ms),
+            ("bounds.grace_s", self.bounds.grace_ms()),
+            ("bounds.repeat_window_s", self.bounds.repeat_window_ms()),
             ("requests.connect_ms", self.requests.connect_ms),
             ("policy.admission.window_ms", self.policy.admission.window_ms),
         ];
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -259,7 +259,7 @@
         let budget_config = BudgetConfig {
             ratio: bounds.repeat_ratio,
             extra: bounds.repeat_extra,
-            window_ms: bounds.repeat_window_ms,
+            window_ms: bounds.repeat_window_ms(),
         };
         let budget = Budget::new(budget_config, now);
         let planner_config = settings.policy.planner.clone();
@@ -432,7 +432,7 @@
     /// Returns the time at which a stop ends, with or without requests in flight; `None` if the
     /// process is not stopping.
     pub fn stop_ends_at(&self) -> Option<Millis> {
-        let grace_ms = self.settings.bounds.grace_ms.saturating_sub(GRACE_MARGIN_MS);
+        let grace_ms = self.settings.bounds.grace_ms().saturating_sub(GRACE_MARGIN_MS);
         self.stop_began_at.get().map(|began| began + grace_ms)
     }
 
--- a/crates/oliveworks-gateway/tests/settings.rs
+++ b/crates/oliveworks-gateway/tests/settings.rs
@@ -10,8 +10,8 @@
 failure_domain: ruwi
 listen: {callers: 127.0.0.1:1, ready: 127.0.0.1:2, peers: 127.0.0.1:3}
 store: {address: 127.0.0.1:4}
-bounds: {drain_ms: 2000, apply_ms: 2000, grace_ms: 8000, repeat_ratio: 0.2, repeat_extra: 160, \
-repeat_window_ms: 10000}
+bounds: {drain_ms: 2000, apply_ms: 2000, grace_s: 8, repeat_ratio: 0.2, repeat_extra: 160, \
+repeat_window_s: 10}
 policy: {planner: {spare_percent: 10}}
 ";
 
@@ -36,6 +36,14 @@
     assert_eq!(settings.bodies_max(), bytes);
 }
 
+/// Guards against settings that name a grace period of 2500 ms as `2.5000`.
+#[test]
+fn a_grace_period_may_have_a_fraction() {
+    let text = GOOD.replace("grace_s: 8", "grace_s: 2.5").replace("window_s: 10", "window_s: 0.5");
+    let bounds = read(&text).expect("good settings").bounds;
+    assert_eq!((bounds.grace_ms(), bounds.repeat_window_ms()), (2_500, 500));
+}
+
 #[test_case("node:", "processor: 0.18\nnode:", &["processor"]; "a capacity")]
 #[test_case("", "", &[]; "nothing")]
 #[test_case("drain_ms: 2000", "drain_ms: 2500", &["bounds.drain_ms"]; "a bound")]
@@ -47,8 +55,11 @@
     assert_eq!(changed_keys(&held, &new), keys);
 }
 
-#[test_case("repeat_window_ms: 10000", "repeat_window_ms: 10000, domain_drain_ms: 0", "bounds.domain_drain_ms"; "no time to drain")]
-#[test_case("repeat_window_ms: 10000", "repeat_window_ms: 10000, slow_start: {excess: 0, extra: 5}", "bounds.slow_start"; "nothing for cold hosts")]
+#[test_case("repeat_window_s: 10", "repeat_window_s: 10, domain_drain_ms: 0", "bounds.domain_drain_ms"; "no time to drain")]
+#[test_case("repeat_window_s: 10", "repeat_window_s: 10, slow_start: {excess: 0, extra: 5}", "bounds.slow_start"; "nothing for cold hosts")]
+#[test_case("grace_s: 8", "grace_s: 0", "bounds.grace_s"; "no grace period")]
+#[test_case("grace_s: 8", "grace_s: .nan", "bounds.grace_s"; "no number")]
+#[test_case("repeat_window_s: 10", "repeat_window_s: 0", "bounds.repeat_window_s"; "no window")]
 fn a_wrong_bound_is_refused(part: &str, fault: &str, says: &str) {
     let error = read(&GOOD.replace(part, fault)).expect_err("a fault");
     assert!(error.contains(says), "{error}");
