A stop follows one timeline, which is computed from the grace period

What callers saw: with a grace period of 4 s, streams that outlasted it ended 3.20 s after SIGTERM, before its last sixth (3.33 s), although their backend servers worked on; with 1.5 s after 0.70 s. A connection whose answer ended late in a stop stayed open until the process ended. Cause: a clock of ours ends what others still hold. The notice of a stop (2.3 s), the time left unused (0.7 s), the time of the last answers (0.1 s) and the check whether a stop has begun (1 s) were constants in four files, the promise is a part of the grace period. The wait for the notice began with each idle connection, not with the stop. Change: StopTimeline in the decision core: until when requests are accepted and answers are awaited, from when the process may end, when it ends. All of the gateway asks it. A grace period of less than a second is refused by its key. Ruled out: smaller constants, which are too long for a shorter period. Measured: streams_go_on_until_the_last_sixth_of_a_grace_period, 3 of 4 cases failed, now none; a_connection_that_becomes_idle_late_in_a_stop_is_closed failed, passes; properties of the timeline for all periods up to 600 s; path tests of stops and of callers' connections: 12 and 24 passed. Conclusion: the promise of a stop holds for every period that the settings accept. That this is what the users saw is not shown: their period is 8 s.

--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -51,6 +51,7 @@
 //! | [`crashers`] | requests that crash their backend servers and are no longer sent |
 //! | [`attempts`] | what follows a failed attempt, and the answer to the caller |
 //! | [`changed_lines`] | the state lines that are logged |
+//! | [`stop`] | what a stopping gateway does with requests, by the time since the stop began |
 //! | [`timeliness`] | whether an answer was in time, and otherwise the cause of the delay |
 //! | [`events`] | bytes of a stream that may be forwarded |
 
@@ -95,6 +96,7 @@
 pub mod slow_start;
 pub mod sources;
 pub mod speed;
+pub mod stop;
 pub mod store_calls;
 pub mod suspensions;
 pub mod table;
--- a/crates/oliveworks-gateway/src/caller_connections.rs
+++ b/crates/oliveworks-gateway/src/caller_connections.rs
@@ -142,7 +142,7 @@
         gateway.count(&format!("connections_ended_in_{phase_name}_{reason}"));
         let progress = (phase == Phase::Answer).then(|| self.progress.get().name());
         let now = gateway.now();
-        let stop_ms = gateway.stop_began_at.get().map(|began| now.saturating_sub(began));
+        let stop_ms = gateway.stop.get().map(|stop| now.saturating_sub(stop.began));
         if stop_ms.is_some() {
             gateway.caller_connections.count_end_in_stop(progress.unwrap_or(phase_name));
         }
--- a/crates/oliveworks-gateway/src/connection.rs
+++ b/crates/oliveworks-gateway/src/connection.rs
@@ -24,7 +24,7 @@
 use crate::body_memory::{BodyShare, OutOfMemory};
 use crate::caller_connections::{AnswerProgress, ConnectionState, EndReason, Phase};
 use crate::dialect::Headers;
-use crate::state::{Gateway, STOP_NOTICE_MS};
+use crate::state::Gateway;
 
 /// Limits on a connection before the first configuration has arrived, in bytes and ms.
 const HEAD_MAX: usize = 16 << 10;
@@ -276,7 +276,7 @@
         let reason = tokio::select! {
             biased;
             begun = self.wait_for_first_byte() => return begun,
-            () = wait_until_stop_is_noticed(gateway) => EndReason::Stop,
+            () = wait_until_requests_are_rejected(gateway) => EndReason::Stop,
             () = wait_until_idle_too_long(gateway) => EndReason::IdleTimeout,
         };
         // Bytes may have arrived during a pause of this process and still wait to be read.
@@ -477,10 +477,11 @@
     }
 }
 
-/// Waits until the process stops and the platform has had time to send new connections elsewhere.
-async fn wait_until_stop_is_noticed(gateway: &Gateway) {
+/// Waits until the process stops and accepts no more requests.
+async fn wait_until_requests_are_rejected(gateway: &Gateway) {
     let _ = gateway.stopping.subscribe().wait_for(|stopping| *stopping).await;
-    sleep(Duration::from_millis(STOP_NOTICE_MS)).await;
+    let accepts_until = gateway.stop.get().map_or(0, |stop| stop.accepts_until);
+    sleep(Duration::from_millis(accepts_until.saturating_sub(gateway.now()))).await;
 }
 
 /// Waits until a connection that is idle from now on has been so for too long, according to the
--- a/crates/oliveworks-gateway/src/process.rs
+++ b/crates/oliveworks-gateway/src/process.rs
@@ -14,9 +14,14 @@
 use crate::dialect::Dialect;
 use crate::events::Event;
 use crate::settings::Settings;
-use crate::state::{Gateway, STOP_NOTICE_MS};
+use crate::state::Gateway;
 use crate::{drains, leader, peer_replay, peers, records, reload};
 
+/// Time between two checks whether a stop has ended.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Time in which the last lines of the log are written.
+const LAST_LINES_TIME: Duration = Duration::from_millis(20);
+
 /// Runs a gateway until SIGTERM. On SIGHUP, the settings are read again by `read`.
 ///
 /// # Errors
@@ -74,33 +79,27 @@
     Ok(())
 }
 
-/// Waits until the platform has noticed the stop, and for connections with a request, up to the end of
-/// the grace period.
+/// Waits until the platform has noticed the stop, and for connections with a request, as the timeline
+/// of the stop allows.
 async fn stop(gateway: &Rc<Gateway>) {
+    let open_requests = gateway.requests_in_flight.get();
+    let stop = gateway.begin_stop();
     Event::new("stop_begins")
-        .with("open_requests", gateway.requests_in_flight.get())
-        .with("grace_ms", gateway.settings.bounds.grace_ms())
+        .with("open_requests", open_requests)
+        .with("accepts_for_ms", stop.accepts_until - stop.began)
+        .with("awaits_for_ms", stop.awaits_until - stop.began)
+        .with("ends_after_ms", stop.ends_at - stop.began)
         .write();
-    let began = gateway.now();
-    gateway.stop_began_at.set(Some(began));
-    gateway.stopping.send_replace(true);
-    gateway.send_heartbeat_now();
-    let last = gateway.stop_ends_at().unwrap_or(began);
-    loop {
-        let now = gateway.now();
-        let noticed = now >= began + STOP_NOTICE_MS + 200;
-        if now >= last || (noticed && !gateway.caller_connections.is_any_busy()) {
-            break;
-        }
-        sleep(Duration::from_millis(50)).await;
+    while !stop.has_ended(gateway.now(), gateway.caller_connections.is_any_busy()) {
+        sleep(STOP_CHECK_INTERVAL).await;
     }
     let cut_off = gateway.requests_in_flight.get();
     gateway.caller_connections.record_process_end(gateway);
     Event::new("stop_ends")
         .with("cut_off", cut_off)
         .with("without_answer", json!(gateway.caller_connections.ended_in_stop()))
-        .with("after_ms", gateway.now().saturating_sub(began))
+        .with("after_ms", gateway.now().saturating_sub(stop.began))
         .write();
     // The thread that writes the log gets time for the last lines.
-    sleep(Duration::from_millis(20)).await;
+    sleep(LAST_LINES_TIME).await;
 }
--- a/crates/oliveworks-gateway/src/relay/reception.rs
+++ b/crates/oliveworks-gateway/src/relay/reception.rs
@@ -15,6 +15,7 @@
 use oliveworks_gateway_core::balance::Target;
 use oliveworks_gateway_core::events::Splitter;
 use oliveworks_gateway_core::group_id::GroupId;
+use oliveworks_gateway_core::stop::check_interval_ms;
 
 use crate::crashers::SuspectRun;
 use crate::dialect::Headers;
@@ -24,10 +25,6 @@
 
 /// Time between two checks whether a silent host has ended, in ms.
 const ENDED_CHECK_INTERVAL_MS: u64 = 100;
-/// Time between two checks whether the process stops, in ms: far shorter than a stop.
-const STOP_CHECK_INTERVAL_MS: u64 = 1_000;
-/// Time before the end of a stop at which the last answers are sent, in ms.
-const LAST_ANSWERS_MS: u64 = 100;
 
 /// Head of an answer.
 #[derive(Clone, Debug)]
@@ -191,16 +188,15 @@
     expires_at: Millis,
     receptions: &mut [Reception<'_>],
 ) -> ReceptionEvent {
+    let stop_check_interval_ms = check_interval_ms(gateway.settings.bounds.grace_ms());
     loop {
         let now = gateway.now();
-        let stop_ends_at = gateway.stop_ends_at();
-        let expires_at = stop_ends_at
-            .map_or(expires_at, |at| expires_at.min(at.saturating_sub(LAST_ANSWERS_MS)));
+        let expires_at = gateway.awaits_answer_until(expires_at);
         let until = receptions.iter().filter_map(|reception| match reception.is_silent {
             true => Some(now + ENDED_CHECK_INTERVAL_MS),
             false => limit.stalled_at(gateway, reception),
         });
-        let until = until.fold(expires_at.min(now + STOP_CHECK_INTERVAL_MS), Millis::min);
+        let until = until.fold(expires_at.min(now + stop_check_interval_ms), Millis::min);
         let arrived = gateway.within(until.saturating_sub(now), next_data(receptions)).await;
         if let Ok((index, data)) = arrived {
             return ReceptionEvent::Received(index, data);
--- a/crates/oliveworks-gateway/src/settings.rs
+++ b/crates/oliveworks-gateway/src/settings.rs
@@ -5,6 +5,7 @@
 
 use oliveworks_gateway_core::admission::AdmissionConfig;
 use oliveworks_gateway_core::planner::PlannerConfig;
+use oliveworks_gateway_core::stop::GRACE_MIN_MS;
 use oliveworks_runtime::logs::LogConfig;
 use oliveworks_runtime::settings::Check;
 use serde::{Deserialize, Serialize};
@@ -259,7 +260,6 @@
             ("store.heartbeat_ms", self.store.heartbeat_ms),
             ("bounds.drain_ms", self.bounds.drain_ms),
             ("bounds.apply_ms", self.bounds.apply_ms),
-            ("bounds.grace_s", self.bounds.grace_ms()),
             ("bounds.repeat_window_s", self.bounds.repeat_window_ms()),
             ("requests.connect_ms", self.requests.connect_ms),
             ("policy.admission.window_ms", self.policy.admission.window_ms),
@@ -269,6 +269,9 @@
                 return Err(format!("{key}: must be more than 0"));
             }
         }
+        if self.bounds.grace_ms() < GRACE_MIN_MS {
+            return Err("bounds.grace_s: must be at least 1".into());
+        }
         if self.processor.is_some_and(|share| !(share > 0.0 && share.is_finite())) {
             return Err("processor: must be more than 0".into());
         }
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -32,6 +32,7 @@
 use oliveworks_gateway_core::returning::Waits;
 use oliveworks_gateway_core::slow_start::SlowStarts;
 use oliveworks_gateway_core::speed::Speeds;
+use oliveworks_gateway_core::stop::StopTimeline;
 use oliveworks_gateway_core::suspensions::Suspensions;
 use oliveworks_gateway_core::table::{Assembly, Change, Changes, Table};
 use oliveworks_gateway_core::versions::Lag;
@@ -79,11 +80,6 @@
     pub processor_percent: Option<u32>,
 }
 
-/// Time after the start of a stop during which new connections may still arrive, in ms. The
-/// platform checks the readiness of a process once a second and removes it after two failed checks.
-pub const STOP_NOTICE_MS: u64 = 2_300;
-/// Time of the grace period that is left unused, in ms.
-const GRACE_MARGIN_MS: u64 = 700;
 /// Gap between two ticks, in ms, after which the process counts as having been paused.
 const PAUSE_MIN_MS: u64 = 150;
 /// Gap between two ticks, in ms, after which waiting tasks check the clock again. For shorter gaps,
@@ -226,8 +222,8 @@
     pub plan_now: Notify,
     /// Whether this process is stopping.
     pub stopping: watch::Sender<bool>,
-    /// Time at which the stop began.
-    pub stop_began_at: Cell<Option<Millis>>,
+    /// Timeline of the stop, once it has begun.
+    pub stop: Cell<Option<StopTimeline>>,
     /// Memory for the bodies of requests.
     pub body_memory: Rc<BodyMemory>,
     /// Limits on what callers may send.
@@ -328,7 +324,7 @@
             send_now: Notify::new(),
             plan_now: Notify::new(),
             stopping: watch::channel(false).0,
-            stop_began_at: Cell::new(None),
+            stop: Cell::new(None),
             body_memory: BodyMemory::new(settings.bodies_max()),
             caller_limits: RefCell::default(),
             requests_in_flight: Cell::new(0),
@@ -429,11 +425,18 @@
         self.send_now.notify_one();
     }
 
-    /// Returns the time at which a stop ends, with or without requests in flight; `None` if the
-    /// process is not stopping.
-    pub fn stop_ends_at(&self) -> Option<Millis> {
-        let grace_ms = self.settings.bounds.grace_ms().saturating_sub(GRACE_MARGIN_MS);
-        self.stop_began_at.get().map(|began| began + grace_ms)
+    /// Begins the stop of the process, and returns its timeline.
+    pub fn begin_stop(&self) -> StopTimeline {
+        let stop = StopTimeline::new(self.now(), self.settings.bounds.grace_ms());
+        self.stop.set(Some(stop));
+        self.stopping.send_replace(true);
+        self.send_heartbeat_now();
+        stop
+    }
+
+    /// Returns the time until which an answer is awaited whose request expires at `expires_at`.
+    pub fn awaits_answer_until(&self, expires_at: Millis) -> Millis {
+        self.stop.get().map_or(expires_at, |stop| stop.awaits_answer_until(expires_at))
     }
 
     /// Returns whether the process is stopping.
@@ -441,11 +444,10 @@
         *self.stopping.borrow()
     }
 
-    /// Returns whether new requests are rejected. The platform then had time to send its callers to
-    /// another gateway, and a request accepted now might not finish. Requests may still arrive if
-    /// the failure domain has no other gateway.
+    /// Returns whether new requests are rejected. A request accepted now might not finish, and it
+    /// may still arrive, since the failure domain may have no other gateway.
     pub fn rejects_new(&self) -> bool {
-        self.stop_began_at.get().is_some_and(|at| self.now() >= at + STOP_NOTICE_MS)
+        self.stop.get().is_some_and(|stop| !stop.accepts(self.now()))
     }
 
     /// Returns whether callers should be sent to this gateway.
