Signals are handled from the first moment of a process on

What operators saw: a SIGHUP that arrived while a gateway read its settings ended it, without a line. Cause: the handlers were installed after the settings had been read; until then the default action of each signal is the end of the process. Change: the handlers are installed first; signals that arrive meanwhile are handled once the process runs. A SIGTERM then is a stop like any other. Conclusion: what remains is the time of the loader and of the runtime's start.

--- a/crates/oliveworks-gateway/src/process.rs
+++ b/crates/oliveworks-gateway/src/process.rs
@@ -1,5 +1,6 @@
 //! Start and stop of a gateway.
 
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,7 +8,7 @@
 use oliveworks_runtime::clock::Clock;
 use serde_json::json;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::sleep;
 
 use crate::callers::{self, Audience};
@@ -22,6 +23,25 @@
 /// Time in which the last lines of the log are written.
 const LAST_LINES_TIME: Duration = Duration::from_millis(20);
 
+/// Signals to the process, from the time of their installation on. Without it, each of them ends the
+/// process at once.
+pub struct Signals {
+    terminate: Signal,
+    hang_up: Signal,
+}
+
+impl Signals {
+    /// Installs the handlers.
+    ///
+    /// # Errors
+    /// Returns an error if the system rejects a handler.
+    pub fn install() -> io::Result<Signals> {
+        let terminate = signal(SignalKind::terminate())?;
+        let hang_up = signal(SignalKind::hangup())?;
+        Ok(Signals { terminate, hang_up })
+    }
+}
+
 /// Runs a gateway until SIGTERM. On SIGHUP, the settings are read again by `read`.
 ///
 /// # Errors
@@ -30,9 +50,9 @@
     settings: Settings,
     read: impl Fn() -> anyhow::Result<Settings> + 'static,
     dialect: Rc<dyn Dialect>,
+    signals: Signals,
 ) -> anyhow::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut hang_up = signal(SignalKind::hangup())?;
+    let Signals { mut terminate, mut hang_up } = signals;
     let held = settings.clone();
     ntex::rt::spawn(async move {
         while hang_up.recv().await.is_some() {
