Requests that await nothing are rejected when the last sixth of a stop begins

Requests without an awaited answer got their refusal in the last 20 to 100 ms of a stop, together with all last answers, and were still sent a millisecond before the end. Grace periods without an end (.inf, 1e300) were accepted and overflowed the clock. The lines told a stream whose hosts had failed as server_at_work, and counted callers that left together with cuts. Change: StopTimeline::sends_until, 5/6 of the period; bounds.grace_s is at most 86400; connection_ended has server_silent_ms, stop_ends counts by progress and reason; the progress is set again before a request is given up. Ruled out: one time for refusals and cuts, which share little processor time. Conclusion: last answers have the last part of a stop to themselves.

--- a/crates/oliveworks-gateway-core/src/stop.rs
+++ b/crates/oliveworks-gateway-core/src/stop.rs
@@ -10,6 +10,8 @@
 
 /// Shortest grace period, in ms. A shorter one leaves no time to send the last answers.
 pub const GRACE_MIN_MS: u64 = 1_000;
+/// Longest grace period, in ms.
+pub const GRACE_MAX_MS: u64 = 86_400_000;
 
 /// Time after the start of a stop during which new connections may still arrive, in ms. The
 /// platform checks the readiness of a process once a second and removes it after two failed checks.
@@ -52,6 +54,10 @@
     pub accepts_until: Millis,
     /// Time from which the process ends as soon as no request is open.
     pub may_end_at: Millis,
+    /// Time until which requests are sent to backend servers. A request that awaits no answer then,
+    /// and whose caller has received nothing, is rejected: the last answers of all other requests
+    /// have the rest of the time to themselves.
+    pub sends_until: Millis,
     /// Time until which answers are awaited and forwarded. Requests that are open then get their
     /// last answer.
     pub awaits_until: Millis,
@@ -70,6 +76,7 @@
             began,
             accepts_until: began + (grace_ms / ACCEPT_DIVISOR).min(NOTICE_MS),
             may_end_at: ends_at.min(began + notice_ms),
+            sends_until: began + grace_ms - grace_ms / LAST_PART_DIVISOR,
             awaits_until: ends_at - last_answers_ms,
             ends_at,
         }
--- a/crates/oliveworks-gateway-core/tests/stop.rs
+++ b/crates/oliveworks-gateway-core/tests/stop.rs
@@ -20,12 +20,25 @@
     fn steps_of_a_stop_are_in_order(began in 0_u64..1 << 40, grace_ms in GRACE_MIN_MS..600_000) {
         let stop = StopTimeline::new(began, grace_ms);
         prop_assert!(began < stop.accepts_until);
-        prop_assert!(stop.accepts_until < stop.awaits_until);
+        prop_assert!(stop.accepts_until < stop.sends_until);
+        prop_assert!(stop.accepts_until <= stop.may_end_at);
+        prop_assert!(stop.sends_until < stop.awaits_until);
         prop_assert!(stop.awaits_until < stop.ends_at);
         prop_assert!(stop.may_end_at <= stop.ends_at);
         prop_assert!(stop.ends_at < began + grace_ms);
     }
 
+    /// The process ends well before the platform ends it, and its last answers have time to leave.
+    #[test]
+    fn a_stop_leaves_time_for_last_answers_and_before_its_grace_period(
+        grace_ms in GRACE_MIN_MS..600_000,
+    ) {
+        let stop = StopTimeline::new(0, grace_ms);
+        let reserve_ms = (grace_ms / 20).min(500);
+        prop_assert!(grace_ms - stop.ends_at >= reserve_ms, "{stop:?}");
+        prop_assert!(stop.ends_at - stop.awaits_until >= (grace_ms / 50).min(100), "{stop:?}");
+    }
+
     /// A request that notices a stop by a check does so before new requests are rejected.
     #[test]
     fn a_stop_is_noticed_in_time(grace_ms in GRACE_MIN_MS..600_000) {
--- a/crates/oliveworks-gateway/src/caller_connections.rs
+++ b/crates/oliveworks-gateway/src/caller_connections.rs
@@ -79,7 +79,10 @@
     #[default]
     NotSent,
     /// A backend server has the request and may be working on it.
-    ServerAtWork,
+    ServerAtWork {
+        /// Time of the last data from there, or of the send.
+        last_data: Millis,
+    },
     /// Each backend server that the request was sent to has failed.
     ServerFailed,
     /// The answer is complete here, and the caller has not received all of it.
@@ -90,7 +93,7 @@
     fn name(self) -> &'static str {
         match self {
             AnswerProgress::NotSent => "not_sent",
-            AnswerProgress::ServerAtWork => "server_at_work",
+            AnswerProgress::ServerAtWork { .. } => "server_at_work",
             AnswerProgress::ServerFailed => "server_failed",
             AnswerProgress::Undelivered => "undelivered",
         }
@@ -140,16 +143,23 @@
         }
         let (phase_name, reason) = (phase.name(), reason.name());
         gateway.count(&format!("connections_ended_in_{phase_name}_{reason}"));
-        let progress = (phase == Phase::Answer).then(|| self.progress.get().name());
         let now = gateway.now();
+        let progress = (phase == Phase::Answer).then(|| self.progress.get());
+        let progress_name = progress.map(AnswerProgress::name);
         let stop_ms = gateway.stop.get().map(|stop| now.saturating_sub(stop.began));
         if stop_ms.is_some() {
-            gateway.caller_connections.count_end_in_stop(progress.unwrap_or(phase_name));
+            let what = format!("{}_{reason}", progress_name.unwrap_or(phase_name));
+            gateway.caller_connections.count_end_in_stop(what);
         }
+        let silent_ms = match progress {
+            Some(AnswerProgress::ServerAtWork { last_data }) => Some(now.saturating_sub(last_data)),
+            _ => None,
+        };
         Event::new("connection_ended")
             .with("reason", reason)
             .with("during", phase_name)
-            .with("progress", progress)
+            .with("progress", progress_name)
+            .with("server_silent_ms", silent_ms)
             .with("request", self.request.borrow().as_str())
             .with("after_ms", now.saturating_sub(self.since.get()))
             .with("stop_ms", stop_ms)
@@ -163,8 +173,8 @@
     last_id: Cell<u64>,
     states: RefCell<BTreeMap<u64, Rc<ConnectionState>>>,
     /// Number of connections that ended without a complete answer since the stop of this process
-    /// began, by the progress of the answer, or by the phase if the request was not read.
-    ended_in_stop: RefCell<BTreeMap<&'static str, u64>>,
+    /// began, by the progress of the answer, or the phase if the request was not read, and the reason.
+    ended_in_stop: RefCell<BTreeMap<String, u64>>,
 }
 
 impl OpenConnections {
@@ -181,13 +191,14 @@
         self.states.borrow().values().any(|state| state.phase.get() != Phase::Idle)
     }
 
-    fn count_end_in_stop(&self, progress: &'static str) {
-        *self.ended_in_stop.borrow_mut().entry(progress).or_default() += 1;
+    fn count_end_in_stop(&self, what: String) {
+        *self.ended_in_stop.borrow_mut().entry(what).or_default() += 1;
     }
 
     /// Returns the numbers of connections that ended without a complete answer since the stop of
-    /// this process began, by the progress of the answer.
-    pub fn ended_in_stop(&self) -> BTreeMap<&'static str, u64> {
+    /// this process began, by the progress of the answer and the reason, as in
+    /// `server_at_work_torn`.
+    pub fn ended_in_stop(&self) -> BTreeMap<String, u64> {
         self.ended_in_stop.borrow().clone()
     }
 
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -368,10 +368,10 @@
 
     /// Returns how far the answer has come; `receptions` are the answers that are awaited.
     fn answer_progress(&self, receptions: &[Reception<'_>]) -> AnswerProgress {
-        match (receptions.is_empty(), self.attempts.sent()) {
-            (false, _) => AnswerProgress::ServerAtWork,
-            (true, 0) => AnswerProgress::NotSent,
-            (true, _) => AnswerProgress::ServerFailed,
+        match receptions.iter().map(|reception| reception.since).max() {
+            Some(last_data) => AnswerProgress::ServerAtWork { last_data },
+            None if self.attempts.sent() == 0 => AnswerProgress::NotSent,
+            None => AnswerProgress::ServerFailed,
         }
     }
 
@@ -407,6 +407,8 @@
         // A stream that has begun can get no final answer, so it has all of its time.
         let margin_ms = if self.head_sent { 0 } else { DEADLINE_MARGIN_MS };
         let expires_at = self.deadline.saturating_sub(margin_ms);
+        let awaits_nothing = receptions.is_empty() && !self.head_sent;
+        let expires_at = if awaits_nothing { gateway.sends_until(expires_at) } else { expires_at };
         let event = next_event(gateway, self.silence_limit(), expires_at, receptions);
         let send = async {
             let Some(at) = search_at else { return pending().await };
@@ -478,6 +480,7 @@
     ) -> Option<(End, String)> {
         match next {
             Next::GiveUp(verdict) if receptions.is_empty() => {
+                connection.state().set_progress(self.answer_progress(receptions));
                 Some(self.give_up(connection, verdict, RETRY_AFTER_MS).await)
             }
             Next::GiveUp(_) | Next::Again => None,
--- a/crates/oliveworks-gateway/src/settings.rs
+++ b/crates/oliveworks-gateway/src/settings.rs
@@ -5,7 +5,7 @@
 
 use oliveworks_gateway_core::admission::AdmissionConfig;
 use oliveworks_gateway_core::planner::PlannerConfig;
-use oliveworks_gateway_core::stop::GRACE_MIN_MS;
+use oliveworks_gateway_core::stop::{GRACE_MAX_MS, GRACE_MIN_MS};
 use oliveworks_runtime::logs::LogConfig;
 use oliveworks_runtime::settings::Check;
 use serde::{Deserialize, Serialize};
@@ -269,8 +269,8 @@
                 return Err(format!("{key}: must be more than 0"));
             }
         }
-        if self.bounds.grace_ms() < GRACE_MIN_MS {
-            return Err("bounds.grace_s: must be at least 1".into());
+        if !(GRACE_MIN_MS..=GRACE_MAX_MS).contains(&self.bounds.grace_ms()) {
+            return Err("bounds.grace_s: must be at least 1 and at most 86400".into());
         }
         if self.processor.is_some_and(|share| !(share > 0.0 && share.is_finite())) {
             return Err("processor: must be more than 0".into());
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -439,6 +439,11 @@
         self.stop.get().map_or(expires_at, |stop| stop.awaits_answer_until(expires_at))
     }
 
+    /// Returns the time until which a request is sent that expires at `expires_at`.
+    pub fn sends_until(&self, expires_at: Millis) -> Millis {
+        self.stop.get().map_or(expires_at, |stop| expires_at.min(stop.sends_until))
+    }
+
     /// Returns whether the process is stopping.
     pub fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
--- a/crates/oliveworks-gateway/tests/settings.rs
+++ b/crates/oliveworks-gateway/tests/settings.rs
@@ -58,6 +58,8 @@
 #[test_case("repeat_window_s: 10", "repeat_window_s: 10, domain_drain_ms: 0", "bounds.domain_drain_ms"; "no time to drain")]
 #[test_case("repeat_window_s: 10", "repeat_window_s: 10, slow_start: {excess: 0, extra: 5}", "bounds.slow_start"; "nothing for cold hosts")]
 #[test_case("grace_s: 8", "grace_s: 0.9", "bounds.grace_s: must be at least 1"; "no time for last answers")]
+#[test_case("grace_s: 8", "grace_s: .inf", "bounds.grace_s: must be at least 1 and at most 86400"; "a stop without an end")]
+#[test_case("grace_s: 8", "grace_s: 1e300", "bounds.grace_s: must be at least 1 and at most 86400"; "a period beyond the clock")]
 #[test_case("grace_s: 8", "grace_s: .nan", "bounds.grace_s: must be at least 1"; "no number")]
 #[test_case("repeat_window_s: 10", "repeat_window_s: 0", "bounds.repeat_window_s"; "no window")]
 fn a_wrong_bound_is_refused(part: &str, fault: &str, says: &str) {
