Only news for the caller is progress; bytes that are no answer have bounds

Cause: each part of a body renewed the silence limits, the suspension and the load counts of its host, also if it completed no event or repeated one that the caller has. The only bound was 1 MiB for an event, later than deadlines.

Change: a reception reads on until there is an event that the caller lacks, a part of an answer that is forwarded as a whole, or the end; other bytes end no silence and interrupt no search. A head and an unfinished event are bounded in bytes (64 KiB, 1 MiB) and in time (bytes keep arriving for 2 s; a pause counts as 0.1 s at most). Beyond them, or with a head that is not HTTP, the attempt fails as Invalid: the host is suspended and penalized and the leader told. One send of a request does not count towards its maximum if it was invalid, or if bytes without news keep arriving from the silent host for 0.5 s. Comments and blocks without an id or data are not forwarded any longer.

Ruled out: a malformed body as Invalid.

Conclusion: requests leave such hosts like silent ones. A whole answer without end still lasts until its deadline.

--- a/crates/oliveworks-gateway-core/src/attempts.rs
+++ b/crates/oliveworks-gateway-core/src/attempts.rs
@@ -18,6 +18,8 @@
     Failed,
     /// The replica group is stalled.
     Stalled,
+    /// The backend server answered with bytes that are no answer.
+    Invalid,
 }
 
 /// The conditions under which a request may be sent.
@@ -99,7 +101,8 @@
     terms: Terms,
     sent: u32,
     connected: u32,
-    excused_ends: u32,
+    /// Number of sends that do not count towards the maximum; at most one is taken into account.
+    excused: u32,
     may_have_run: bool,
 }
 
@@ -109,7 +112,7 @@
 impl Attempts {
     /// Creates the state of a request that has not been sent.
     pub fn new(terms: Terms) -> Attempts {
-        Attempts { terms, sent: 0, connected: 0, excused_ends: 0, may_have_run: false }
+        Attempts { terms, sent: 0, connected: 0, excused: 0, may_have_run: false }
     }
 
     /// Records that a connection for the request is being opened.
@@ -150,11 +153,11 @@
     /// Records a failed attempt and returns the next step. `gone` is whether the backend server is
     /// known to have ended; one such attempt per request does not count towards the maximum.
     pub fn failed(&mut self, now: Millis, failure: Failure, gone: bool) -> Next {
-        if matches!(failure, Failure::Lost | Failure::Failed | Failure::Stalled) {
+        if !matches!(failure, Failure::NotSent | Failure::Refused) {
             self.may_have_run = true;
         }
         if gone && failure != Failure::NotSent {
-            self.excused_ends += 1;
+            self.excuse();
         }
         let may_retry = self.has_send_left(now) && (self.terms.repeatable || !self.may_have_run);
         match may_retry {
@@ -175,9 +178,15 @@
         self.may_have_run = true;
     }
 
+    /// Records a send that does not count towards the maximum, because its backend server has ended
+    /// or sends bytes that are no answer.
+    pub fn excuse(&mut self) {
+        self.excused += 1;
+    }
+
     fn has_send_left(&self, now: Millis) -> bool {
         now < self.terms.deadline
             && self.connected < CONNECTIONS_MAX
-            && self.sent < self.terms.max_attempts + self.excused_ends.min(1)
+            && self.sent < self.terms.max_attempts + self.excused.min(1)
     }
 }
--- a/crates/oliveworks-gateway-core/src/events.rs
+++ b/crates/oliveworks-gateway-core/src/events.rs
@@ -5,7 +5,7 @@
 //! gaps are detected.
 
 /// Maximum size of an incomplete event, in bytes.
-const EVENT_MAX: usize = 1 << 20;
+pub const EVENT_MAX: usize = 1 << 20;
 
 /// The error for an event that exceeds the maximum size.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,6 +40,18 @@
     None
 }
 
+/// Prefix of a line with data.
+const DATA_FIELD: &[u8] = b"data";
+
+impl Event {
+    /// Returns whether this is no event for the caller: it has neither an id nor data, like a
+    /// comment that keeps a connection open.
+    pub fn is_empty(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        self.id.is_none() && !lines.any(|line| line.starts_with(DATA_FIELD))
+    }
+}
+
 /// Returns the id of an event.
 fn event_id(bytes: &[u8]) -> Option<u64> {
     let mut lines = bytes.split(|byte| *byte == b'\n');
--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -54,8 +54,10 @@
 //! | [`stop`] | what a stopping gateway does with requests, by the time since the stop began |
 //! | [`timeliness`] | whether an answer was in time, and otherwise the cause of the delay |
 //! | [`events`] | bytes of a stream that may be forwarded |
+//! | [`arrivals`] | bounds on the bytes and the time of data that is of no use yet |
 
 pub mod admission;
+pub mod arrivals;
 pub mod attempts;
 pub mod backend_servers;
 pub mod backoff;
--- /dev/null
+++ b/crates/oliveworks-gateway-core/tests/arrivals.rs
@@ -0,0 +1,56 @@
+//! Tests of the bounds on data that is of no use yet.
+
+use oliveworks_gateway_core::arrivals::{Arrivals, Unbounded};
+use oliveworks_gateway_core::events::{Event, Splitter};
+use test_case::test_case;
+
+/// Largest number of bytes in these tests.
+const MAX: usize = 1_000;
+
+/// Bytes arrive `count` times, `interval_ms` after each other.
+#[test_case(1, 0, 1_000, Ok(()); "all at once")]
+#[test_case(1, 0, 1_001, Err(Unbounded::Bytes); "too many at once")]
+#[test_case(501, 2, 2, Err(Unbounded::Bytes); "too many in parts")]
+#[test_case(201, 10, 1, Ok(()); "as long as allowed")]
+#[test_case(202, 10, 1, Err(Unbounded::Time); "longer than allowed")]
+#[test_case(2, 60_000, 1, Ok(()); "a silence between two parts")]
+#[test_case(22, 60_000, 1, Err(Unbounded::Time); "a silence between any two parts")]
+fn unfinished_data_is_bounded_in_bytes_and_in_time(
+    count: u64,
+    interval_ms: u64,
+    bytes: usize,
+    expected: Result<(), Unbounded>,
+) {
+    let mut arrivals = Arrivals::default();
+    for number in 0..count {
+        assert_eq!(arrivals.check_unfinished(MAX), Ok(()), "before part {number}");
+        arrivals.record(number * interval_ms, bytes);
+    }
+    assert_eq!(arrivals.check_unfinished(MAX), expected);
+}
+
+/// A sound host whose data is cut by a silence is not taken for one that sends bytes without end.
+#[test_case(2, 1_200, false; "a silence")]
+#[test_case(51, 10, false; "for half a second")]
+#[test_case(52, 10, true; "for longer")]
+fn bytes_without_news_are_endless_once_they_keep_arriving(
+    count: u64,
+    interval_ms: u64,
+    expected: bool,
+) {
+    let mut arrivals = Arrivals::default();
+    (0..count).for_each(|number| arrivals.record(number * interval_ms, 1));
+    assert_eq!(arrivals.are_endless(), expected);
+}
+
+/// Comments and other blocks without an id or data are no news for the caller.
+#[test_case(b": comment\n\n", true; "a comment")]
+#[test_case(b"\n\n", true; "empty lines")]
+#[test_case(b"retry: 100\n\n", true; "a retry time")]
+#[test_case(b"data: x\n\n", false; "data")]
+#[test_case(b": comment\r\ndata\r\n\r\n", false; "empty data after a comment")]
+#[test_case(b"id: 7\n\n", false; "an id")]
+fn blocks_without_an_event_are_empty(bytes: &[u8], expected: bool) {
+    let events = Splitter::default().push(bytes).expect("a short event");
+    assert_eq!(events.iter().map(Event::is_empty).collect::<Vec<_>>(), [expected]);
+}
--- a/crates/oliveworks-gateway-core/tests/decisions.rs
+++ b/crates/oliveworks-gateway-core/tests/decisions.rs
@@ -139,6 +139,7 @@
 #[test_case(TERMS, 1, Failure::Lost, false, 10, Next::Again; "a repeatable one goes on")]
 #[test_case(TERMS, 2, Failure::Lost, false, 10, Next::GiveUp(Verdict::MayHaveRun); "not beyond the attempts")]
 #[test_case(TERMS, 2, Failure::Stalled, true, 10, Next::Again; "one that ended is not counted")]
+#[test_case(TERMS, 2, Failure::Invalid, false, 10, Next::GiveUp(Verdict::MayHaveRun); "an invalid answer is a failure")]
 #[test_case(TERMS, 1, Failure::Lost, false, 1_000, Next::GiveUp(Verdict::TimedOut); "its time is over")]
 #[test_case(ONCE, 1, Failure::Lost, false, 10, Next::GiveUp(Verdict::MayHaveRun); "may have run once")]
 #[test_case(ONCE, 1, Failure::Refused, false, 10, Next::Again; "refused has not run")]
@@ -161,6 +162,20 @@
     assert_eq!(attempts.failed(now, failure, gone), expected);
 }
 
+/// A host that sends bytes without end excuses one send of a request, and not each.
+#[test]
+fn one_send_is_excused() {
+    let mut attempts = Attempts::new(TERMS);
+    attempts.sending();
+    attempts.sending();
+    assert!(!attempts.may_send_beside(10));
+    attempts.excuse();
+    assert!(attempts.may_send_beside(10));
+    attempts.sending();
+    attempts.excuse();
+    assert!(!attempts.may_send_beside(10));
+}
+
 /// A request that may have run is never reported as "not run" afterwards.
 #[test]
 fn a_request_that_may_have_run_never_counts_as_not_run() {
--- a/crates/oliveworks-gateway/src/exchange.rs
+++ b/crates/oliveworks-gateway/src/exchange.rs
@@ -26,9 +26,10 @@
 use log::debug;
 use tokio::net::TcpStream;
 
+use crate::counted_stream::{CountedStream, ReceivedBytes};
 use crate::dialect::{Call, Headers};
 
-type Driver = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+type Driver = http1::Connection<TokioIo<CountedStream>, Full<Bytes>>;
 type AwaitedHead = Pin<Box<dyn Future<Output = hyper::Result<Response<Incoming>>>>>;
 
 /// Reason why no connection could be opened.
@@ -43,8 +44,10 @@
 /// Reason why there is no complete answer.
 #[derive(Debug)]
 pub enum ExchangeError {
-    /// The connection ended, or the received data is not a valid answer.
+    /// The connection ended, or the body of the answer broke off.
     Connection(String),
+    /// The head of the answer is invalid or too large.
+    Invalid(String),
     /// The timeout expired.
     Late,
     /// The answer is too large.
@@ -64,12 +67,22 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             ExchangeError::Connection(why) => write!(f, "connection: {why}"),
+            ExchangeError::Invalid(why) => write!(f, "invalid answer: {why}"),
             ExchangeError::Late => write!(f, "late"),
             ExchangeError::Large => write!(f, "too large"),
         }
     }
 }
 
+impl From<hyper::Error> for ExchangeError {
+    fn from(error: hyper::Error) -> ExchangeError {
+        match error.is_parse() {
+            true => ExchangeError::Invalid(error.to_string()),
+            false => ExchangeError::Connection(error.to_string()),
+        }
+    }
+}
+
 /// An HTTP/1 connection to a backend server or the store.
 pub struct Exchange {
     sender: http1::SendRequest<Full<Bytes>>,
@@ -78,12 +91,13 @@
     awaited_head: Option<AwaitedHead>,
     /// Whether a request was sent whose answer is not complete.
     awaits_answer: bool,
+    received: ReceivedBytes,
 }
 
 impl Drop for Exchange {
     fn drop(&mut self) {
         let Some(driver) = self.driver.take().filter(|_| self.awaits_answer) else { return };
-        let stream = Pin::into_inner(driver).into_parts().io.into_inner();
+        let stream = Pin::into_inner(driver).into_parts().io.into_inner().into_inner();
         if let Err(error) = stream.set_zero_linger() {
             debug!(
                 "exchange: cannot set zero linger, so the connection is closed and not reset: {error}"
@@ -95,7 +109,7 @@
 /// Status of an answer from a backend server that is not the intended one.
 pub const MISDIRECTED: u16 = 421;
 /// Largest head of an answer, in bytes.
-const HEAD_MAX: usize = 64 << 10;
+pub const HEAD_MAX: usize = 64 << 10;
 
 impl Exchange {
     /// Opens a connection.
@@ -115,10 +129,17 @@
         let _ = stream.set_nodelay(true);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(HEAD_MAX);
+        let stream = CountedStream::new(stream);
+        let received = stream.received();
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(|_| NoConnection::Silent)?;
         let driver = Some(Box::pin(driver));
-        Ok(Exchange { sender, driver, awaited_head: None, awaits_answer: false })
+        Ok(Exchange { sender, driver, awaited_head: None, awaits_answer: false, received })
+    }
+
+    /// Returns the number of bytes received on the connection.
+    pub fn received_bytes(&self) -> usize {
+        self.received.get()
     }
 
     fn drive(&mut self, context: &mut Context<'_>) {
@@ -159,7 +180,7 @@
         };
         let head = ready!(awaited.as_mut().poll(context));
         self.awaited_head = None;
-        Poll::Ready(head.map_err(|error| ExchangeError::Connection(error.to_string())))
+        Poll::Ready(head.map_err(ExchangeError::from))
     }
 
     /// Polls for the next bytes of an answer's body; none at its end.
@@ -179,9 +200,7 @@
                     self.awaits_answer = false;
                     return Poll::Ready(Ok(None));
                 }
-                Some(Err(error)) => {
-                    return Poll::Ready(Err(ExchangeError::Connection(error.to_string())));
-                }
+                Some(Err(error)) => return Poll::Ready(Err(error.into())),
                 Some(Ok(frame)) => frame,
             };
             if let Ok(data) = frame.into_data() {
--- a/crates/oliveworks-gateway/src/lib.rs
+++ b/crates/oliveworks-gateway/src/lib.rs
@@ -48,6 +48,7 @@
 mod callers;
 mod calls;
 mod connection;
+mod counted_stream;
 mod crashers;
 pub mod dialect;
 mod drains;
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -338,10 +338,7 @@
         received: Result<Data, Failure>,
     ) -> Option<(End, String)> {
         let forwarded = match received {
-            Ok(data) => {
-                self.record_end_of_silence(&mut reception);
-                self.forward_data(connection, &mut reception, data, others.len()).await
-            }
+            Ok(data) => self.forward_data(connection, &mut reception, data, others.len()).await,
             Err(failure) => Forwarded::Failed(failure),
         };
         match forwarded {
@@ -450,6 +447,9 @@
     /// Records the failure of an attempt whose request was sent.
     async fn end_reception(&mut self, mut reception: Reception<'_>, failure: Failure) -> Next {
         reception.outstanding.failed = self.is_penalized(&reception, failure);
+        if failure == Failure::Invalid {
+            self.record_invalid_answer(&mut reception);
+        }
         let (sent, first_event) = (reception.sent, reception.outstanding.first_event);
         let place = reception.place.clone();
         drop(reception);
--- a/crates/oliveworks-gateway/src/relay/forwarding.rs
+++ b/crates/oliveworks-gateway/src/relay/forwarding.rs
@@ -5,7 +5,6 @@
 use oliveworks_gateway_core::Millis;
 use oliveworks_gateway_core::attempts::Failure;
 use oliveworks_gateway_core::configuration::Repeat;
-use oliveworks_gateway_core::events::Pass;
 use oliveworks_gateway_core::group_id::GroupId;
 
 use super::Job;
@@ -14,7 +13,6 @@
 use crate::dialect::{AnswerInfo, Headers};
 use crate::exchange::MISDIRECTED;
 use crate::host_statements::Sender;
-use crate::places::Place;
 
 /// Hop-by-hop headers, which are not forwarded.
 const HOP_BY_HOP_HEADERS: [&str; 9] = [
@@ -64,31 +62,15 @@
         data: Data,
         others: usize,
     ) -> Forwarded {
-        let before = reception.since;
-        if let Data::Head(head) = data {
-            return self.process_head(reception, head, others);
-        }
-        reception.since = self.record_progress(&reception.place);
         match data {
-            Data::Part(part) if self.is_stream(reception) => {
-                self.record_pause(reception, before);
-                self.forward_events(connection, reception, &part).await
-            }
+            Data::Head(head) => self.process_head(reception, head, others),
+            Data::Events(events) => self.forward_events(connection, reception, &events).await,
             Data::Part(part) => self.keep_part(reception, &part),
-            _ if self.is_stream(reception) => {
-                self.record_pause(reception, before);
-                self.end_stream(connection, reception).await
-            }
-            _ => self.forward_whole(connection, reception).await,
+            Data::End if reception.is_stream() => self.end_stream(connection, reception).await,
+            Data::End => self.forward_whole(connection, reception).await,
         }
     }
 
-    /// Returns whether an answer is forwarded event by event.
-    fn is_stream(&self, reception: &Reception<'_>) -> bool {
-        let status = reception.head.as_ref().map_or(0, |head| head.status);
-        self.route.stream && (200..300).contains(&status)
-    }
-
     fn process_head(
         &mut self,
         reception: &mut Reception<'_>,
@@ -117,7 +99,11 @@
             return Forwarded::Failed(failure);
         }
         reception.head = Some(head);
-        reception.since = self.record_progress(&reception.place);
+        match reception.is_stream() {
+            // The host has accepted the request, which is no news for the caller yet.
+            true => reception.since = self.gateway.now(),
+            false => self.record_news(reception),
+        }
         Forwarded::Nothing
     }
 
@@ -148,12 +134,15 @@
         is_failure.then_some(Failure::Failed)
     }
 
-    fn record_progress(&self, place: &Place) -> Millis {
-        let now = self.gateway.now();
-        self.gateway.balance.borrow_mut().progress(now, place.candidate.target);
-        self.gateway.suspensions.borrow_mut().record_data(place.candidate.target);
-        self.gateway.record_reached(&self.service, place.candidate.target);
-        now
+    /// Records that a part of an answer arrived that is news for the caller. Other bytes are no
+    /// sign that the host is sound.
+    fn record_news(&mut self, reception: &mut Reception<'_>) {
+        let (now, target) = (self.gateway.now(), reception.target());
+        reception.since = now;
+        self.record_end_of_silence(reception);
+        self.gateway.balance.borrow_mut().progress(now, target);
+        self.gateway.suspensions.borrow_mut().record_data(target);
+        self.gateway.record_reached(&self.service, target);
     }
 
     /// Records the pause before the latest data of a stream that has begun.
@@ -171,30 +160,18 @@
         &mut self,
         connection: &mut Connection,
         reception: &mut Reception<'_>,
-        part: &[u8],
+        events: &[u8],
     ) -> Forwarded {
-        let Ok(events) = reception.splitter.push(part) else {
-            return Forwarded::Failed(Failure::Lost);
-        };
-        if !events.is_empty() && reception.outstanding.first_event.is_none() {
+        let before = reception.since;
+        self.record_news(reception);
+        self.record_pause(reception, before);
+        if reception.outstanding.first_event.is_none() {
             reception.outstanding.first_event = Some(reception.since);
             let mut balance = self.gateway.balance.borrow_mut();
             balance.began(reception.target(), self.asked.prompt_tokens);
         }
-        let mut bytes = Vec::new();
-        let mut progress = self.progress;
-        for event in events {
-            match progress.next(event.id) {
-                Pass::On => bytes.extend_from_slice(&event.bytes),
-                Pass::Known => {}
-                Pass::Gap => return Forwarded::Failed(Failure::Lost),
-            }
-        }
-        self.progress = progress;
-        if bytes.is_empty() {
-            return Forwarded::Nothing;
-        }
-        match self.forward(connection, reception, &bytes).await {
+        self.progress = reception.progress;
+        match self.forward(connection, reception, events).await {
             Ok(()) => Forwarded::Part,
             Err(gone) => gone.into(),
         }
@@ -203,11 +180,14 @@
     async fn end_stream(
         &mut self,
         connection: &mut Connection,
-        reception: &Reception<'_>,
+        reception: &mut Reception<'_>,
     ) -> Forwarded {
-        if !reception.splitter.rest().is_empty() {
+        if reception.is_cut() {
             return Forwarded::Failed(Failure::Lost);
         }
+        let before = reception.since;
+        self.record_news(reception);
+        self.record_pause(reception, before);
         self.gateway.record_completion(&self.features);
         if !self.head_sent && self.forward(connection, reception, &[]).await.is_err() {
             return Forwarded::CallerGone;
@@ -219,10 +199,11 @@
     }
 
     /// Keeps a part of an answer that must be complete before the caller receives any of it.
-    fn keep_part(&self, reception: &mut Reception<'_>, part: &[u8]) -> Forwarded {
+    fn keep_part(&mut self, reception: &mut Reception<'_>, part: &[u8]) -> Forwarded {
         if reception.whole.len() + part.len() > self.gateway.settings.requests.answer_max {
             return Forwarded::Failed(Failure::Lost);
         }
+        self.record_news(reception);
         reception.whole.extend_from_slice(part);
         Forwarded::Nothing
     }
@@ -235,6 +216,7 @@
         let Some(head) = reception.head.take() else {
             return Forwarded::Failed(Failure::Lost);
         };
+        self.record_news(reception);
         if (200..300).contains(&head.status) {
             self.gateway.record_completion(&self.features);
         }
--- a/crates/oliveworks-gateway/src/relay/reception.rs
+++ b/crates/oliveworks-gateway/src/relay/reception.rs
@@ -10,16 +10,17 @@
 use bytes::Bytes;
 use hyper::body::Incoming;
 use oliveworks_gateway_core::Millis;
+use oliveworks_gateway_core::arrivals::Arrivals;
 use oliveworks_gateway_core::attempts::Failure;
 use oliveworks_gateway_core::backend_servers::Born;
 use oliveworks_gateway_core::balance::Target;
-use oliveworks_gateway_core::events::Splitter;
+use oliveworks_gateway_core::events::{EVENT_MAX, Pass, Progress, Splitter};
 use oliveworks_gateway_core::group_id::GroupId;
 use oliveworks_gateway_core::stop::check_interval_ms;
 
 use crate::crashers::SuspectRun;
 use crate::dialect::Headers;
-use crate::exchange::{Exchange, headers_of};
+use crate::exchange::{Exchange, ExchangeError, HEAD_MAX, headers_of};
 use crate::places::Place;
 use crate::state::Gateway;
 
@@ -36,7 +37,9 @@
 /// Data of an answer.
 pub(super) enum Data {
     Head(Head),
-    /// Bytes of the body.
+    /// Events of a stream that the caller lacks.
+    Events(Vec<u8>),
+    /// Bytes of a body that is forwarded as a whole.
     Part(Bytes),
     /// End of a complete body.
     End,
@@ -47,14 +50,24 @@
     pub place: Place,
     /// Time of the send.
     pub sent: Millis,
-    /// Time of the last data, or of the send.
+    /// Time of the last data that was news for the caller, of the head, or of the send.
     pub since: Millis,
     /// Whether nothing arrived for so long that the place counts as stalled.
     pub is_silent: bool,
     /// Head of the answer, once it was received.
     pub head: Option<Head>,
+    /// Whether a successful answer is forwarded event by event.
+    streams: bool,
     /// Complete events are split off the body of a stream.
-    pub splitter: Splitter,
+    splitter: Splitter,
+    /// Position of the caller in the stream after the events received here.
+    pub progress: Progress,
+    /// Bytes of the head, or of the latest event of a stream, until it is complete.
+    unfinished: Arrivals,
+    /// Bytes since the last news for the caller.
+    without_news: Arrivals,
+    /// Whether the send does not count towards the maximum of the request.
+    pub is_excused: bool,
     /// Bytes received so far of a body that is not forwarded by events.
     pub whole: Vec<u8>,
     pub outstanding: OutstandingRequest<'a>,
@@ -70,6 +83,10 @@
 pub(super) struct Sent<'a> {
     pub place: Place,
     pub at: Millis,
+    /// Whether a successful answer is forwarded event by event.
+    pub streams: bool,
+    /// Position of the caller in the stream.
+    pub progress: Progress,
     pub exchange: Exchange,
     pub incarnation: Option<Born>,
     pub group: Option<GroupId>,
@@ -85,7 +102,12 @@
             since: sent.at,
             is_silent: false,
             head: None,
+            streams: sent.streams,
             splitter: Splitter::default(),
+            progress: sent.progress,
+            unfinished: Arrivals::default(),
+            without_news: Arrivals::default(),
+            is_excused: false,
             whole: Vec::new(),
             outstanding: sent.outstanding,
             exchange: sent.exchange,
@@ -103,21 +125,97 @@
         self.place.candidate.target
     }
 
+    /// Returns whether the answer is forwarded event by event.
+    pub fn is_stream(&self) -> bool {
+        let status = self.head.as_ref().map_or(0, |head| head.status);
+        self.streams && (200..300).contains(&status)
+    }
+
+    /// Returns whether a stream has ended within an event.
+    pub fn is_cut(&self) -> bool {
+        !self.splitter.rest().is_empty()
+    }
+
+    /// Polls for data that is of use. Other bytes of a stream are dropped here, so that they
+    /// neither end a silence nor interrupt the search for another place.
     fn poll_data(&mut self, context: &mut Context<'_>) -> Poll<Result<Data, Failure>> {
-        let Some(body) = &mut self.body else {
-            let head = ready!(self.exchange.poll_head(context));
-            return Poll::Ready(head.map_err(|_| Failure::Lost).map(|response| {
-                let head =
-                    Head { status: response.status().as_u16(), headers: headers_of(&response) };
-                self.body = Some(response.into_body());
-                Data::Head(head)
-            }));
+        loop {
+            let Some(body) = &mut self.body else { return self.poll_head(context) };
+            let part = match ready!(self.exchange.poll_next(context, body)) {
+                Ok(Some(part)) => part,
+                Ok(None) => return Poll::Ready(Ok(Data::End)),
+                Err(error) => return Poll::Ready(Err(failure_of(&error))),
+            };
+            if !self.is_stream() {
+                return Poll::Ready(Ok(Data::Part(part)));
+            }
+            match self.news(&part) {
+                Ok(news) if news.is_empty() => {}
+                news => return Poll::Ready(news.map(Data::Events)),
+            }
+        }
+    }
+
+    fn poll_head(&mut self, context: &mut Context<'_>) -> Poll<Result<Data, Failure>> {
+        let response = match self.exchange.poll_head(context) {
+            Poll::Ready(Ok(response)) => response,
+            Poll::Ready(Err(error)) => return Poll::Ready(Err(failure_of(&error))),
+            Poll::Pending => {
+                let bytes = self.exchange.received_bytes() - self.unfinished.bytes();
+                self.record_without_news(bytes);
+                return match self.record_unfinished(bytes, HEAD_MAX) {
+                    Ok(()) => Poll::Pending,
+                    Err(failure) => Poll::Ready(Err(failure)),
+                };
+            }
         };
-        Poll::Ready(match ready!(self.exchange.poll_next(context, body)) {
-            Ok(Some(part)) => Ok(Data::Part(part)),
-            Ok(None) => Ok(Data::End),
-            Err(_) => Err(Failure::Lost),
-        })
+        self.unfinished = Arrivals::default();
+        let head = Head { status: response.status().as_u16(), headers: headers_of(&response) };
+        self.body = Some(response.into_body());
+        Poll::Ready(Ok(Data::Head(head)))
+    }
+
+    /// Adds a part of a stream and returns the events that the caller lacks.
+    fn news(&mut self, part: &[u8]) -> Result<Vec<u8>, Failure> {
+        let events = self.splitter.push(part).map_err(|_| Failure::Invalid)?;
+        if !events.is_empty() {
+            self.unfinished = Arrivals::default();
+        }
+        let mut news = Vec::new();
+        for event in events.iter().filter(|event| !event.is_empty()) {
+            match self.progress.next(event.id) {
+                Pass::On => news.extend_from_slice(&event.bytes),
+                Pass::Known => {}
+                Pass::Gap => return Err(Failure::Lost),
+            }
+        }
+        match news.is_empty() {
+            true => self.record_without_news(part.len()),
+            false => self.without_news = Arrivals::default(),
+        }
+        let unfinished = self.splitter.rest().len().min(part.len());
+        self.record_unfinished(unfinished, EVENT_MAX)?;
+        Ok(news)
+    }
+
+    fn record_without_news(&mut self, bytes: usize) {
+        if bytes > 0 {
+            self.without_news.record(self.outstanding.gateway.now(), bytes);
+        }
+    }
+
+    /// Records new bytes of a head or event that is incomplete.
+    fn record_unfinished(&mut self, bytes: usize, max_bytes: usize) -> Result<(), Failure> {
+        if bytes == 0 {
+            return Ok(());
+        }
+        self.unfinished.record(self.outstanding.gateway.now(), bytes);
+        self.unfinished.check_unfinished(max_bytes).map_err(|_| Failure::Invalid)
+    }
+
+    /// Returns whether bytes keep arriving from a silent host, but no news for the caller.
+    fn sends_no_news(&self) -> bool {
+        !self.is_excused && self.without_news.are_endless()
     }
 
     /// Returns whether it is certain that a silent group will not continue: the leader has ended it
@@ -130,6 +228,13 @@
     }
 }
 
+fn failure_of(error: &ExchangeError) -> Failure {
+    match error {
+        ExchangeError::Invalid(_) => Failure::Invalid,
+        ExchangeError::Connection(_) | ExchangeError::Late | ExchangeError::Large => Failure::Lost,
+    }
+}
+
 /// Longest silence of a place before the request is sent to another place as well.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum SilenceLimit {
@@ -160,7 +265,8 @@
 pub(super) enum ReceptionEvent {
     /// Data or the failure of the reception with this index.
     Received(usize, Result<Data, Failure>),
-    /// The place of the reception with this index has become silent.
+    /// The place of the reception with this index has become silent, or keeps sending bytes that
+    /// are no news.
     Silent(usize),
     /// The time of the request is over, or that of the process.
     Expired,
@@ -210,6 +316,7 @@
                 true if reception.has_ended(gateway) => {
                     return ReceptionEvent::Received(index, Err(Failure::Stalled));
                 }
+                true if reception.sends_no_news() => return ReceptionEvent::Silent(index),
                 true => {}
                 false => {
                     if limit.stalled_at(gateway, reception).is_some_and(|at| now >= at) {
--- a/crates/oliveworks-gateway/src/relay/sending.rs
+++ b/crates/oliveworks-gateway/src/relay/sending.rs
@@ -120,7 +120,18 @@
         outstanding.failed = false;
         let group = place.epoch.map(|epoch| GroupId::of(&self.service, epoch));
         let at = gateway.now();
-        Ok(Sent { place, at, exchange, incarnation, group, outstanding, suspect_run }.into())
+        let sent = Sent {
+            place,
+            at,
+            streams: self.route.stream,
+            progress: self.progress,
+            exchange,
+            incarnation,
+            group,
+            outstanding,
+            suspect_run,
+        };
+        Ok(sent.into())
     }
 
     async fn choose_place(&mut self, features: &Features) -> Result<Place, Rejection> {
--- a/crates/oliveworks-gateway/src/relay/silence.rs
+++ b/crates/oliveworks-gateway/src/relay/silence.rs
@@ -1,4 +1,4 @@
-//! Places that fall silent while their answers are awaited.
+//! Places that fall silent while their answers are awaited, or whose answers are invalid.
 
 use oliveworks_gateway_core::configuration::Repeat;
 use oliveworks_gateway_core::group_id::GroupId;
@@ -6,6 +6,7 @@
 use super::Job;
 use super::reception::{Reception, SilenceLimit};
 use crate::events::Event;
+use crate::places::Place;
 
 /// Silence, in ms, after which a repeatable request without a model is sent to another backend
 /// server as well.
@@ -30,7 +31,11 @@
         }
     }
 
+    /// Records that a place has become silent, or keeps sending bytes that are no news.
     pub(super) fn record_silence(&mut self, reception: &mut Reception<'_>) {
+        if reception.is_silent {
+            return self.excuse(reception);
+        }
         reception.is_silent = true;
         let (now, place) = (self.gateway.now(), &reception.place);
         self.log.push(format!("{} silent at {} ms", place.server, now - self.received));
@@ -46,10 +51,38 @@
                 .with("longest_pass_ms", self.pass_ms)
                 .with("request", self.asked.id.as_str())
                 .write();
-            self.gateway.suspensions.borrow_mut().suspend(now, target);
         }
+        self.suspend(place);
+    }
+
+    /// Records that a place answered with bytes that are no answer.
+    pub(super) fn record_invalid_answer(&mut self, reception: &mut Reception<'_>) {
+        let place = &reception.place;
+        Event::new("answer_is_invalid")
+            .with("host", &*place.server)
+            .with("epoch", place.epoch)
+            .with("request", self.asked.id.as_str())
+            .write();
+        self.suspend(place);
+        self.excuse(reception);
+    }
+
+    /// Lets the request be sent once more than its route says, since the place will hardly answer.
+    fn excuse(&mut self, reception: &mut Reception<'_>) {
+        if !std::mem::replace(&mut reception.is_excused, true) {
+            self.log.push(format!("{} sends no answer", reception.place.server));
+            self.attempts.excuse();
+        }
+    }
+
+    /// Keeps further requests from a place for a while, and tells the leader of its group.
+    fn suspend(&self, place: &Place) {
+        let (now, target) = (self.gateway.now(), place.candidate.target);
+        self.gateway.suspensions.borrow_mut().suspend(now, target);
         self.gateway.record_unreachable(&place.server);
-        self.gateway.report_stalled_group(GroupId::of(&self.service, epoch));
+        if let Some(epoch) = place.epoch {
+            self.gateway.report_stalled_group(GroupId::of(&self.service, epoch));
+        }
     }
 
     pub(super) fn record_end_of_silence(&mut self, reception: &mut Reception<'_>) {
