Every answer that a gateway reads has a bound in bytes and in time

Cause: the store's newest records were read page by page for as long as the store named a next page, without a pause and keeping all of them. A question of another gateway could have 16 MiB, and so could the answer of a backend server to an order or a question.

Change: the pages have 64 MiB together, and a page that names itself as the next one is an error, after which the reader pauses. A question has 1 KiB, an answer of a backend server 1 MiB.

Ruled out: a time-out for an idle connection between gateways. The asking gateway keeps it while it reads elsewhere, and would take its end for a failure.

Conclusion: only an unfinished question of another gateway has no bound in time; it holds a connection and 1 KiB.

--- a/crates/oliveworks-gateway/src/exchange.rs
+++ b/crates/oliveworks-gateway/src/exchange.rs
@@ -257,8 +257,10 @@
     request.body(Full::new(call.body.clone())).map_err(|e| ExchangeError::Connection(e.to_string()))
 }
 
-/// Largest answer to a call of this system itself, in bytes.
-const ANSWER_MAX: usize = 16 << 20;
+/// Largest answer of the store, in bytes.
+pub const STORE_ANSWER_MAX: usize = 16 << 20;
+/// Largest answer of a backend server to an order or a question, in bytes.
+pub const SERVER_ANSWER_MAX: usize = 1 << 20;
 
 /// A complete answer to a call of this system itself.
 pub struct Reply {
@@ -270,7 +272,7 @@
     pub body: Bytes,
 }
 
-/// Makes a call on an open connection.
+/// Makes a call on an open connection. The body of the answer has at most `body_max` bytes.
 ///
 /// # Errors
 /// Returns an error if no complete answer arrives in time. The call may have taken effect
@@ -280,13 +282,14 @@
     address: SocketAddr,
     call: &Call,
     within_ms: u64,
+    body_max: usize,
 ) -> Result<Reply, ExchangeError> {
     let request = request_of(call, address)?;
     let answer = async {
         let mut response = exchange.send(request).await?;
         let status = response.status().as_u16();
         let headers = headers_of(&response);
-        let body = exchange.read_body(response.body_mut(), ANSWER_MAX).await?;
+        let body = exchange.read_body(response.body_mut(), body_max).await?;
         Ok(Reply { status, headers, body })
     };
     match tokio::time::timeout(Duration::from_millis(within_ms), answer).await {
--- a/crates/oliveworks-gateway/src/follow.rs
+++ b/crates/oliveworks-gateway/src/follow.rs
@@ -26,6 +26,9 @@
 /// Pause of a gateway that has no source, in ms. A heartbeat of another gateway may name one.
 const NO_SOURCE_MS: u64 = 50;
 
+/// Largest size of all newest records of a topic together, in bytes.
+const NEWEST_MAX: usize = 64 << 20;
+
 /// A reader of one topic.
 pub struct Follower {
     client: Client,
@@ -334,6 +337,7 @@
         let mut records = Vec::new();
         let mut after: Option<String> = None;
         let mut first_end = None;
+        let mut bytes = 0;
         if self.topic == Topic::Leaders {
             // The last records of this topic are enough, and they have no keys by which to ask for
             // the newest ones.
@@ -342,6 +346,10 @@
         loop {
             let call = gateway.dialect.newest_call(self.topic, after.as_deref());
             let (status, body) = self.client.call(&call, 0).await?;
+            bytes += body.len();
+            if bytes > NEWEST_MAX {
+                return Err("the store's newest records are too large".to_owned());
+            }
             let page =
                 gateway.dialect.parse_page(self.topic, status, &body).map_err(|e| e.to_string())?;
             records.extend(page.records);
@@ -350,10 +358,13 @@
             if end.era != gateway.era() {
                 return Err("the store came back from a copy between two pages".to_owned());
             }
-            after = page.after;
-            if after.is_none() {
+            if page.after.is_none() {
                 break;
             }
+            if page.after == after {
+                return Err("the store names the same page again".to_owned());
+            }
+            after = page.after;
         }
         self.cursor.store_answered(first_end);
         Ok(Step { records, snapshot: true, sent, held_ms: 0, source: RecordSource::Store })
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -17,7 +17,9 @@
 use crate::calls::CallKind;
 use crate::dialect::Call;
 use crate::events::Event;
-use crate::exchange::{self, CallError, Exchange, ExchangeError, MISDIRECTED, Reply};
+use crate::exchange::{
+    self, CallError, Exchange, ExchangeError, MISDIRECTED, Reply, SERVER_ANSWER_MAX,
+};
 use crate::host_statements::Sender;
 use crate::state::Gateway;
 use crate::takeover::{ProbeOutcome, apply_probe, probe};
@@ -137,7 +139,7 @@
     let mut open = opened.map_err(CallError::NoConnection)?;
     let sent_at = gateway.now();
     gateway.count_own_call(server);
-    let answer = exchange::call(&mut open, address, call, within_ms).await;
+    let answer = exchange::call(&mut open, address, call, within_ms, SERVER_ANSWER_MAX).await;
     let reply = answer.map_err(|_: ExchangeError| CallError::NoAnswer)?;
     if reply.status != MISDIRECTED {
         let answered = gateway.dialect.parse_answer(reply.status, &reply.headers);
--- a/crates/oliveworks-gateway/src/peer_replay.rs
+++ b/crates/oliveworks-gateway/src/peer_replay.rs
@@ -21,7 +21,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::time::{sleep, timeout};
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::codec::{Framed, FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use crate::dialect::{Record, Topic};
 use crate::state::Gateway;
@@ -42,6 +42,8 @@
 const SNAPSHOTS_AT_ONCE: usize = 2;
 /// Largest answer, in bytes.
 const ANSWER_MAX: usize = 16 << 20;
+/// Largest question, in bytes.
+const QUESTION_MAX: usize = 1 << 10;
 /// Pause after a failed attempt to accept a connection, in ms.
 const ACCEPT_RETRY_MS: u64 = 20;
 
@@ -83,9 +85,8 @@
 
 type Frames = Framed<TcpStream, LengthDelimitedCodec>;
 
-fn framed(stream: TcpStream) -> Frames {
-    let codec = LengthDelimitedCodec::builder().max_frame_length(ANSWER_MAX).new_codec();
-    Framed::new(stream, codec)
+fn codec(frame_max: usize) -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(frame_max).new_codec()
 }
 
 /// Client end of a connection to another gateway.
@@ -106,7 +107,7 @@
         if let Err(error) = stream.set_nodelay(true) {
             debug!("peer replay: cannot set TCP_NODELAY for {address}: {error}");
         }
-        Ok(PeerClient { address, frames: framed(stream) })
+        Ok(PeerClient { address, frames: Framed::new(stream, codec(ANSWER_MAX)) })
     }
 
     /// Returns the address of the asked gateway.
@@ -181,8 +182,10 @@
     if let Err(error) = stream.set_nodelay(true) {
         debug!("peer replay: cannot set TCP_NODELAY for {from}: {error}");
     }
-    let mut frames = framed(stream);
-    while let Some(Ok(frame)) = frames.next().await {
+    let (reader, writer) = stream.into_split();
+    let mut questions = FramedRead::new(reader, codec(QUESTION_MAX));
+    let mut answers = FramedWrite::new(writer, codec(ANSWER_MAX));
+    while let Some(Ok(frame)) = questions.next().await {
         let question = match postcard::from_bytes::<Question>(&frame) {
             Ok(question) => question,
             Err(error) => {
@@ -216,7 +219,7 @@
         // The asking gateway has given up by then, and an answer that cannot be delivered must not
         // keep its slot.
         let within = Duration::from_millis(HOLD_MAX_MS + ANSWER_TIMEOUT_MS);
-        if !matches!(timeout(within, frames.send(Bytes::from(bytes))).await, Ok(Ok(()))) {
+        if !matches!(timeout(within, answers.send(Bytes::from(bytes))).await, Ok(Ok(()))) {
             return;
         }
     }
--- a/crates/oliveworks-gateway/src/store.rs
+++ b/crates/oliveworks-gateway/src/store.rs
@@ -8,7 +8,7 @@
 
 use crate::dialect::{Call, ClaimOutcome};
 use crate::events::Event;
-use crate::exchange::{self, Exchange};
+use crate::exchange::{self, Exchange, STORE_ANSWER_MAX};
 use crate::state::Gateway;
 
 /// A client of the store with one connection.
@@ -51,7 +51,7 @@
         let within_ms = store.call_ms + extra_ms;
         let mut open = self.open(store.call_ms).await?;
         let sent = self.gateway.now();
-        match exchange::call(&mut open, store.address, call, within_ms).await {
+        match exchange::call(&mut open, store.address, call, within_ms, STORE_ANSWER_MAX).await {
             Ok(answer) => {
                 self.exchange = Some(open);
                 let era = self.gateway.dialect.parse_store_era(&answer.headers);
