Short events hold only their own memory; bytes without news are bounded

Cause: each event split off a part kept the capacity of the rest of the part, so the memory and the time for a part grew with the square of its number of events. Complete events that are no news had no bound in bytes.

Change: events are copied out of the buffer, which is drained once. Beyond 16 MiB without news an answer is invalid.

Ruled out: a test by time, because its failure takes the memory of the machine.

Conclusion: a part with many short events costs as much as its bytes.

--- a/crates/oliveworks-gateway-core/src/arrivals.rs
+++ b/crates/oliveworks-gateway-core/src/arrivals.rs
@@ -8,6 +8,8 @@
 /// Time for which bytes without news keep arriving, in ms, after which the request may be sent once
 /// more.
 const WITHOUT_NEWS_MAX_MS: u64 = 500;
+/// Largest number of bytes without news, in bytes.
+const WITHOUT_NEWS_MAX: usize = 16 << 20;
 /// Longest part of a pause between two arrivals that counts, in ms. A sound host may fall silent at
 /// any point and continue later.
 const COUNTED_PAUSE_MAX_MS: u64 = 100;
@@ -58,6 +60,17 @@
         }
     }
 
+    /// Checks the bound of bytes without news.
+    ///
+    /// # Errors
+    /// Returns an error if it is exceeded.
+    pub fn check_without_news(&self) -> Result<(), Unbounded> {
+        match self.bytes > WITHOUT_NEWS_MAX {
+            true => Err(Unbounded::Bytes),
+            false => Ok(()),
+        }
+    }
+
     /// Returns whether bytes without news have kept arriving for so long that more of them are
     /// expected rather than an answer.
     pub fn are_endless(&self) -> bool {
--- a/crates/oliveworks-gateway-core/src/events.rs
+++ b/crates/oliveworks-gateway-core/src/events.rs
@@ -67,12 +67,14 @@
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<Event>, Oversized> {
         self.buffer.extend_from_slice(bytes);
         let mut events = Vec::new();
-        while let Some(length) = event_length(&self.buffer) {
-            let rest = self.buffer.split_off(length);
-            let bytes = std::mem::replace(&mut self.buffer, rest);
+        let mut start = 0;
+        while let Some(length) = event_length(&self.buffer[start..]) {
+            let bytes = self.buffer[start..start + length].to_vec();
             let id = event_id(&bytes);
             events.push(Event { bytes, id });
+            start += length;
         }
+        self.buffer.drain(..start);
         match self.buffer.len() > EVENT_MAX {
             true => Err(Oversized),
             false => Ok(events),
--- a/crates/oliveworks-gateway-core/tests/arrivals.rs
+++ b/crates/oliveworks-gateway-core/tests/arrivals.rs
@@ -54,3 +54,23 @@
     let events = Splitter::default().push(bytes).expect("a short event");
     assert_eq!(events.iter().map(Event::is_empty).collect::<Vec<_>>(), [expected]);
 }
+
+/// Guards against a host that sends complete events without news as fast as they are read.
+#[test]
+fn bytes_without_news_are_bounded() {
+    let mut arrivals = Arrivals::default();
+    arrivals.record(0, 16 << 20);
+    assert_eq!(arrivals.check_without_news(), Ok(()));
+    arrivals.record(0, 1);
+    assert_eq!(arrivals.check_without_news(), Err(Unbounded::Bytes));
+}
+
+/// Guards against events that each hold the memory of the rest of their part.
+#[test]
+fn events_hold_little_more_memory_than_their_bytes() {
+    let part = b":\n\n".repeat(2_000);
+    let events = Splitter::default().push(&part).expect("short events");
+    let held: usize = events.iter().map(|event| event.bytes.capacity()).sum();
+    assert_eq!(events.len(), 2_000);
+    assert!(held <= 4 * part.len(), "{held} bytes held for {}", part.len());
+}
--- a/crates/oliveworks-gateway/src/relay/reception.rs
+++ b/crates/oliveworks-gateway/src/relay/reception.rs
@@ -162,8 +162,8 @@
             Poll::Ready(Err(error)) => return Poll::Ready(Err(failure_of(&error))),
             Poll::Pending => {
                 let bytes = self.exchange.received_bytes() - self.unfinished.bytes();
-                self.record_without_news(bytes);
-                return match self.record_unfinished(bytes, HEAD_MAX) {
+                let recorded = self.record_without_news(bytes);
+                return match recorded.and_then(|()| self.record_unfinished(bytes, HEAD_MAX)) {
                     Ok(()) => Poll::Pending,
                     Err(failure) => Poll::Ready(Err(failure)),
                 };
@@ -190,7 +190,7 @@
             }
         }
         match news.is_empty() {
-            true => self.record_without_news(part.len()),
+            true => self.record_without_news(part.len())?,
             false => self.without_news = Arrivals::default(),
         }
         let unfinished = self.splitter.rest().len().min(part.len());
@@ -198,10 +198,11 @@
         Ok(news)
     }
 
-    fn record_without_news(&mut self, bytes: usize) {
+    fn record_without_news(&mut self, bytes: usize) -> Result<(), Failure> {
         if bytes > 0 {
             self.without_news.record(self.outstanding.gateway.now(), bytes);
         }
+        self.without_news.check_without_news().map_err(|_| Failure::Invalid)
     }
 
     /// Records new bytes of a head or event that is incomplete.
