Answers without end: the limit of sends holds, and one malformed head suspends no host

A send to a host that answers without end did not count towards max_attempts, although the host may run the request; and a single malformed head suspended its host for a second, so a host that spoils one answer in a hundred would be suspended all the time. Conclusion: the operator's limit holds for everything that may run a request.

--- a/crates/oliveworks-gateway-core/src/arrivals.rs
+++ b/crates/oliveworks-gateway-core/src/arrivals.rs
@@ -5,9 +5,6 @@
 
 /// Longest time for which bytes of the same head or event may keep arriving, in ms.
 const UNFINISHED_MAX_MS: u64 = 2_000;
-/// Time for which bytes without news keep arriving, in ms, after which the request may be sent once
-/// more.
-const WITHOUT_NEWS_MAX_MS: u64 = 500;
 /// Largest number of bytes without news, in bytes.
 const WITHOUT_NEWS_MAX: usize = 16 << 20;
 /// Longest part of a pause between two arrivals that counts, in ms. A sound host may fall silent at
@@ -70,10 +67,4 @@
             false => Ok(()),
         }
     }
-
-    /// Returns whether bytes without news have kept arriving for so long that more of them are
-    /// expected rather than an answer.
-    pub fn are_endless(&self) -> bool {
-        self.duration_ms > WITHOUT_NEWS_MAX_MS
-    }
 }
--- a/crates/oliveworks-gateway-core/src/attempts.rs
+++ b/crates/oliveworks-gateway-core/src/attempts.rs
@@ -101,8 +101,7 @@
     terms: Terms,
     sent: u32,
     connected: u32,
-    /// Number of sends that do not count towards the maximum; at most one is taken into account.
-    excused: u32,
+    excused_ends: u32,
     may_have_run: bool,
 }
 
@@ -112,7 +111,7 @@
 impl Attempts {
     /// Creates the state of a request that has not been sent.
     pub fn new(terms: Terms) -> Attempts {
-        Attempts { terms, sent: 0, connected: 0, excused: 0, may_have_run: false }
+        Attempts { terms, sent: 0, connected: 0, excused_ends: 0, may_have_run: false }
     }
 
     /// Records that a connection for the request is being opened.
@@ -157,7 +156,7 @@
             self.may_have_run = true;
         }
         if gone && failure != Failure::NotSent {
-            self.excuse();
+            self.excused_ends += 1;
         }
         let may_retry = self.has_send_left(now) && (self.terms.repeatable || !self.may_have_run);
         match may_retry {
@@ -178,15 +177,9 @@
         self.may_have_run = true;
     }
 
-    /// Records a send that does not count towards the maximum, because its backend server has ended
-    /// or sends bytes that are no answer.
-    pub fn excuse(&mut self) {
-        self.excused += 1;
-    }
-
     fn has_send_left(&self, now: Millis) -> bool {
         now < self.terms.deadline
             && self.connected < CONNECTIONS_MAX
-            && self.sent < self.terms.max_attempts + self.excused.min(1)
+            && self.sent < self.terms.max_attempts + self.excused_ends.min(1)
     }
 }
--- a/crates/oliveworks-gateway/src/exchange.rs
+++ b/crates/oliveworks-gateway/src/exchange.rs
@@ -44,10 +44,8 @@
 /// Reason why there is no complete answer.
 #[derive(Debug)]
 pub enum ExchangeError {
-    /// The connection ended, or the body of the answer broke off.
+    /// The connection ended, or the received data is not a valid answer.
     Connection(String),
-    /// The head of the answer is invalid or too large.
-    Invalid(String),
     /// The timeout expired.
     Late,
     /// The answer is too large.
@@ -67,7 +65,6 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             ExchangeError::Connection(why) => write!(f, "connection: {why}"),
-            ExchangeError::Invalid(why) => write!(f, "invalid answer: {why}"),
             ExchangeError::Late => write!(f, "late"),
             ExchangeError::Large => write!(f, "too large"),
         }
@@ -76,10 +73,7 @@
 
 impl From<hyper::Error> for ExchangeError {
     fn from(error: hyper::Error) -> ExchangeError {
-        match error.is_parse() {
-            true => ExchangeError::Invalid(error.to_string()),
-            false => ExchangeError::Connection(error.to_string()),
-        }
+        ExchangeError::Connection(error.to_string())
     }
 }
 
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -450,7 +450,7 @@
     async fn end_reception(&mut self, mut reception: Reception<'_>, failure: Failure) -> Next {
         reception.outstanding.failed = self.is_penalized(&reception, failure);
         if failure == Failure::Invalid {
-            self.record_invalid_answer(&mut reception);
+            self.record_invalid_answer(&reception);
         }
         let (sent, first_event) = (reception.sent, reception.outstanding.first_event);
         let place = reception.place.clone();
--- a/crates/oliveworks-gateway/src/relay/reception.rs
+++ b/crates/oliveworks-gateway/src/relay/reception.rs
@@ -20,7 +20,7 @@
 
 use crate::crashers::SuspectRun;
 use crate::dialect::Headers;
-use crate::exchange::{Exchange, ExchangeError, HEAD_MAX, headers_of};
+use crate::exchange::{Exchange, HEAD_MAX, headers_of};
 use crate::places::Place;
 use crate::state::Gateway;
 
@@ -66,8 +66,6 @@
     unfinished: Arrivals,
     /// Bytes since the last news for the caller.
     without_news: Arrivals,
-    /// Whether the send does not count towards the maximum of the request.
-    pub is_excused: bool,
     /// Bytes received so far of a body that is not forwarded by events.
     pub whole: Vec<u8>,
     pub outstanding: OutstandingRequest<'a>,
@@ -107,7 +105,6 @@
             progress: sent.progress,
             unfinished: Arrivals::default(),
             without_news: Arrivals::default(),
-            is_excused: false,
             whole: Vec::new(),
             outstanding: sent.outstanding,
             exchange: sent.exchange,
@@ -144,7 +141,7 @@
             let part = match ready!(self.exchange.poll_next(context, body)) {
                 Ok(Some(part)) => part,
                 Ok(None) => return Poll::Ready(Ok(Data::End)),
-                Err(error) => return Poll::Ready(Err(failure_of(&error))),
+                Err(_) => return Poll::Ready(Err(Failure::Lost)),
             };
             if !self.is_stream() {
                 return Poll::Ready(Ok(Data::Part(part)));
@@ -159,7 +156,7 @@
     fn poll_head(&mut self, context: &mut Context<'_>) -> Poll<Result<Data, Failure>> {
         let response = match self.exchange.poll_head(context) {
             Poll::Ready(Ok(response)) => response,
-            Poll::Ready(Err(error)) => return Poll::Ready(Err(failure_of(&error))),
+            Poll::Ready(Err(_)) => return Poll::Ready(Err(self.failure_of_head())),
             Poll::Pending => {
                 let bytes = self.exchange.received_bytes() - self.unfinished.bytes();
                 let recorded = self.record_without_news(bytes);
@@ -175,6 +172,15 @@
         Poll::Ready(Ok(Data::Head(head)))
     }
 
+    /// Returns the failure of an answer whose head was not received: its size, or the end of the
+    /// connection.
+    fn failure_of_head(&self) -> Failure {
+        match self.exchange.received_bytes() >= HEAD_MAX {
+            true => Failure::Invalid,
+            false => Failure::Lost,
+        }
+    }
+
     /// Adds a part of a stream and returns the events that the caller lacks.
     fn news(&mut self, part: &[u8]) -> Result<Vec<u8>, Failure> {
         let events = self.splitter.push(part).map_err(|_| Failure::Invalid)?;
@@ -214,11 +220,6 @@
         self.unfinished.check_unfinished(max_bytes).map_err(|_| Failure::Invalid)
     }
 
-    /// Returns whether bytes keep arriving from a silent host, but no news for the caller.
-    fn sends_no_news(&self) -> bool {
-        !self.is_excused && self.without_news.are_endless()
-    }
-
     /// Returns whether it is certain that a silent group will not continue: the leader has ended it
     /// and freed the members.
     ///
@@ -229,13 +230,6 @@
     }
 }
 
-fn failure_of(error: &ExchangeError) -> Failure {
-    match error {
-        ExchangeError::Invalid(_) => Failure::Invalid,
-        ExchangeError::Connection(_) | ExchangeError::Late | ExchangeError::Large => Failure::Lost,
-    }
-}
-
 /// Longest silence of a place before the request is sent to another place as well.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum SilenceLimit {
@@ -266,8 +260,7 @@
 pub(super) enum ReceptionEvent {
     /// Data or the failure of the reception with this index.
     Received(usize, Result<Data, Failure>),
-    /// The place of the reception with this index has become silent, or keeps sending bytes that
-    /// are no news.
+    /// The place of the reception with this index has become silent.
     Silent(usize),
     /// The time of the request is over, or that of the process.
     Expired,
@@ -317,7 +310,6 @@
                 true if reception.has_ended(gateway) => {
                     return ReceptionEvent::Received(index, Err(Failure::Stalled));
                 }
-                true if reception.sends_no_news() => return ReceptionEvent::Silent(index),
                 true => {}
                 false => {
                     if limit.stalled_at(gateway, reception).is_some_and(|at| now >= at) {
--- a/crates/oliveworks-gateway/src/relay/silence.rs
+++ b/crates/oliveworks-gateway/src/relay/silence.rs
@@ -31,11 +31,7 @@
         }
     }
 
-    /// Records that a place has become silent, or keeps sending bytes that are no news.
     pub(super) fn record_silence(&mut self, reception: &mut Reception<'_>) {
-        if reception.is_silent {
-            return self.excuse(reception);
-        }
         reception.is_silent = true;
         let (now, place) = (self.gateway.now(), &reception.place);
         self.log.push(format!("{} silent at {} ms", place.server, now - self.received));
@@ -56,7 +52,7 @@
     }
 
     /// Records that a place answered with bytes that are no answer.
-    pub(super) fn record_invalid_answer(&mut self, reception: &mut Reception<'_>) {
+    pub(super) fn record_invalid_answer(&self, reception: &Reception<'_>) {
         let place = &reception.place;
         Event::new("answer_is_invalid")
             .with("host", &*place.server)
@@ -64,15 +60,6 @@
             .with("request", self.asked.id.as_str())
             .write();
         self.suspend(place);
-        self.excuse(reception);
-    }
-
-    /// Lets the request be sent once more than its route says, since the place will hardly answer.
-    fn excuse(&mut self, reception: &mut Reception<'_>) {
-        if !std::mem::replace(&mut reception.is_excused, true) {
-            self.log.push(format!("{} sends no answer", reception.place.server));
-            self.attempts.excuse();
-        }
     }
 
     /// Keeps further requests from a place for a while, and tells the leader of its group.
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -130,7 +130,7 @@
     pub store_called_at: Cell<Millis>,
     /// Whether this gateway chose last to read the store for its failure domain.
     pub is_reader: Cell<bool>,
-    /// Time at which the last call answered by the store was sent by this gateway.
+    /// Latest time as of which the store has answered this gateway.
     pub store_proved_at: Cell<Option<Millis>>,
     /// Time of the last failed call to the store, by this gateway or by a gateway that it asked.
     pub store_failed_at: Cell<Option<Millis>>,
