--- a/crates/oliveworks-gateway/src/follow.rs
+++ b/crates/oliveworks-gateway/src/follow.rs
@@ -207,7 +207,9 @@
             Some(Ok(step)) => {
                 self.pause_ms = RETRY_MS.0;
                 gateway.store_answered();
-                gateway.store_proved_at.set(Some(step.sent));
+                // The answer to a held call follows younger ones about other topics.
+                let proved_at = step.sent + step.held_ms;
+                gateway.store_proved_at.set(gateway.store_proved_at.get().max(Some(proved_at)));
                 Some(step)
             }
             Some(Err(why)) => {
