Failing test: a limit that a host names before the record of its restart is read ends with it

Cause, by reading: a limit counts for the incarnation that was known when the request was sent. Between a restart under the same id and the next read of the list, answers of the new process are to requests of the former incarnation, so the limit that they name is recorded for the former one. When the record of the restart is read, record_incarnation drops the limit of the former incarnation, and with it the one that the new process has named: no limit is in force until an answer to a request that is sent afterwards arrives.

The gateways are unchanged.

Not mended, since each way has a price that needs a decision: keeping the limit over a restart as that of the new incarnation until the next answer (a host that had named 0 would get no request but a probe for seconds after a restart); keeping it only if it was learned within the time by which records are late (the same, more rarely); comparing the start of the incarnation with the time at which the request was sent (two clocks).

--- a/crates/oliveworks-gateway-core/tests/incarnations.rs
+++ b/crates/oliveworks-gateway-core/tests/incarnations.rs
@@ -5,7 +5,7 @@
 use oliveworks_gateway_core::backoff::{BACKOFF_MAX_MS, Backoffs};
 use oliveworks_gateway_core::balance::Target;
 use oliveworks_gateway_core::incarnations::{Incarnations, UNLISTED_RETENTION_MS};
-use oliveworks_gateway_core::rate_limits::limits::Limit;
+use oliveworks_gateway_core::rate_limits::limits::{Limit, RateObservation};
 use oliveworks_gateway_core::rate_limits::{Rate, RateLimits};
 use oliveworks_gateway_core::suspensions::Suspensions;
 use test_case::test_case;
@@ -122,3 +122,22 @@
     suspensions.retain(3_000, |_| false);
     assert!(!suspensions.is_lost(HOST));
 }
+
+/// The record of a restart is read up to a second later than answers of the new process arrive. These
+/// are to requests that were sent while the former incarnation was known, so the limit that they name
+/// counted as that of the former one, and ended with it.
+#[test]
+fn a_limit_that_a_host_names_before_the_record_of_its_restart_is_kept() {
+    let mut known = Known::new(FIRST);
+    let lower = Rate::from_per_s(0.2);
+    let observation = RateObservation {
+        target: HOST,
+        incarnation: FIRST,
+        sent_at: 2_000,
+        rate: lower,
+        would_name: true,
+    };
+    assert!(known.rate_limits.limits.observe(2_100, observation));
+    known.list(SECOND);
+    assert_eq!(known.rate_limits.limits.rate(HOST), lower);
+}
