--- a/crates/oliveworks-gateway-core/src/attempts.rs
+++ b/crates/oliveworks-gateway-core/src/attempts.rs
@@ -18,6 +18,8 @@
     Failed,
     /// The replica group is stalled.
     Stalled,
+    /// The backend server answered with bytes that are no answer.
+    Invalid,
 }
 
 /// The conditions under which a request may be sent.
@@ -150,7 +152,7 @@
     /// Records a failed attempt and returns the next step. `gone` is whether the backend server is
     /// known to have ended; one such attempt per request does not count towards the maximum.
     pub fn failed(&mut self, now: Millis, failure: Failure, gone: bool) -> Next {
-        if matches!(failure, Failure::Lost | Failure::Failed | Failure::Stalled) {
+        if !matches!(failure, Failure::NotSent | Failure::Refused) {
             self.may_have_run = true;
         }
         if gone && failure != Failure::NotSent {
--- a/crates/oliveworks-gateway-core/tests/decisions.rs
+++ b/crates/oliveworks-gateway-core/tests/decisions.rs
@@ -139,6 +139,7 @@
 #[test_case(TERMS, 1, Failure::Lost, false, 10, Next::Again; "a repeatable one goes on")]
 #[test_case(TERMS, 2, Failure::Lost, false, 10, Next::GiveUp(Verdict::MayHaveRun); "not beyond the attempts")]
 #[test_case(TERMS, 2, Failure::Stalled, true, 10, Next::Again; "one that ended is not counted")]
+#[test_case(TERMS, 2, Failure::Invalid, false, 10, Next::GiveUp(Verdict::MayHaveRun); "an invalid answer is a failure")]
 #[test_case(TERMS, 1, Failure::Lost, false, 1_000, Next::GiveUp(Verdict::TimedOut); "its time is over")]
 #[test_case(ONCE, 1, Failure::Lost, false, 10, Next::GiveUp(Verdict::MayHaveRun); "may have run once")]
 #[test_case(ONCE, 1, Failure::Refused, false, 10, Next::Again; "refused has not run")]
--- a/crates/oliveworks-gateway/src/relay/silence.rs
+++ b/crates/oliveworks-gateway/src/relay/silence.rs
@@ -1,4 +1,4 @@
-//! Places that fall silent while their answers are awaited.
+//! Places that fall silent while their answers are awaited, or whose answers are invalid.
 
 use oliveworks_gateway_core::configuration::Repeat;
 use oliveworks_gateway_core::group_id::GroupId;
@@ -6,6 +6,7 @@
 use super::Job;
 use super::reception::{Reception, SilenceLimit};
 use crate::events::Event;
+use crate::places::Place;
 
 /// Silence, in ms, after which a repeatable request without a model is sent to another backend
 /// server as well.
@@ -46,10 +47,29 @@
                 .with("longest_pass_ms", self.pass_ms)
                 .with("request", self.asked.id.as_str())
                 .write();
-            self.gateway.suspensions.borrow_mut().suspend(now, target);
         }
+        self.suspend(place);
+    }
+
+    /// Records that a place answered with bytes that are no answer.
+    pub(super) fn record_invalid_answer(&self, reception: &Reception<'_>) {
+        let place = &reception.place;
+        Event::new("answer_is_invalid")
+            .with("host", &*place.server)
+            .with("epoch", place.epoch)
+            .with("request", self.asked.id.as_str())
+            .write();
+        self.suspend(place);
+    }
+
+    /// Keeps further requests from a place for a while, and tells the leader of its group.
+    fn suspend(&self, place: &Place) {
+        let (now, target) = (self.gateway.now(), place.candidate.target);
+        self.gateway.suspensions.borrow_mut().suspend(now, target);
         self.gateway.record_unreachable(&place.server);
-        self.gateway.report_stalled_group(GroupId::of(&self.service, epoch));
+        if let Some(epoch) = place.epoch {
+            self.gateway.report_stalled_group(GroupId::of(&self.service, epoch));
+        }
     }
 
     pub(super) fn record_end_of_silence(&mut self, reception: &mut Reception<'_>) {
