--- a/crates/oliveworks-gateway/src/relay/forwarding.rs
+++ b/crates/oliveworks-gateway/src/relay/forwarding.rs
@@ -189,7 +189,9 @@
         self.record_news(reception);
         self.record_pause(reception, before);
         self.gateway.record_completion(&self.features);
-        if !self.head_sent && self.forward(connection, reception, &[]).await.is_err() {
+        let last = reception.take_held_blocks();
+        let is_complete = self.head_sent && last.is_empty();
+        if !is_complete && self.forward(connection, reception, &last).await.is_err() {
             return Forwarded::CallerGone;
         }
         match connection.end().await {
--- a/crates/oliveworks-gateway/src/relay/reception.rs
+++ b/crates/oliveworks-gateway/src/relay/reception.rs
@@ -27,6 +27,9 @@
 /// Time between two checks whether a silent host has ended, in ms.
 const ENDED_CHECK_INTERVAL_MS: u64 = 100;
 
+/// Largest size of the blocks without an event between two events, in bytes.
+const HELD_MAX: usize = 64 << 10;
+
 /// Head of an answer.
 #[derive(Clone, Debug)]
 pub(super) struct Head {
@@ -62,6 +65,9 @@
     splitter: Splitter,
     /// Position of the caller in the stream after the events received here.
     pub progress: Progress,
+    /// Blocks without an event, such as comments, since the last event. They are forwarded with the
+    /// next one, or at the end of the stream.
+    held_blocks: Vec<u8>,
     /// Bytes of the head, or of the latest event of a stream, until it is complete.
     unfinished: Arrivals,
     /// Bytes since the last news for the caller.
@@ -103,6 +109,7 @@
             streams: sent.streams,
             splitter: Splitter::default(),
             progress: sent.progress,
+            held_blocks: Vec::new(),
             unfinished: Arrivals::default(),
             without_news: Arrivals::default(),
             whole: Vec::new(),
@@ -188,13 +195,21 @@
             self.unfinished = Arrivals::default();
         }
         let mut news = Vec::new();
-        for event in events.iter().filter(|event| !event.is_empty()) {
+        for event in &events {
+            if event.is_empty() {
+                self.held_blocks.extend_from_slice(&event.bytes);
+                continue;
+            }
+            let before = std::mem::take(&mut self.held_blocks);
             match self.progress.next(event.id) {
-                Pass::On => news.extend_from_slice(&event.bytes),
+                Pass::On => news.extend([before.as_slice(), &event.bytes].concat()),
                 Pass::Known => {}
                 Pass::Gap => return Err(Failure::Lost),
             }
         }
+        if self.held_blocks.len() > HELD_MAX {
+            return Err(Failure::Invalid);
+        }
         match news.is_empty() {
             true => self.record_without_news(part.len())?,
             false => self.without_news = Arrivals::default(),
@@ -204,6 +219,11 @@
         Ok(news)
     }
 
+    /// Takes the blocks without an event that follow the last event.
+    pub fn take_held_blocks(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.held_blocks)
+    }
+
     fn record_without_news(&mut self, bytes: usize) -> Result<(), Failure> {
         if bytes > 0 {
             self.without_news.record(self.outstanding.gateway.now(), bytes);
