Streams: ids decide only whether another run may continue a stream

Cause: Progress took the highest id relayed for what the caller has, also within a run, where a connection loses and repeats nothing. Now the events of one run are relayed as they are, and the position is known only if the last id is the one that its place in the run implies. Without a known position the request is not sent again.

--- a/crates/oliveworks-gateway-core/src/attempts.rs
+++ b/crates/oliveworks-gateway-core/src/attempts.rs
@@ -103,6 +103,8 @@
     connected: u32,
     excused_ends: u32,
     may_have_run: bool,
+    /// Whether another run may continue the answer.
+    may_continue: bool,
 }
 
 /// Maximum number of connections opened for one request.
@@ -111,7 +113,14 @@
 impl Attempts {
     /// Creates the state of a request that has not been sent.
     pub fn new(terms: Terms) -> Attempts {
-        Attempts { terms, sent: 0, connected: 0, excused_ends: 0, may_have_run: false }
+        Attempts {
+            terms,
+            sent: 0,
+            connected: 0,
+            excused_ends: 0,
+            may_have_run: false,
+            may_continue: true,
+        }
     }
 
     /// Records that a connection for the request is being opened.
@@ -125,6 +134,11 @@
         self.sent > 1
     }
 
+    /// Records whether another run may continue what the caller has of the answer.
+    pub fn record_position(&mut self, may_continue: bool) {
+        self.may_continue = may_continue;
+    }
+
     /// Returns how often the request was sent.
     pub fn sent(&self) -> u32 {
         self.sent
@@ -179,6 +193,7 @@
 
     fn has_send_left(&self, now: Millis) -> bool {
         now < self.terms.deadline
+            && self.may_continue
             && self.connected < CONNECTIONS_MAX
             && self.sent < self.terms.max_attempts + self.excused_ends.min(1)
     }
--- a/crates/oliveworks-gateway-core/src/events.rs
+++ b/crates/oliveworks-gateway-core/src/events.rs
@@ -1,8 +1,6 @@
-//! Event streams: decides which bytes of a stream may be relayed.
+//! Event streams: splits the bytes of a stream into events.
 //!
-//! A backend server may end in the middle of an event, so only complete events are relayed. If a
-//! stream is resumed at another backend server, events that the caller already has are skipped, and
-//! gaps are detected.
+//! A backend server may end in the middle of an event, so only complete events are relayed.
 
 /// Maximum size of an incomplete event, in bytes.
 pub const EVENT_MAX: usize = 1 << 20;
@@ -16,7 +14,7 @@
 pub struct Event {
     /// Bytes of the event, including the empty line that ends it.
     pub bytes: Vec<u8>,
-    /// Id of the event, if present.
+    /// Id of the event, if it has exactly one.
     pub id: Option<u64>,
 }
 
@@ -40,23 +38,31 @@
     None
 }
 
-/// Prefix of a line with data.
-const DATA_FIELD: &[u8] = b"data";
+/// Prefix of the line with the id of an event.
+const ID_FIELD: &[u8] = b"id:";
+
+/// Prefixes of lines that make no event: comments, and fields without a content of their own.
+const FIELDS_WITHOUT_CONTENT: [&[u8]; 3] = [b":", b"event", b"retry"];
 
 impl Event {
-    /// Returns whether this is no event for the caller: it has neither an id nor data, like a
-    /// comment that keeps a connection open.
+    /// Returns whether this is no event for the caller, like a comment that keeps a connection open.
     pub fn is_empty(&self) -> bool {
         let mut lines = self.bytes.split(|byte| *byte == b'\n');
-        self.id.is_none() && !lines.any(|line| line.starts_with(DATA_FIELD))
+        lines.all(|line| {
+            let text = line.trim_ascii();
+            text.is_empty() || FIELDS_WITHOUT_CONTENT.iter().any(|field| text.starts_with(field))
+        })
     }
 }
 
-/// Returns the id of an event.
+/// Returns the id of an event; none if two events may have run together because the empty line
+/// between them was damaged.
 fn event_id(bytes: &[u8]) -> Option<u64> {
-    let mut lines = bytes.split(|byte| *byte == b'\n');
-    let line = lines.find_map(|line| line.strip_prefix(b"id:"))?;
-    std::str::from_utf8(line).ok()?.trim().parse().ok()
+    let mut ids = bytes.split(|byte| *byte == b'\n').filter(|line| {
+        line.starts_with(ID_FIELD) || line.get(1..).is_some_and(|rest| rest.starts_with(ID_FIELD))
+    });
+    let line = ids.next().filter(|_| ids.next().is_none())?;
+    std::str::from_utf8(line.strip_prefix(ID_FIELD)?).ok()?.trim().parse().ok()
 }
 
 impl Splitter {
@@ -91,48 +97,3 @@
         self.buffer.clear();
     }
 }
-
-/// The action for an event.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Pass {
-    /// Relay the event to the caller.
-    On,
-    /// Skip the event, because the caller already has it.
-    Known,
-    /// Abort this run, because an earlier event is missing.
-    Gap,
-}
-
-/// The position of the caller in a stream.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Progress {
-    last: Option<u64>,
-}
-
-impl Progress {
-    /// Creates the position of a caller that has all events up to `last`.
-    pub fn after(last: Option<u64>) -> Progress {
-        Progress { last }
-    }
-
-    /// Returns the id of the last event that the caller has.
-    pub fn last(&self) -> Option<u64> {
-        self.last
-    }
-
-    /// Decides the action for the next event, and advances the position if the event is relayed.
-    pub fn next(&mut self, id: Option<u64>) -> Pass {
-        let (Some(last), Some(id)) = (self.last, id) else {
-            self.last = id.or(self.last);
-            return Pass::On;
-        };
-        if id <= last {
-            return Pass::Known;
-        }
-        if id > last + 1 {
-            return Pass::Gap;
-        }
-        self.last = Some(id);
-        Pass::On
-    }
-}
--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -53,7 +53,8 @@
 //! | [`changed_lines`] | the state lines that are logged |
 //! | [`stop`] | what a stopping gateway does with requests, by the time since the stop began |
 //! | [`timeliness`] | whether an answer was in time, and otherwise the cause of the delay |
-//! | [`events`] | bytes of a stream that may be forwarded |
+//! | [`events`] | the events of a stream |
+//! | [`event_order`] | events that are relayed, and whether another run may continue a stream |
 //! | [`arrivals`] | bounds on the bytes and the time of data that is of no use yet |
 
 pub mod admission;
@@ -73,6 +74,7 @@
 pub mod drains;
 pub mod election;
 pub mod era;
+pub mod event_order;
 pub mod events;
 pub mod fan_out;
 pub mod freshness;
--- a/crates/oliveworks-gateway-core/tests/decisions.rs
+++ b/crates/oliveworks-gateway-core/tests/decisions.rs
@@ -8,7 +8,7 @@
 use oliveworks_gateway_core::budget::{Budget, BudgetConfig};
 use oliveworks_gateway_core::election::{Claim, Election, ElectionConfig, Heartbeat};
 use oliveworks_gateway_core::era::Era;
-use oliveworks_gateway_core::events::{Pass, Progress, Splitter};
+use oliveworks_gateway_core::events::Splitter;
 use oliveworks_gateway_core::fan_out::Source;
 use oliveworks_gateway_core::freshness::Freshness;
 use oliveworks_gateway_core::position::Position;
@@ -257,20 +257,6 @@
     assert_eq!((events.len(), splitter.rest()), (1, b"id: 2\nda".as_slice()));
 }
 
-#[test_case(None, &[Some(1), Some(2)], &[Pass::On, Pass::On]; "from the start")]
-#[test_case(Some(2), &[Some(2), Some(3)], &[Pass::Known, Pass::On]; "taken up with a repeat")]
-#[test_case(Some(2), &[Some(4)], &[Pass::Gap]; "a piece is missing")]
-#[test_case(Some(2), &[None, Some(3)], &[Pass::On, Pass::On]; "an event without an id")]
-fn a_resumed_stream_skips_known_events_and_detects_gaps(
-    after: Option<u64>,
-    ids: &[Option<u64>],
-    expected: &[Pass],
-) {
-    let mut progress = Progress::after(after);
-    let passes: Vec<Pass> = ids.iter().map(|id| progress.next(*id)).collect();
-    assert_eq!(passes, expected);
-}
-
 fn candidates(count: u64) -> Vec<Candidate> {
     let each = (0..count).map(|n| Candidate {
         target: Target(n),
--- a/crates/oliveworks-gateway/src/records.rs
+++ b/crates/oliveworks-gateway/src/records.rs
@@ -41,6 +41,7 @@
                     .with("workspaces", configuration.workspaces.as_ref().map_or(0, Vec::len))
                     .write();
                 forget_waits(gateway, &configuration);
+                forget_numberings(gateway, &configuration);
                 gateway.caller_limits.borrow_mut().adopt(
                     gateway.now(),
                     configuration.limits,
@@ -71,6 +72,13 @@
     gateway.waits.borrow_mut().retain(|route| routes.contains(route));
 }
 
+/// Removes what is known of the streams of services that are absent from a configuration.
+fn forget_numberings(gateway: &Gateway, configuration: &Configuration) {
+    let names = configuration.services.iter().map(|service| service.name.as_str());
+    let services: BTreeSet<&str> = names.collect();
+    gateway.numberings.borrow_mut().retain(|service, _| services.contains(service.as_str()));
+}
+
 /// Follows all topics, after other gateways had time to send heartbeats.
 pub async fn follow(gateway: Rc<Gateway>) {
     versions::wait_for_peers(&gateway).await;
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -19,7 +19,7 @@
 use oliveworks_gateway_core::configuration::{Lookup, Repeat, Route, Unmatched};
 use oliveworks_gateway_core::crashers::Features;
 use oliveworks_gateway_core::demand::ModelKey;
-use oliveworks_gateway_core::events::Progress;
+use oliveworks_gateway_core::event_order::Position;
 use oliveworks_gateway_core::obstacles::NoPlace;
 use oliveworks_gateway_core::timeliness::{Goal, Served, Timeliness};
 
@@ -94,8 +94,8 @@
     tried_targets: Vec<Target>,
     /// Number of searches for another place that failed since the last send.
     searches_failed: u32,
-    /// Position in the event stream up to which the caller has received events.
-    progress: Progress,
+    /// Position of the caller in the event stream.
+    position: Position,
     /// Whether the head of a streamed answer was sent to the caller.
     head_sent: bool,
     /// Facts about the answer's timeliness, such as delays and number of sends.
@@ -240,7 +240,7 @@
         workspace,
         workspace_regions: found.workspace.map_or_else(Vec::new, |found| found.regions.clone()),
         priority: Some(workspace_rank.unwrap_or(found.route.priority)),
-        progress: Progress::after(asked.last_event),
+        position: Position::Begin(asked.last_event),
         attempts: Attempts::new(Terms { repeatable, max_attempts, deadline }),
         route: found.route.clone(),
         gateway,
@@ -461,6 +461,12 @@
         self.record_failure(&place.server, failure, gone)
     }
 
+    /// Records the position of the caller after a part of a stream was relayed.
+    fn record_position(&mut self, position: Position) {
+        self.position = position;
+        self.attempts.record_position(position.is_known());
+    }
+
     fn record_failure(&mut self, server: &str, failure: Failure, gone: bool) -> Next {
         let now = self.gateway.now();
         self.log.push(format!("{server} {failure:?} at {} ms", now - self.received));
--- a/crates/oliveworks-gateway/src/relay/forwarding.rs
+++ b/crates/oliveworks-gateway/src/relay/forwarding.rs
@@ -11,6 +11,7 @@
 use super::reception::{Data, Head, Reception};
 use crate::connection::{Connection, Disconnected};
 use crate::dialect::{AnswerInfo, Headers};
+use crate::events::Event;
 use crate::exchange::MISDIRECTED;
 use crate::host_statements::Sender;
 
@@ -170,7 +171,7 @@
             let mut balance = self.gateway.balance.borrow_mut();
             balance.began(reception.target(), self.asked.prompt_tokens);
         }
-        self.progress = reception.progress;
+        self.record_position(reception.order.position());
         match self.forward(connection, reception, events).await {
             Ok(()) => Forwarded::Part,
             Err(gone) => gone.into(),
@@ -188,8 +189,12 @@
         let before = reception.since;
         self.record_news(reception);
         self.record_pause(reception, before);
+        let last = match reception.take_rest() {
+            Ok(last) => last,
+            Err(failure) => return Forwarded::Failed(failure),
+        };
         self.gateway.record_completion(&self.features);
-        let last = reception.take_held_blocks();
+        self.record_numbering(reception);
         let is_complete = self.head_sent && last.is_empty();
         if !is_complete && self.forward(connection, reception, &last).await.is_err() {
             return Forwarded::CallerGone;
@@ -200,6 +205,20 @@
         }
     }
 
+    /// Records how the ids of a complete stream rise.
+    fn record_numbering(&self, reception: &Reception<'_>) {
+        if let Some(shown) = reception.order.shown_numbering() {
+            self.gateway.numberings.borrow_mut().insert(self.service.clone(), shown);
+        }
+        if reception.order.is_irregular() {
+            self.gateway.count("streams_with_irregular_ids");
+            Event::new("stream_has_irregular_ids")
+                .with("host", &*reception.place.server)
+                .with("request", self.asked.id.as_str())
+                .write();
+        }
+    }
+
     /// Keeps a part of an answer that must be complete before the caller receives any of it.
     fn keep_part(&mut self, reception: &mut Reception<'_>, part: &[u8]) -> Forwarded {
         if reception.whole.len() + part.len() > self.gateway.settings.requests.answer_max {
--- a/crates/oliveworks-gateway/src/relay/reception.rs
+++ b/crates/oliveworks-gateway/src/relay/reception.rs
@@ -14,7 +14,8 @@
 use oliveworks_gateway_core::attempts::Failure;
 use oliveworks_gateway_core::backend_servers::Born;
 use oliveworks_gateway_core::balance::Target;
-use oliveworks_gateway_core::events::{EVENT_MAX, Pass, Progress, Splitter};
+use oliveworks_gateway_core::event_order::{EventOrder, OutOfOrder};
+use oliveworks_gateway_core::events::{EVENT_MAX, Event, Splitter};
 use oliveworks_gateway_core::group_id::GroupId;
 use oliveworks_gateway_core::stop::check_interval_ms;
 
@@ -63,8 +64,8 @@
     streams: bool,
     /// Complete events are split off the body of a stream.
     splitter: Splitter,
-    /// Position of the caller in the stream after the events received here.
-    pub progress: Progress,
+    /// Order of the events received here.
+    pub order: EventOrder,
     /// Blocks without an event, such as comments, since the last event. They are forwarded with the
     /// next one, or at the end of the stream.
     held_blocks: Vec<u8>,
@@ -89,8 +90,8 @@
     pub at: Millis,
     /// Whether a successful answer is forwarded event by event.
     pub streams: bool,
-    /// Position of the caller in the stream.
-    pub progress: Progress,
+    /// Order of the events of a stream.
+    pub order: EventOrder,
     pub exchange: Exchange,
     pub incarnation: Option<Born>,
     pub group: Option<GroupId>,
@@ -108,7 +109,7 @@
             head: None,
             streams: sent.streams,
             splitter: Splitter::default(),
-            progress: sent.progress,
+            order: sent.order,
             held_blocks: Vec::new(),
             unfinished: Arrivals::default(),
             without_news: Arrivals::default(),
@@ -195,17 +196,15 @@
             self.unfinished = Arrivals::default();
         }
         let mut news = Vec::new();
-        for event in &events {
+        for event in events {
             if event.is_empty() {
                 self.held_blocks.extend_from_slice(&event.bytes);
                 continue;
             }
-            let before = std::mem::take(&mut self.held_blocks);
-            match self.progress.next(event.id) {
-                Pass::On => news.extend([before.as_slice(), &event.bytes].concat()),
-                Pass::Known => {}
-                Pass::Gap => return Err(Failure::Lost),
-            }
+            let mut bytes = std::mem::take(&mut self.held_blocks);
+            bytes.extend(event.bytes);
+            let relayed = self.order.add(Event { bytes, id: event.id }).map_err(failure_of)?;
+            news.extend(relayed.into_iter().flat_map(|event| event.bytes));
         }
         if self.held_blocks.len() > HELD_MAX {
             return Err(Failure::Invalid);
@@ -219,9 +218,12 @@
         Ok(news)
     }
 
-    /// Takes the blocks without an event that follow the last event.
-    pub fn take_held_blocks(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.held_blocks)
+    /// Ends a complete stream and returns the bytes that are still to be relayed.
+    pub fn take_rest(&mut self) -> Result<Vec<u8>, Failure> {
+        let events = self.order.end().map_err(failure_of)?;
+        let mut rest: Vec<u8> = events.into_iter().flat_map(|event| event.bytes).collect();
+        rest.append(&mut self.held_blocks);
+        Ok(rest)
     }
 
     fn record_without_news(&mut self, bytes: usize) -> Result<(), Failure> {
@@ -250,6 +252,13 @@
     }
 }
 
+fn failure_of(error: OutOfOrder) -> Failure {
+    match error {
+        OutOfOrder::Falling => Failure::Invalid,
+        OutOfOrder::NotContinuing => Failure::Lost,
+    }
+}
+
 /// Longest silence of a place before the request is sent to another place as well.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum SilenceLimit {
--- a/crates/oliveworks-gateway/src/relay/sending.rs
+++ b/crates/oliveworks-gateway/src/relay/sending.rs
@@ -7,6 +7,7 @@
 use oliveworks_gateway_core::attempts::Failure;
 use oliveworks_gateway_core::balance::NoTarget;
 use oliveworks_gateway_core::crashers::{Features, Standing};
+use oliveworks_gateway_core::event_order::{EventOrder, Numbering};
 use oliveworks_gateway_core::group_id::GroupId;
 use oliveworks_gateway_core::obstacles::NoPlace;
 
@@ -124,7 +125,7 @@
             place,
             at,
             streams: self.route.stream,
-            progress: self.progress,
+            order: EventOrder::new(self.position, self.usual_numbering()),
             exchange,
             incarnation,
             group,
@@ -204,13 +205,18 @@
         }
     }
 
+    /// Returns how the ids of the service's streams rise, as far as it is known.
+    fn usual_numbering(&self) -> Numbering {
+        self.gateway.numberings.borrow().get(&self.service).copied().unwrap_or_default()
+    }
+
     fn build_request(&self, place: &Place) -> Option<Request<Full<Bytes>>> {
         let now = self.gateway.now();
         let info = ForwardInfo {
             deadline_ms: self.deadline.saturating_sub(now).max(1),
             server: &place.server,
             workspace: self.workspace.as_deref(),
-            last_event: self.progress.last(),
+            last_event: self.position.last_event(),
             priority: self.priority.filter(|_| self.model.is_some()),
         };
         let mut builder = Request::builder();
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -19,6 +19,7 @@
 use oliveworks_gateway_core::drains::Drains;
 use oliveworks_gateway_core::election::{Election, ElectionConfig};
 use oliveworks_gateway_core::era::{Era, StoreEra};
+use oliveworks_gateway_core::event_order::Numbering;
 use oliveworks_gateway_core::freshness::Freshness;
 use oliveworks_gateway_core::group_id::GroupId;
 use oliveworks_gateway_core::incarnations::Incarnations;
@@ -182,6 +183,8 @@
     pub demand: RefCell<ModelDemand>,
     /// Speeds of replica groups.
     pub speeds: RefCell<Speeds>,
+    /// How the ids of each service's streams rise, according to the last complete ones.
+    pub numberings: RefCell<HashMap<String, Numbering>>,
     /// Budget of repeated sends.
     pub budget: RefCell<Budget>,
     /// Slots for the gateway's own calls to backend servers.
@@ -304,6 +307,7 @@
             admission: RefCell::new(Admission::new(settings.policy.admission, incarnation)),
             demand: RefCell::default(),
             speeds: RefCell::default(),
+            numberings: RefCell::default(),
             budget: RefCell::new(budget),
             calls: Calls::default(),
             election: RefCell::new(Election::new(ElectionConfig::default(), incarnation, now)),
