Answers are read in turns, and an event is searched once

Cause: the loop that reads an answer returned only when no data was left, which is never so for a sender that is faster than it, and the end of an unfinished event was searched from its start with each part. Now each byte is searched once, a peer's data is processed in turns, and a request that is past its time takes only what the current turn holds. goes_on says how much processor time the process took meanwhile.

--- a/crates/oliveworks-gateway-core/src/events.rs
+++ b/crates/oliveworks-gateway-core/src/events.rs
@@ -22,20 +22,47 @@
 #[derive(Clone, Debug, Default)]
 pub struct Splitter {
     buffer: Vec<u8>,
+    search: Search,
 }
 
-/// Returns the length of the first complete event, including the empty line that ends it.
-fn event_length(bytes: &[u8]) -> Option<usize> {
-    let mut line_empty = true;
-    for (index, byte) in bytes.iter().enumerate() {
-        match byte {
-            b'\n' if line_empty && index > 0 => return Some(index + 1),
-            b'\n' => line_empty = true,
-            b'\r' => {}
-            _ => line_empty = false,
+/// Search for the end of the first event in a buffer that grows. Each byte is looked at once,
+/// however small the parts are in which the event arrives.
+#[derive(Clone, Copy, Debug)]
+struct Search {
+    /// Number of bytes of the event that were searched.
+    position: usize,
+    is_line_empty: bool,
+    /// Number of bytes that were searched for all events.
+    total: usize,
+}
+
+impl Default for Search {
+    fn default() -> Search {
+        Search { position: 0, is_line_empty: true, total: 0 }
+    }
+}
+
+impl Search {
+    /// Continues in the bytes of the event, and returns the length of the event if it is complete,
+    /// including the empty line that ends it.
+    fn event_length(&mut self, bytes: &[u8]) -> Option<usize> {
+        for byte in &bytes[self.position..] {
+            self.position += 1;
+            self.total += 1;
+            match byte {
+                b'\n' if self.is_line_empty && self.position > 1 => return Some(self.position),
+                b'\n' => self.is_line_empty = true,
+                b'\r' => {}
+                _ => self.is_line_empty = false,
+            }
         }
+        None
+    }
+
+    /// Starts the search in the next event.
+    fn restart(&mut self) {
+        *self = Search { total: self.total, ..Search::default() };
     }
-    None
 }
 
 /// Prefix of the line with the id of an event.
@@ -74,7 +101,8 @@
         self.buffer.extend_from_slice(bytes);
         let mut events = Vec::new();
         let mut start = 0;
-        while let Some(length) = event_length(&self.buffer[start..]) {
+        while let Some(length) = self.search.event_length(&self.buffer[start..]) {
+            self.search.restart();
             let bytes = self.buffer[start..start + length].to_vec();
             let id = event_id(&bytes);
             events.push(Event { bytes, id });
@@ -92,8 +120,14 @@
         &self.buffer
     }
 
+    /// Returns the number of bytes that were searched for the ends of events.
+    pub fn searched(&self) -> usize {
+        self.search.total
+    }
+
     /// Discards the incomplete event.
     pub fn clear(&mut self) {
         self.buffer.clear();
+        self.search.restart();
     }
 }
--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -55,6 +55,7 @@
 //! | [`timeliness`] | whether an answer was in time, and otherwise the cause of the delay |
 //! | [`events`] | the events of a stream |
 //! | [`event_order`] | events that are relayed, and whether another run may continue a stream |
+//! | [`turn`] | how much of a peer's data is processed before other tasks run |
 //! | [`arrivals`] | bounds on the bytes and the time of data that is of no use yet |
 
 pub mod admission;
@@ -105,6 +106,7 @@
 pub mod suspensions;
 pub mod table;
 pub mod timeliness;
+pub mod turn;
 pub mod versions;
 
 /// A point on the process's steady clock, in milliseconds.
--- a/crates/oliveworks-gateway/src/exchange.rs
+++ b/crates/oliveworks-gateway/src/exchange.rs
@@ -24,7 +24,9 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use log::debug;
+use oliveworks_gateway_core::turn::{Next, PAUSE_MS, Turn};
 use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
 
 use crate::counted_stream::{CountedStream, ReceivedBytes};
 use crate::dialect::{Call, Headers};
@@ -85,6 +87,11 @@
     awaited_head: Option<AwaitedHead>,
     /// Whether a request was sent whose answer is not complete.
     awaits_answer: bool,
+    turn: Turn,
+    /// What the next poll for bytes of a body begins with.
+    next: Next,
+    /// Pause between two turns.
+    pause: Option<Pin<Box<Sleep>>>,
     received: ReceivedBytes,
 }
 
@@ -128,7 +135,16 @@
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(|_| NoConnection::Silent)?;
         let driver = Some(Box::pin(driver));
-        Ok(Exchange { sender, driver, awaited_head: None, awaits_answer: false, received })
+        Ok(Exchange {
+            sender,
+            driver,
+            awaited_head: None,
+            awaits_answer: false,
+            turn: Turn::default(),
+            next: Next::Take,
+            pause: None,
+            received,
+        })
     }
 
     /// Returns the number of bytes received on the connection.
@@ -187,8 +203,15 @@
         body: &mut Incoming,
     ) -> Poll<Result<Option<Bytes>, ExchangeError>> {
         loop {
+            ready!(self.poll_turn(context));
             self.drive(context);
-            let frame = ready!(Pin::new(&mut *body).poll_frame(context));
+            let frame = match Pin::new(&mut *body).poll_frame(context) {
+                Poll::Ready(frame) => frame,
+                Poll::Pending => {
+                    self.turn.end();
+                    return Poll::Pending;
+                }
+            };
             let frame = match frame {
                 None => {
                     self.awaits_answer = false;
@@ -197,12 +220,33 @@
                 Some(Err(error)) => return Poll::Ready(Err(error.into())),
                 Some(Ok(frame)) => frame,
             };
-            if let Ok(data) = frame.into_data() {
+            let data = frame.into_data();
+            self.next = self.turn.record(data.as_ref().map_or(0, Bytes::len));
+            if let Ok(data) = data {
                 return Poll::Ready(Ok(Some(data)));
             }
         }
     }
 
+    /// Waits until the turn of this peer goes on or begins anew.
+    fn poll_turn(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        match std::mem::replace(&mut self.next, Next::Take) {
+            Next::Take => {}
+            Next::Yield => {
+                context.waker().wake_by_ref();
+                return Poll::Pending;
+            }
+            Next::Pause => {
+                self.pause = Some(Box::pin(sleep(Duration::from_millis(PAUSE_MS))));
+            }
+        }
+        if let Some(pause) = &mut self.pause {
+            ready!(pause.as_mut().poll(context));
+            self.pause = None;
+        }
+        Poll::Ready(())
+    }
+
     /// Sends a request and waits for the head of its answer.
     ///
     /// # Errors
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -47,7 +47,7 @@
     let mut described_at = 0;
     let mut domain_lines = ChangedLines::default();
     loop {
-        gateway.tick();
+        gateway.tick_with_processor_time();
         claim_if_due(&gateway);
         let leads = gateway.election.borrow().leading_fence();
         if leads != fence {
--- a/crates/oliveworks-gateway/src/relay/reception.rs
+++ b/crates/oliveworks-gateway/src/relay/reception.rs
@@ -8,6 +8,7 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use hyper::body::Incoming;
 use oliveworks_gateway_core::Millis;
 use oliveworks_gateway_core::arrivals::Arrivals;
@@ -321,6 +322,13 @@
     loop {
         let now = gateway.now();
         let expires_at = gateway.awaits_answer_until(expires_at);
+        if now >= expires_at {
+            // What has arrived is still delivered, but nothing is waited for.
+            return match next_data(receptions).now_or_never() {
+                Some((index, data)) => ReceptionEvent::Received(index, data),
+                None => ReceptionEvent::Expired,
+            };
+        }
         let until = receptions.iter().filter_map(|reception| match reception.is_silent {
             true => Some(now + ENDED_CHECK_INTERVAL_MS),
             false => limit.stalled_at(gateway, reception),
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -37,7 +37,7 @@
 use oliveworks_gateway_core::suspensions::Suspensions;
 use oliveworks_gateway_core::table::{Assembly, Change, Changes, Table};
 use oliveworks_gateway_core::versions::Lag;
-use oliveworks_runtime::clock::Clock;
+use oliveworks_runtime::clock::{Clock, processor_ms};
 use oliveworks_runtime::latencies::Latencies;
 use tokio::sync::{Notify, Semaphore, watch};
 
@@ -246,6 +246,8 @@
     /// Notifies waiting tasks that the process continues after a pause.
     pub resumed: Notify,
     ticked_at: Cell<Millis>,
+    /// Processor time that the process had taken at the last tick of the leader's task, in ms.
+    processor_ms: Cell<u64>,
     resumed_at: Cell<Millis>,
 }
 
@@ -339,6 +341,7 @@
             latencies: RefCell::default(),
             resumed: Notify::new(),
             ticked_at: Cell::new(now),
+            processor_ms: Cell::new(0),
             resumed_at: Cell::new(0),
             clock,
             settings,
@@ -366,7 +369,15 @@
         self.lookup.borrow().clone()
     }
 
-    /// Records that the process is running; called every few tens of ms.
+    /// Records that the process is running, since when, and the processor time that it has taken;
+    /// called every few tens of ms by one task.
+    pub fn tick_with_processor_time(&self) {
+        self.note_latency("tick_interval", self.now().saturating_sub(self.ticked_at.get()));
+        self.tick();
+        self.processor_ms.set(processor_ms());
+    }
+
+    /// Records that the process is running.
     pub fn tick(&self) {
         let now = self.now();
         if now > self.ticked_at.get() + PAUSE_MIN_MS {
@@ -388,7 +399,8 @@
             return;
         }
         self.count("pauses");
-        Event::new("goes_on").with("after_ms", paused_ms).write();
+        let busy_ms = processor_ms().saturating_sub(self.processor_ms.get());
+        Event::new("goes_on").with("after_ms", paused_ms).with("busy_ms", busy_ms).write();
         self.resumed.notify_waiters();
     }
 
--- a/crates/oliveworks-runtime/src/clock.rs
+++ b/crates/oliveworks-runtime/src/clock.rs
@@ -55,6 +55,12 @@
     Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
 }
 
+/// Returns the processor time that the process has taken, in ms.
+pub fn processor_ms() -> u64 {
+    let time = clock_gettime(ClockId::ProcessCPUTime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32).as_millis() as u64
+}
+
 /// Returns the wall-clock time, in milliseconds since 1970. For timestamps that people read and for
 /// callers' keys, never for leases.
 pub fn wall_ms() -> u64 {
