A read that the store cuts proves nothing

Cause: each answer of the store counted as proof that this gateway has everything up to the time of the call, also one that ends before the topic does because the store limits the size of its answers. Now such an answer is a part: its records are applied, the rest is read at once, and neither the configuration's nor the list's age, nor the store's, is renewed. A held call counts for the time for which it was held, and only if no record came, not even one that nobody follows.

Before: a_revoked_key_is_not_honoured_after_a_cut_read gets 200 in place of 503. Ruled out: proofs of other gateways, which keep their age.

--- a/crates/oliveworks-gateway/src/dialect.rs
+++ b/crates/oliveworks-gateway/src/dialect.rs
@@ -98,8 +98,11 @@
 /// Result of reading a topic from an offset.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Tail {
-    /// Records, possibly none, and the offset at which to continue.
+    /// All records up to the end of the topic, possibly none, and the offset at which to continue.
     Records(Vec<Record>, u64),
+    /// The first ones of the records, because the store limits the size of its answers, and the
+    /// offset at which to continue.
+    Cut(Vec<Record>, u64),
     /// The offset is no longer kept. Contains the first kept offset, if the store names it.
     Expired(Option<u64>),
     /// The store rejected the call with this status.
--- a/crates/oliveworks-gateway/src/follow.rs
+++ b/crates/oliveworks-gateway/src/follow.rs
@@ -50,6 +50,9 @@
     pub records: Vec<Record>,
     /// Whether the records are a snapshot of all newest records, as opposed to the added ones.
     pub snapshot: bool,
+    /// Whether the records reach the end that the topic had when the call was sent. A step that does
+    /// not is no proof of what the topic holds.
+    pub reaches_end: bool,
     /// Time at which the call was sent.
     pub sent: Millis,
     /// Time for which the store or the asked gateway held the call back for lack of new records, in
@@ -100,7 +103,14 @@
 impl Step {
     /// Creates the step of a call to the store that returned neither records nor a proof.
     fn empty(sent: Millis) -> Step {
-        Step { records: Vec::new(), snapshot: false, sent, held_ms: 0, source: RecordSource::Store }
+        Step {
+            records: Vec::new(),
+            snapshot: false,
+            reaches_end: false,
+            sent,
+            held_ms: 0,
+            source: RecordSource::Store,
+        }
     }
 }
 
@@ -211,8 +221,8 @@
                 self.pause_ms = RETRY_MS.0;
                 gateway.store_answered();
                 // The answer to a held call follows younger ones about other topics.
-                let proved_at = step.sent + step.held_ms;
-                gateway.store_proved_at.set(gateway.store_proved_at.get().max(Some(proved_at)));
+                let proved_at = step.reaches_end.then_some(step.sent + step.held_ms);
+                gateway.store_proved_at.set(gateway.store_proved_at.get().max(proved_at));
                 Some(step)
             }
             Some(Err(why)) => {
@@ -276,6 +286,8 @@
                 Some(Step {
                     records: answer.records,
                     snapshot: answer.snapshot,
+                    // How much the other gateway has read is told by the ages that it names.
+                    reaches_end: true,
                     sent,
                     held_ms: answer.held_ms,
                     source: RecordSource::Gateway { proof_age_ms, list_age_ms, stored_version },
@@ -369,7 +381,14 @@
             after = page.after;
         }
         self.cursor.store_answered(first_end);
-        Ok(Step { records, snapshot: true, sent, held_ms: 0, source: RecordSource::Store })
+        Ok(Step {
+            records,
+            snapshot: true,
+            reaches_end: true,
+            sent,
+            held_ms: 0,
+            source: RecordSource::Store,
+        })
     }
 
     async fn tail(&mut self, position: Position, wait_ms: u64) -> Result<Step, String> {
@@ -387,11 +406,17 @@
             .dialect
             .parse_tail(self.topic, from, status, &body)
             .map_err(|error| error.to_string())?;
+        let reaches_end = matches!(tail, Tail::Records(..));
         match tail {
-            Tail::Records(records, next) => {
-                let held_ms = if records.is_empty() { wait_ms } else { 0 };
+            Tail::Records(records, next) | Tail::Cut(records, next) => {
+                // The call may have been answered early, or with records that are of no use here.
+                let held_ms = match next == from {
+                    true => wait_ms.min(gateway.now().saturating_sub(sent)),
+                    false => 0,
+                };
                 self.cursor.store_answered(Some(Position::new(era, next)));
-                Ok(Step { records, snapshot: false, sent, held_ms, source: RecordSource::Store })
+                let source = RecordSource::Store;
+                Ok(Step { records, snapshot: false, reaches_end, sent, held_ms, source })
             }
             Tail::Expired(first) => {
                 Event::new("records_expired")
--- a/crates/oliveworks-gateway/src/records.rs
+++ b/crates/oliveworks-gateway/src/records.rs
@@ -110,13 +110,14 @@
         }
         let Some(step) = follower.step(wait_ms).await else { continue };
         let (sent, held_ms, source) = (step.sent, step.held_ms, step.source);
+        let reaches_end = step.reaches_end;
         // An answer with records proves the state of the store only at the time of the call, which
         // may be long ago. The next call is not held back, so its answer gives a younger proof.
         returned_records = !step.records.is_empty();
         keep_for_peers(&gateway, Topic::Configuration, &step, follower.position());
         gateway.record_stored_version(&step);
         apply_configuration(&gateway, step, follower.position());
-        if follower.position().is_some() && gateway.lookup.borrow().is_some() {
+        if reaches_end && follower.position().is_some() && gateway.lookup.borrow().is_some() {
             record_proof(&gateway, sent, held_ms, source);
         }
         gateway.new_records(Topic::Configuration).notify_waiters();
@@ -131,7 +132,8 @@
     }
     let source =
         RecordSource::Gateway { proof_age_ms: None, list_age_ms: None, stored_version: None };
-    let step = Step { records, snapshot: false, sent: gateway.now(), held_ms: 0, source };
+    let sent = gateway.now();
+    let step = Step { records, snapshot: false, reaches_end: false, sent, held_ms: 0, source };
     apply_configuration(gateway, step, follower.position());
 }
 
--- a/crates/oliveworks-gateway/src/server_list.rs
+++ b/crates/oliveworks-gateway/src/server_list.rs
@@ -186,7 +186,7 @@
 
 /// Processes the records of a step.
 fn apply(gateway: &Gateway, repeats: &mut Repeats, step: Step) -> ListUpdate {
-    let Step { records, snapshot, sent, held_ms, source } = step;
+    let Step { records, snapshot, reaches_end, sent, held_ms, source } = step;
     let origin = Origin { source, snapshot };
     let mut missing = gateway.missing.borrow_mut();
     let now = gateway.now();
@@ -227,12 +227,14 @@
         record_absences(gateway, &mut missing, origin, &listed);
     }
     log_listed(&newly_listed);
-    note_list_read(gateway, sent, held_ms, source);
-    record_list_age(gateway, sent, held_ms, source);
     missing::sweep(gateway, &mut missing);
     gateway.remove_unlisted();
-    if let Some(slow_starts) = gateway.slow_starts.borrow_mut().as_mut() {
-        slow_starts.records_read(sent);
+    if reaches_end {
+        note_list_read(gateway, sent, held_ms, source);
+        record_list_age(gateway, sent, held_ms, source);
+        if let Some(slow_starts) = gateway.slow_starts.borrow_mut().as_mut() {
+            slow_starts.records_read(sent);
+        }
     }
     ListUpdate { new: !newly_listed.is_empty(), kept }
 }
@@ -342,9 +344,13 @@
     loop {
         if let Some(step) = follower.step(0).await {
             let source = step.source;
-            let snapshot = step.snapshot;
+            let (snapshot, reaches_end) = (step.snapshot, step.reaches_end);
             let update = apply(&gateway, &mut repeats, step);
             keep(&gateway, update.kept, snapshot, follower.position());
+            if !reaches_end && follower.position().is_some() {
+                // The rest of the list is read at once.
+                continue;
+            }
             let now = gateway.now();
             let next_at = now + with_jitter(listing.read(now, update.new));
             // A read that another gateway prompted does not delay the next one.
