A key found in an old configuration is not honoured on a newer proof

Cause: a request's key is looked up when the request is read, and the age of the proof is judged when it is sent. In between, the store's answer may bring both the configuration that revokes the key and a young proof. Now a key that was found while the configuration was too old is not honoured; its caller gets 503 as before.

--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -88,6 +88,8 @@
     priority: Option<u8>,
     received: Millis,
     deadline: Millis,
+    /// Whether the configuration in which the request's key was found was too old then to honour keys.
+    has_stale_key: bool,
     /// Features of the request, by which requests that crash backend servers are detected.
     features: Rc<Features>,
     attempts: Attempts,
@@ -243,6 +245,7 @@
         position: Position::Begin(asked.last_event),
         attempts: Attempts::new(Terms { repeatable, max_attempts, deadline }),
         route: found.route.clone(),
+        has_stale_key: !found.route.public && !gateway.honours_keys(),
         gateway,
         request,
         asked,
@@ -259,12 +262,13 @@
 }
 
 impl<'a> Job<'a> {
-    /// Returns whether the proof that the configuration is current is recent enough to honour keys.
+    /// Returns whether the key of the request may be honoured: the configuration was proved recently
+    /// both when the key was found in it, and now.
+    ///
+    /// Rejected alternative: a check at the time of the send alone. A newer configuration that has
+    /// revoked the key may have brought the proof meanwhile.
     fn may_send(&self) -> bool {
-        let gateway = self.gateway;
-        let freshness = gateway.freshness.get();
-        self.route.public
-            || freshness.accepts_keys(gateway.now(), gateway.settings.bounds.revoke_ms)
+        !self.has_stale_key && (self.route.public || self.gateway.honours_keys())
     }
 
     async fn run(&mut self, connection: &mut Connection) -> (End, String) {
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -364,6 +364,11 @@
         self.freshness.get().age_ms(self.now())
     }
 
+    /// Returns whether the proof that the configuration is current is recent enough to honour keys.
+    pub fn honours_keys(&self) -> bool {
+        self.freshness.get().accepts_keys(self.now(), self.settings.bounds.revoke_ms)
+    }
+
     /// Returns the newest configuration.
     pub fn lookup(&self) -> Option<Rc<Lookup>> {
         self.lookup.borrow().clone()
