A host's switch of protocols is no answer

Cause: failure_of_head judged success and failure by the status, and let statuses under 200 pass as neither. Now they are lost answers: repeated where the request may be, and 502 otherwise.

Before: a_switch_of_protocols_is_no_answer fails in both cases, the body does not end. Now both pass. The HTTP library skips all other interim responses itself.

--- a/crates/oliveworks-gateway/src/relay/forwarding.rs
+++ b/crates/oliveworks-gateway/src/relay/forwarding.rs
@@ -123,7 +123,10 @@
     ) -> Option<Failure> {
         let answers_this_request = answered.id.as_deref().is_none_or(|id| id == self.asked.id);
         let success = (200..300).contains(&status);
-        if !answers_this_request || answered.encoded || (success && !answered.signed) {
+        // No request asks for another protocol, and no other interim response ends an exchange.
+        let is_final = status >= 200;
+        let is_answer = answers_this_request && is_final && !answered.encoded;
+        if !is_answer || (success && !answered.signed) {
             return Some(Failure::Lost);
         }
         if answered.not_run || status == MISDIRECTED {
