A status that promises 'not run' needs the word of the host

A host that runs a request that may run once and answers 503, 429 or 408 without saying that it did not run the request was passed on.

A failure that carries the host's signature must have its status; the 502 that the caller gets now carries none.

Before: a_status_that_promises_not_run_needs_the_word_of_the_host fails in 3 of 3 cases. Now they pass; with the host's word the caller still gets 503.

--- a/crates/oliveworks-gateway/src/relay/forwarding.rs
+++ b/crates/oliveworks-gateway/src/relay/forwarding.rs
@@ -28,6 +28,9 @@
     "proxy-authenticate",
 ];
 
+/// Statuses that promise callers that their request has not run.
+const NOT_RUN_STATUSES: [u16; 3] = [408, 429, 503];
+
 /// Returns whether a header concerns a single connection.
 pub(super) fn is_hop_by_hop(name: &str) -> bool {
     HOP_BY_HOP_HEADERS.contains(&name)
@@ -132,6 +135,10 @@
         if answered.not_run || status == MISDIRECTED {
             return Some(Failure::Refused);
         }
+        if self.route.repeat == Repeat::Once && NOT_RUN_STATUSES.contains(&status) {
+            // The host has not said so, and the caller may send the request again.
+            return Some(Failure::Failed);
+        }
         let server_error = status >= 500 && self.route.repeat == Repeat::Idempotent;
         let may_succeed = others > 0 || self.attempts.sent() < self.route.max_attempts;
         let is_failure = self.head_sent && !success || server_error && may_succeed;
