A limit that a host names before the record of its restart is kept

A host that restarts and names a lower rate limit was sent more than that once its record was read.

Cause: answers of the new process arrive up to a second before its record. The limit that they name counted as that of the former incarnation and was dropped with it, and nobody knew one until the next answer. Now a limit that an answer has named within 3 s before the record is kept for the new incarnation and reported to the others again; if the new process names none, its first answer ends it.

Weighed: keeping it until the new process answers, however old it is: a limit of a process that ended in overload would bind the next one at its start.

--- a/crates/oliveworks-gateway-core/src/rate_limits/limits.rs
+++ b/crates/oliveworks-gateway-core/src/rate_limits/limits.rs
@@ -32,6 +32,10 @@
 /// reporting the limit after it was cut off.
 const END_RETENTION_MS: u64 = 60_000;
 
+/// Time for which a limit that this gateway was told by a backend server itself may be that of the next
+/// incarnation, whose record is not read yet, in ms.
+const RECORD_LAG_MS: u64 = 3_000;
+
 /// The rate limit of a backend server, as exchanged between gateways.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limit {
@@ -84,6 +88,8 @@
 struct KnownLimit {
     limit: Limit,
     learned_at: Millis,
+    /// Whether an answer of the backend server named the limit, as opposed to another gateway.
+    from_answer: bool,
     /// Number of requests that this gateway has sent there since `learned_at`.
     sent: u64,
 }
@@ -102,25 +108,22 @@
         let known = self.0.get(&target).copied();
         let Some(known) = known else {
             let limit = Limit { target, life: incarnation, revision: 1, rate };
-            return rate.is_some() && self.learn(now, limit);
+            return rate.is_some() && self.learn(now, limit, true);
         };
         let incarnation_order =
             incarnation.zip(known.limit.life).map(|(own, known)| own.cmp(&known));
         match incarnation_order {
             Some(std::cmp::Ordering::Less) => false,
             Some(std::cmp::Ordering::Greater) => {
-                self.learn(now, Limit { target, life: incarnation, revision: 1, rate })
+                self.learn(now, Limit { target, life: incarnation, revision: 1, rate }, true)
             }
             _ => {
                 let is_newer = sent_at >= known.learned_at;
                 let changes = rate != known.limit.rate;
                 let applies = changes && (is_newer || is_lower(rate, known.limit.rate));
                 let revision = known.limit.revision.saturating_add(1);
-                applies
-                    && self.learn(
-                        now,
-                        Limit { life: incarnation.or(known.limit.life), revision, rate, target },
-                    )
+                let life = incarnation.or(known.limit.life);
+                applies && self.learn(now, Limit { life, revision, rate, target }, true)
             }
         }
     }
@@ -128,11 +131,12 @@
     /// Applies a limit reported by another gateway, and returns whether the known limit changes.
     pub fn apply_report(&mut self, now: Millis, limit: Limit) -> bool {
         let known = self.0.get(&limit.target);
-        known.is_none_or(|known| limit.supersedes(&known.limit)) && self.learn(now, limit)
+        known.is_none_or(|known| limit.supersedes(&known.limit)) && self.learn(now, limit, false)
     }
 
-    fn learn(&mut self, now: Millis, limit: Limit) -> bool {
-        self.0.insert(limit.target, KnownLimit { limit, learned_at: now, sent: 0 });
+    fn learn(&mut self, now: Millis, limit: Limit, from_answer: bool) -> bool {
+        let known = KnownLimit { limit, learned_at: now, from_answer, sent: 0 };
+        self.0.insert(limit.target, known);
         true
     }
 
@@ -177,10 +181,18 @@
         recent.iter().take(CHANGES_MAX).chain(older).map(|known| known.limit).collect()
     }
 
-    /// Drops the limit of a backend server that has restarted, because its new process has not
-    /// named one.
-    pub fn remove(&mut self, target: Target) {
-        self.0.remove(&target);
+    /// Processes the record of a later incarnation of a backend server. The limit of the former one
+    /// ends. A limit that an answer has named shortly before is kept, since the new process may have
+    /// sent that answer; if it did not, its first answer ends the limit.
+    ///
+    /// Rejected alternative: dropping the limit in any case. The new process would get more than it
+    /// accepts until it names its limit once more.
+    pub fn restart(&mut self, now: Millis, target: Target, life: Option<Born>) {
+        let Some(known) = self.0.remove(&target) else { return };
+        let may_be_new = known.from_answer && now < known.learned_at + RECORD_LAG_MS;
+        if may_be_new && known.limit.rate.is_some() {
+            self.learn(now, Limit { life, revision: 1, ..known.limit }, true);
+        }
     }
 
     /// Drops the backend servers for which `keep` returns false, and limits that ended long ago.
--- a/crates/oliveworks-gateway-core/tests/incarnations.rs
+++ b/crates/oliveworks-gateway-core/tests/incarnations.rs
@@ -16,6 +16,9 @@
 /// Time at which the record lapses, in ms.
 const LAPSED_AT: Millis = 1_000;
 
+/// Time at which the record of a restart is read, in ms.
+const RESTART_READ_AT: Millis = 2_500;
+
 /// What a gateway keeps about a host that asked for a backoff and named a limit at 0 ms.
 struct Known {
     incarnations: Incarnations,
@@ -40,7 +43,7 @@
     fn list(&mut self, born: Option<Born>) {
         if self.incarnations.record_listed(HOST, born) {
             self.backoffs.remove(HOST);
-            self.rate_limits.limits.remove(HOST);
+            self.rate_limits.limits.restart(RESTART_READ_AT, HOST, born);
         }
     }
 
@@ -141,3 +144,40 @@
     known.list(SECOND);
     assert_eq!(known.rate_limits.limits.rate(HOST), lower);
 }
+
+/// The limit of a process that has ended long before must not bind the next one.
+#[test]
+fn a_limit_that_was_named_long_before_a_restart_ends_with_it() {
+    let mut known = Known::new(FIRST);
+    let observation = RateObservation {
+        target: HOST,
+        incarnation: FIRST,
+        sent_at: 10,
+        rate: Rate::from_per_s(0.2),
+        would_name: true,
+    };
+    let limits = &mut known.rate_limits.limits;
+    assert!(limits.observe(20, observation));
+    limits.restart(20 + 3_000, HOST, SECOND);
+    assert_eq!(limits.rate(HOST), None);
+}
+
+/// Guards against a limit that binds a process which names none.
+#[test]
+fn a_limit_that_is_kept_over_a_restart_ends_with_an_answer_that_names_none() {
+    let mut known = Known::new(FIRST);
+    let observation = |sent_at, incarnation, rate| RateObservation {
+        target: HOST,
+        incarnation,
+        sent_at,
+        rate,
+        would_name: true,
+    };
+    let limits = &mut known.rate_limits.limits;
+    assert!(limits.observe(20, observation(10, FIRST, Rate::from_per_s(0.2))));
+    limits.restart(500, HOST, SECOND);
+    assert_eq!(limits.get(HOST).and_then(|limit| limit.life), SECOND);
+    assert!(!limits.observe(550, observation(499, FIRST, None)));
+    assert!(limits.observe(600, observation(510, SECOND, None)));
+    assert_eq!(limits.rate(HOST), None);
+}
--- a/crates/oliveworks-gateway/src/server_list.rs
+++ b/crates/oliveworks-gateway/src/server_list.rs
@@ -100,7 +100,8 @@
     let target = Target::of(&server.id);
     if gateway.incarnations.borrow_mut().record_listed(target, server.holding.born) {
         gateway.backoffs.borrow_mut().remove(target);
-        gateway.rate_limits.borrow_mut().limits.remove(target);
+        let mut rate_limits = gateway.rate_limits.borrow_mut();
+        rate_limits.limits.restart(gateway.now(), target, server.holding.born);
     }
 }
 
