--- a/crates/oliveworks-gateway-core/src/attempts.rs
+++ b/crates/oliveworks-gateway-core/src/attempts.rs
@@ -134,8 +134,8 @@
         self.sent > 1
     }
 
-    /// Records whether another run may continue what the caller has of the answer.
-    pub fn record_position(&mut self, may_continue: bool) {
+    /// Sets whether another run may continue what the caller has of the answer.
+    pub fn set_may_continue(&mut self, may_continue: bool) {
         self.may_continue = may_continue;
     }
 
--- a/crates/oliveworks-gateway-core/src/event_order.rs
+++ b/crates/oliveworks-gateway-core/src/event_order.rs
@@ -159,8 +159,8 @@
     /// # Errors
     /// Returns an error if the run is of no further use.
     pub fn add(&mut self, event: Event) -> Result<Vec<Event>, OutOfOrder> {
-        if let Some(had) = self.to_continue
-            && !self.continues(had, event.id)?
+        if let Some(last_relayed) = self.to_continue
+            && !self.continues(last_relayed, event.id)?
         {
             return Ok(Vec::new());
         }
@@ -198,16 +198,16 @@
         (self.start == Start::Stream && is_regular).then_some(self.numbering)
     }
 
-    /// Returns whether an event is the first one after `had`. Events before it are repetitions,
-    /// which the caller has.
-    fn continues(&mut self, had: u64, id: Option<u64>) -> Result<bool, OutOfOrder> {
+    /// Returns whether an event is the first one after `last_relayed`. Events before it are
+    /// repetitions, which the caller has.
+    fn continues(&mut self, last_relayed: u64, id: Option<u64>) -> Result<bool, OutOfOrder> {
         let id = id.ok_or(OutOfOrder::NotContinuing)?;
         let next = match self.last_id {
             Some(last) => self.numbering.after(last).first,
             None => id,
         };
         let is_first = id == self.numbering.first;
-        if id != next || (id > had && !is_first) {
+        if id != next || (id > last_relayed && !is_first) {
             return Err(OutOfOrder::NotContinuing);
         }
         match is_first {
--- a/crates/oliveworks-gateway-core/src/rate_limits/limits.rs
+++ b/crates/oliveworks-gateway-core/src/rate_limits/limits.rs
@@ -32,8 +32,8 @@
 /// reporting the limit after it was cut off.
 const END_RETENTION_MS: u64 = 60_000;
 
-/// Time for which a limit that this gateway was told by a backend server itself may be that of the next
-/// incarnation, whose record is not read yet, in ms.
+/// Time after which an answer is certain to come from the incarnation whose record was read before, in
+/// ms. The record of a restart may be read later than answers of the new process.
 const RECORD_LAG_MS: u64 = 3_000;
 
 /// The rate limit of a backend server, as exchanged between gateways.
--- a/crates/oliveworks-gateway-core/tests/event_order.rs
+++ b/crates/oliveworks-gateway-core/tests/event_order.rs
@@ -1,5 +1,6 @@
 //! Which events of a run are relayed, and whether another run may continue the stream.
 
+use oliveworks_gateway_core::attempts::{Attempts, Failure, Next, Terms, Verdict};
 use oliveworks_gateway_core::event_order::{EventOrder, Numbering, OutOfOrder, Position};
 use oliveworks_gateway_core::events::{Event, Splitter};
 use proptest::prelude::*;
@@ -173,3 +174,17 @@
         }
     }
 }
+
+/// Guards against a run that is joined at a position that is not known.
+#[test]
+fn a_stream_at_an_unknown_position_is_not_sent_again() {
+    let terms = Terms { repeatable: true, max_attempts: 3, deadline: 1_000 };
+    let mut attempts = Attempts::new(terms);
+    attempts.connecting();
+    attempts.sending();
+    attempts.set_may_continue(false);
+    assert!(!attempts.may_send_beside(10));
+    assert_eq!(attempts.failed(10, Failure::Lost, true), Next::GiveUp(Verdict::MayHaveRun));
+    attempts.set_may_continue(true);
+    assert!(attempts.may_send_beside(10));
+}
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -468,7 +468,7 @@
     /// Records the position of the caller after a part of a stream was relayed.
     fn record_position(&mut self, position: Position) {
         self.position = position;
-        self.attempts.record_position(position.is_known());
+        self.attempts.set_may_continue(position.is_known());
     }
 
     fn record_failure(&mut self, server: &str, failure: Failure, gone: bool) -> Next {
