A limit of a former process ends with it, also one named just before its end

The change before kept any limit that an answer had named within 3 s before the record of a restart. That was too much, and it was committed before all path tests had run: a_host_that_restarted_while_its_entry_was_away_is_sent_requests::test_case_2_limit failed, 503 in place of 200, since a limit of one request in 100 s bound a process that names none.

Now a limit is kept only if it was named after the new process had started, which its record tells. A host whose clock is ahead of the gateway's loses a limit that it names in the first moments, as before.

incarnations (13), rate_limits (58) and the path tests on limits, lapsed entries, streams and busy hosts (46) pass.

--- a/crates/oliveworks-gateway-core/src/rate_limits/limits.rs
+++ b/crates/oliveworks-gateway-core/src/rate_limits/limits.rs
@@ -32,10 +32,6 @@
 /// reporting the limit after it was cut off.
 const END_RETENTION_MS: u64 = 60_000;
 
-/// Time after which an answer is certain to come from the incarnation whose record was read before, in
-/// ms. The record of a restart may be read later than answers of the new process.
-const RECORD_LAG_MS: u64 = 3_000;
-
 /// The rate limit of a backend server, as exchanged between gateways.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limit {
@@ -181,16 +177,17 @@
         recent.iter().take(CHANGES_MAX).chain(older).map(|known| known.limit).collect()
     }
 
-    /// Processes the record of a later incarnation of a backend server. The limit of the former one
-    /// ends. A limit that an answer has named shortly before is kept, since the new process may have
-    /// sent that answer; if it did not, its first answer ends the limit.
+    /// Processes the record of a later incarnation of a backend server, which started at
+    /// `started_at` by its own account. The limit of the former one ends. A limit that an answer has
+    /// named since then is that of the new process, whose answers may arrive before its record.
     ///
-    /// Rejected alternative: dropping the limit in any case. The new process would get more than it
-    /// accepts until it names its limit once more.
-    pub fn restart(&mut self, now: Millis, target: Target, life: Option<Born>) {
+    /// Rejected alternatives: dropping the limit in any case (the new process would get more than it
+    /// accepts until it names its limit once more), and keeping one that was named shortly before (a
+    /// host that restarts without a limit would be bound by the former one until its first answer).
+    pub fn restart(&mut self, now: Millis, target: Target, life: Option<Born>, started_at: Millis) {
         let Some(known) = self.0.remove(&target) else { return };
-        let may_be_new = known.from_answer && now < known.learned_at + RECORD_LAG_MS;
-        if may_be_new && known.limit.rate.is_some() {
+        let is_new = known.from_answer && known.learned_at >= started_at;
+        if is_new && known.limit.rate.is_some() {
             self.learn(now, Limit { life, revision: 1, ..known.limit }, true);
         }
     }
--- a/crates/oliveworks-gateway/src/server_list.rs
+++ b/crates/oliveworks-gateway/src/server_list.rs
@@ -14,6 +14,7 @@
 use oliveworks_gateway_core::repeats::Repeats;
 use oliveworks_gateway_core::replay::Kept;
 use oliveworks_gateway_core::slow_start::cold::{Listed, Reading};
+use oliveworks_runtime::clock::wall_ms;
 use tokio::time::timeout;
 
 use crate::dialect::{Record, Topic};
@@ -100,8 +101,10 @@
     let target = Target::of(&server.id);
     if gateway.incarnations.borrow_mut().record_listed(target, server.holding.born) {
         gateway.backoffs.borrow_mut().remove(target);
+        let (now, born) = (gateway.now(), server.holding.born);
+        let age_ms = born.map_or(0, |born| wall_ms().saturating_sub(born.0));
         let mut rate_limits = gateway.rate_limits.borrow_mut();
-        rate_limits.limits.restart(gateway.now(), target, server.holding.born);
+        rate_limits.limits.restart(now, target, born, now.saturating_sub(age_ms));
     }
 }
 
