--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -87,6 +87,9 @@
 /// repeating their requests would cost more than waiting.
 const RESUMED_MS: u64 = 1_000;
 
+/// Time between two reads of the processor time, in ms. A read costs a system call.
+const PROCESSOR_READ_INTERVAL_MS: u64 = 250;
+
 /// Shared state of a gateway; belongs to one thread.
 pub struct Gateway {
     /// Settings of this gateway.
@@ -246,7 +249,9 @@
     /// Notifies waiting tasks that the process continues after a pause.
     pub resumed: Notify,
     ticked_at: Cell<Millis>,
-    /// Processor time that the process had taken at the last tick of the leader's task, in ms.
+    /// Time of the last read of the processor time.
+    processor_read_at: Cell<Millis>,
+    /// Processor time that the process had taken by then, in ms.
     processor_ms: Cell<u64>,
     resumed_at: Cell<Millis>,
 }
@@ -341,6 +346,7 @@
             latencies: RefCell::default(),
             resumed: Notify::new(),
             ticked_at: Cell::new(now),
+            processor_read_at: Cell::new(now),
             processor_ms: Cell::new(0),
             resumed_at: Cell::new(0),
             clock,
@@ -374,12 +380,16 @@
         self.lookup.borrow().clone()
     }
 
-    /// Records that the process is running, since when, and the processor time that it has taken;
-    /// called every few tens of ms by one task.
+    /// Records that the process is running, how long after the tick before, and now and then the
+    /// processor time that it has taken; called every few tens of ms by one task.
     pub fn tick_with_processor_time(&self) {
-        self.note_latency("tick_interval", self.now().saturating_sub(self.ticked_at.get()));
+        let now = self.now();
+        self.note_latency("tick_interval", now.saturating_sub(self.ticked_at.get()));
         self.tick();
-        self.processor_ms.set(processor_ms());
+        if now >= self.processor_read_at.get() + PROCESSOR_READ_INTERVAL_MS {
+            self.processor_read_at.set(now);
+            self.processor_ms.set(processor_ms());
+        }
     }
 
     /// Records that the process is running.
