Requests for models that no service offers count as no demand

What was seen: a caller with a valid key that names another model in each request makes a gateway fall silent. After 4,000 names no heartbeat leaves it any more, for as long as the process lives (shown); by reading, others then take it for gone, and a leader loses its role (not shown).

Cause: demand is counted for each name of a model that a request carries, is never forgotten, and goes into each heartbeat, which is dropped beyond 60,000 bytes ("dropped a datagram of ... bytes, which exceeds the size limit").

Fix: demand is counted for models that the service offers, of which the configuration has a bounded number. Others still get 503.

--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -80,6 +80,8 @@
     service: String,
     /// Requested model, if the service serves models by replica groups.
     model: Option<String>,
+    /// Whether the service offers the model.
+    is_offered: bool,
     /// Duration of the longest pass of a replica group of the model, in ms; 0 if unknown.
     pass_ms: u64,
     workspace: Option<String>,
@@ -236,6 +238,7 @@
     });
     let workspace = found.workspace.map(|workspace| workspace.name.clone());
     Ok(Job {
+        is_offered: pass_ms.is_some(),
         features: Rc::new(features(request, &asked, workspace.as_deref())),
         pass_ms: pass_ms.unwrap_or(0),
         model: asked.model.clone().filter(|_| grouped),
@@ -556,9 +559,11 @@
         timeliness.outcome()
     }
 
-    /// Counts a request that needs its first place, per model.
+    /// Counts a request that needs its first place, per model that is offered: callers may name any
+    /// number of others.
     fn note_demand(&self, refused: bool) {
-        let Some(model) = self.model.as_ref().filter(|_| self.attempts.sent() == 0) else { return };
+        let counts = self.is_offered && self.attempts.sent() == 0;
+        let Some(model) = self.model.as_ref().filter(|_| counts) else { return };
         let key = ModelKey::of(&self.service, model);
         self.gateway.demand.borrow_mut().record_request(self.gateway.now(), key, refused);
     }
