The unread tokens of a target do not wrap

What was seen: nothing by callers; found by reading what a caller's numbers add up to. A prompt may state any number of tokens up to 4,294,967,295. Two of them at one target wrap the sum, and the busiest target counts as idle.

Cause: a plain addition; only the subtraction was bounded. Fix: the sum stays at its largest value. Evidence: prompts_of_the_largest_size_add_up failed before ("attempt to add with overflow" in a debug build), passes now.

--- a/crates/oliveworks-gateway-core/src/balance.rs
+++ b/crates/oliveworks-gateway-core/src/balance.rs
@@ -64,7 +64,7 @@
 impl Load {
     fn add(&mut self, other: Load) {
         self.requests += other.requests;
-        self.tokens += other.tokens;
+        self.tokens = self.tokens.saturating_add(other.tokens);
     }
 }
 
@@ -328,7 +328,7 @@
             own.last_progress = now;
         }
         own.open += 1;
-        own.tokens += tokens;
+        own.tokens = own.tokens.saturating_add(tokens);
     }
 
     /// Records that data was received from a target.
--- a/crates/oliveworks-gateway-core/tests/decisions.rs
+++ b/crates/oliveworks-gateway-core/tests/decisions.rs
@@ -313,6 +313,15 @@
 
 /// A gateway starts while the store is unavailable, and another gateway that is also cut off
 /// reports an old proof. The clock of the process begins at 0, and the proof is older than that.
+/// Guards against a sum that wraps, after which a target with the largest prompts counts as idle.
+#[test]
+fn prompts_of_the_largest_size_add_up() {
+    let mut balance = Balance::default();
+    balance.started(0, Target(0), u32::MAX);
+    balance.started(0, Target(0), u32::MAX);
+    assert_eq!(balance.own_unread(Target(0)), u32::MAX);
+}
+
 #[test]
 fn a_peer_proof_older_than_the_process_keeps_its_age() {
     let mut freshness = Freshness::default();
