Texts in log lines have at most 1 KiB

What was seen: nothing; by reading, the queue of the thread that writes the log holds 4,096 lines, and a caller chooses an id of up to 16 KiB for its request. If standard output is not drained, these lines take 64 MB and more.

Cause: the queue is bounded by lines, and the length of a line by nothing. Fix: the rest of a long text is left out. No test: the length of a line is seen in the log alone, and the memory of the process is watched by the crowds, whose ids are short.

--- a/crates/oliveworks-gateway/src/events.rs
+++ b/crates/oliveworks-gateway/src/events.rs
@@ -7,6 +7,10 @@
 use oliveworks_runtime::logs::EVENT_TARGET;
 use serde_json::{Map, Value};
 
+/// Largest length of a text, in bytes. Callers choose the ids of their requests, and the lines that
+/// wait to be written must not fill the memory.
+const TEXT_MAX: usize = 1 << 10;
+
 /// A log line under construction.
 pub struct Event(Map<String, Value>);
 
@@ -18,9 +22,13 @@
         Event(fields)
     }
 
-    /// Adds a field.
+    /// Adds a field. The rest of a text that is longer than `TEXT_MAX` is left out.
     pub fn with(mut self, name: &str, value: impl Into<Value>) -> Event {
-        self.0.insert(name.into(), value.into());
+        let mut value = value.into();
+        if let Value::String(text) = &mut value {
+            text.truncate(text.floor_char_boundary(TEXT_MAX));
+        }
+        self.0.insert(name.into(), value);
         self
     }
 
