What callers make a gateway hold is bounded, and stalled connections yield

Bodies were counted, nothing else was: - a field of 3 bytes takes hundreds once decoded, also while its head arrives; a part of a prompt likewise; the codec counts names only and has no bound of its own, and collects the line before a chunk without one; - answers that are held whole were not bounded in sum, and were copied as a whole twice to be written; a caller that does not read was awaited for ever, and its answer kept its host busy; - a connection took 36 KB for the state of a request that it did not have (size of the task), beside a read buffer of 16 KB and more; - there was no limit on connections.

Change: - a head is decoded when it is complete, and its number of fields, or a prompt's number of parts, is charged before; any number within the limit on heads is served (over 96 names were answered 431); - bodies up to 16 KiB are not refused when large ones use up the memory; - answers are charged, written in parts, and their hosts are free while they are delivered; one of which nothing is taken for 5 s is given up; - connections are limited by memory and descriptors, apart at the two doors; evictions.rs (decision core) chooses who yields, never a request that is being handled.

Ruled out: refusing new connections at the limit (3,000 silent ones shut out all others); charging bodies as they arrive (of many, none would be completed); a limit on the number of fields (the pages know none).

--- a/crates/oliveworks-gateway-core/src/lib.rs
+++ b/crates/oliveworks-gateway-core/src/lib.rs
@@ -56,6 +56,7 @@
 //! | [`events`] | the events of a stream |
 //! | [`event_order`] | events that are relayed, and whether another run may continue a stream |
 //! | [`turn`] | how much of a peer's data is processed before other tasks run |
+//! | [`evictions`] | connections that are closed when there are too many, or when memory runs out |
 //! | [`arrivals`] | bounds on the bytes and the time of data that is of no use yet |
 
 pub mod admission;
@@ -77,6 +78,7 @@
 pub mod era;
 pub mod event_order;
 pub mod events;
+pub mod evictions;
 pub mod fan_out;
 pub mod freshness;
 pub mod group_id;
--- a/crates/oliveworks-gateway/src/body.rs
+++ b/crates/oliveworks-gateway/src/body.rs
@@ -1,10 +1,10 @@
-//! The body of a request while it arrives.
+//! The body of a request or an answer while it arrives.
 
 use std::rc::Rc;
 
 use bytes::Bytes;
 
-use crate::body_memory::{BodyMemory, BodyShare, OutOfMemory};
+use crate::memory_budget::{MemoryBudget, MemoryShare, OutOfMemory};
 
 /// Size up to which a body is read before its request is judged, in bytes. The connection of a
 /// request that is rejected later can go on only if its body was read.
@@ -13,14 +13,17 @@
 const CAPACITY_MIN: usize = 1 << 10;
 
 /// Bytes of a body, and the memory that they hold.
+///
+/// Bodies up to `READ_UNJUDGED_MAX` take no memory of the budget, so that small requests are read
+/// when large ones use it up; the limit on connections covers them.
 pub struct ArrivingBody {
     bytes: Vec<u8>,
-    share: BodyShare,
+    share: MemoryShare,
 }
 
 impl ArrivingBody {
     /// Creates an empty body.
-    pub fn new(memory: &Rc<BodyMemory>) -> ArrivingBody {
+    pub fn new(memory: &Rc<MemoryBudget>) -> ArrivingBody {
         ArrivingBody { bytes: Vec::new(), share: memory.share() }
     }
 
@@ -34,13 +37,16 @@
         length > READ_UNJUDGED_MAX
     }
 
-    /// Reserves memory for a body whose length is known.
+    /// Reserves memory for a body whose length is known. Rejected alternative: memory for what has
+    /// arrived alone. Many bodies at once would all begin and none would be completed.
     ///
     /// # Errors
     /// Returns an error if the memory for bodies is used up.
     pub fn reserve(&mut self, length: usize) -> Result<(), OutOfMemory> {
-        if length > self.bytes.capacity() {
+        if length > READ_UNJUDGED_MAX {
             self.share.grow_to(length)?;
+        }
+        if length > self.bytes.capacity() {
             self.bytes.reserve_exact(length - self.bytes.len());
         }
         Ok(())
@@ -60,7 +66,7 @@
     }
 
     /// Returns the body, and the memory that it holds.
-    pub fn into_parts(self) -> (Bytes, BodyShare) {
+    pub fn into_parts(self) -> (Bytes, MemoryShare) {
         (self.bytes.into(), self.share)
     }
 }
--- a/crates/oliveworks-gateway/src/caller_connections.rs
+++ b/crates/oliveworks-gateway/src/caller_connections.rs
@@ -5,6 +5,8 @@
 use std::rc::Rc;
 
 use oliveworks_gateway_core::Millis;
+use oliveworks_gateway_core::evictions::{self, Activity};
+use tokio::sync::Notify;
 
 use crate::events::Event;
 use crate::state::Gateway;
@@ -57,6 +59,8 @@
     ProcessEnd,
     /// The relay broke the answer off.
     Torn,
+    /// The connection was closed in favour of others.
+    Evicted,
 }
 
 impl EndReason {
@@ -68,6 +72,7 @@
             EndReason::Stop => "stop",
             EndReason::ProcessEnd => "process_end",
             EndReason::Torn => "torn",
+            EndReason::Evicted => "evicted",
         }
     }
 }
@@ -106,6 +111,14 @@
     phase: Cell<Phase>,
     /// Time at which the phase began.
     since: Cell<Millis>,
+    /// Whether a request has been read on the connection.
+    is_used: Cell<bool>,
+    /// Number of bytes of a body that have arrived.
+    body_bytes: Cell<u64>,
+    /// Time since which the caller has not taken what was written; `None` while nothing is written.
+    blocked_since: Cell<Option<Millis>>,
+    /// Notifies the tasks of the connection that it is to be closed in favour of others.
+    eviction: Notify,
     /// Progress of the answer, in the phase in which a request is answered.
     progress: Cell<AnswerProgress>,
     /// Id of the request that is being answered; empty if it has none or is not read yet.
@@ -117,6 +130,7 @@
     pub fn enter(&self, now: Millis, phase: Phase) {
         if self.phase.replace(phase) != phase {
             self.since.set(now);
+            self.body_bytes.set(0);
         }
         if phase != Phase::Answer {
             self.request.borrow_mut().clear();
@@ -126,10 +140,41 @@
     /// Enters the phase in which a request is answered.
     pub fn enter_answer(&self, now: Millis, request: &str) {
         self.enter(now, Phase::Answer);
+        self.is_used.set(true);
         self.progress.set(AnswerProgress::NotSent);
         request.clone_into(&mut self.request.borrow_mut());
     }
 
+    /// Records the arrival of a part of a body.
+    pub fn record_body_part(&self, bytes: usize) {
+        self.body_bytes.update(|arrived| arrived + bytes as u64);
+    }
+
+    /// Records since when the caller has not taken what was written; `None` once it has.
+    pub fn set_blocked_since(&self, since: Option<Millis>) {
+        self.blocked_since.set(since);
+    }
+
+    /// Waits until the connection is to be closed in favour of others.
+    pub async fn wait_for_eviction(&self) {
+        self.eviction.notified().await;
+    }
+
+    /// Returns what the connection is doing, and since when.
+    fn activity(&self) -> (Activity, Millis) {
+        if let Some(since) = self.blocked_since.get() {
+            return (Activity::Blocked, since);
+        }
+        let activity = match self.phase.get() {
+            Phase::Idle => Activity::Idle { is_used: self.is_used.get() },
+            Phase::Head => Activity::Head,
+            Phase::Body => Activity::Body { bytes: self.body_bytes.get() },
+            Phase::Answer => Activity::Busy,
+            Phase::Closing => Activity::Closing,
+        };
+        (activity, self.since.get())
+    }
+
     /// Records the progress of the answer.
     pub fn set_progress(&self, progress: AnswerProgress) {
         self.progress.set(progress);
@@ -167,9 +212,11 @@
     }
 }
 
-/// The connections that callers have open.
-#[derive(Debug, Default)]
+/// The connections that callers have open at one listening address.
+#[derive(Debug)]
 pub struct OpenConnections {
+    /// Largest number of connections.
+    max: usize,
     last_id: Cell<u64>,
     states: RefCell<BTreeMap<u64, Rc<ConnectionState>>>,
     /// Number of connections that ended without a complete answer since the stop of this process
@@ -178,6 +225,55 @@
 }
 
 impl OpenConnections {
+    /// Creates a set of at most `max` connections.
+    pub fn new(max: usize) -> OpenConnections {
+        OpenConnections {
+            max,
+            last_id: Cell::default(),
+            states: RefCell::default(),
+            ended_in_stop: RefCell::default(),
+        }
+    }
+
+    /// Returns the number of connections.
+    pub fn len(&self) -> usize {
+        self.states.borrow().len()
+    }
+
+    /// Closes connections in favour of another one if there are too many, and returns whether there
+    /// is room for it.
+    pub fn make_room(&self, now: Millis) -> bool {
+        while self.len() >= self.max {
+            let Some(id) = evictions::choose(now, self.activities()) else { return false };
+            self.evict(id);
+        }
+        true
+    }
+
+    /// Closes the connection that has been stalled for longest, if there is one, so that others get
+    /// what it holds.
+    pub fn evict_stalled(&self, now: Millis) {
+        if let Some(id) = evictions::choose_stalled(now, self.activities()) {
+            self.evict(id);
+        }
+    }
+
+    fn activities(&self) -> Vec<evictions::OpenConnection> {
+        let states = self.states.borrow();
+        let activity = |(id, state): (&u64, &Rc<ConnectionState>)| {
+            let (activity, since) = state.activity();
+            evictions::OpenConnection { id: *id, activity, since }
+        };
+        states.iter().map(activity).collect()
+    }
+
+    /// The connection counts no longer; its task ends it.
+    fn evict(&self, id: u64) {
+        if let Some(state) = self.states.borrow_mut().remove(&id) {
+            state.eviction.notify_one();
+        }
+    }
+
     /// Adds a connection, until the returned value is dropped.
     pub fn add(&self, state: Rc<ConnectionState>) -> OpenConnection<'_> {
         let id = self.last_id.get() + 1;
--- a/crates/oliveworks-gateway/src/connection.rs
+++ b/crates/oliveworks-gateway/src/connection.rs
@@ -12,25 +12,28 @@
 use ntex::codec::Decoder;
 use ntex::http::body::BodySize;
 use ntex::http::error::DecodeError;
-use ntex::http::h1::{Codec, Message, PayloadItem, PayloadType};
+use ntex::http::h1::{Codec, Message, PayloadDecoder, PayloadItem, PayloadType};
 use ntex::http::header::{HeaderName, HeaderValue};
 use ntex::http::{HttpServiceConfig, Method, Request, Response, StatusCode};
 use ntex::io::{Io, IoStatusUpdate};
 use ntex::util::{BytesMut, Either};
 use oliveworks_gateway_core::attempts::Verdict;
+use oliveworks_runtime::clock::Clock;
 use tokio::time::{sleep, timeout};
 
 use crate::body::ArrivingBody;
-use crate::body_memory::{BodyShare, OutOfMemory};
 use crate::caller_connections::{AnswerProgress, ConnectionState, EndReason, Phase};
 use crate::dialect::Headers;
+use crate::memory_budget::{MemoryShare, OutOfMemory};
+use crate::request_head::{HeadDecoder, HeadError};
 use crate::state::Gateway;
 
 /// Limits on a connection before the first configuration has arrived, in bytes and ms.
-const HEAD_MAX: usize = 16 << 10;
 const BODY_MAX: usize = 4 << 20;
 const IDLE_MS: u64 = 15_000;
 const HEAD_MS: u64 = 3_000;
+/// Largest line before a chunk of a body, with its extensions, in bytes.
+const CHUNK_LINE_MAX: usize = 4 << 10;
 /// Time allowed for receiving a body, in ms.
 const BODY_MS: u64 = 10_000;
 /// Time beyond the configured timeouts, in ms, so that what callers begin in time does not meet the
@@ -40,8 +43,17 @@
 const LAST_READ_MS: u64 = 50;
 /// Time allowed for sending the last bytes of a connection, in ms.
 const CLOSE_MS: u64 = 500;
+/// Time in which a caller takes a part of an answer, in ms. A caller that has lost its connection for
+/// a moment is served when it is back.
+const TAKE_MS: u64 = 5_000;
+/// Size of the parts in which an answer is written, in bytes.
+const PART_BYTES: usize = 16 << 10;
 /// Time allowed to the caller for closing a connection after the last answer on it, in ms.
 const LINGER_MS: u64 = 1_000;
+/// Number of bytes after the last answer that are discarded without a pause, and the pause between
+/// two reads after them, in ms.
+const DISCARDED_AT_ONCE: usize = 256 << 10;
+const DISCARD_PAUSE_MS: u64 = 20;
 
 /// A request, read completely.
 pub struct ReceivedRequest {
@@ -53,8 +65,10 @@
     pub headers: Headers,
     /// Body of the request.
     pub body: Bytes,
+    /// Memory that the head holds.
+    _head_share: MemoryShare,
     /// Memory that the body holds.
-    share: Option<BodyShare>,
+    body_share: Option<MemoryShare>,
 }
 
 impl ReceivedRequest {
@@ -119,7 +133,7 @@
 /// Judges a request by its head.
 pub type Admit<'a> = &'a dyn Fn(&ReceivedRequest) -> Result<(), Rejected>;
 
-/// Error for a connection that ended while an answer was written.
+/// Error for a connection that ended while an answer was written, or whose caller does not take it.
 pub struct Disconnected;
 
 /// A connection to a caller.
@@ -130,6 +144,7 @@
     /// Whether the caller may send more than what was read.
     may_send_more: bool,
     state: Rc<ConnectionState>,
+    clock: Clock,
 }
 
 /// Decodes the beginning of a request: discards empty lines before it, and leaves its bytes where they
@@ -147,42 +162,32 @@
     }
 }
 
-/// Discards all bytes.
-struct Discard;
+/// Decodes a body, and bounds what lies between its chunks, which the codec collects.
+struct BodyDecoder(PayloadDecoder);
 
-impl Decoder for Discard {
-    type Item = ();
-    type Error = Infallible;
+impl Decoder for BodyDecoder {
+    type Item = PayloadItem;
+    type Error = DecodeError;
 
-    fn decode(&self, src: &mut BytesMut) -> Result<Option<()>, Infallible> {
-        let has_bytes = !src.is_empty();
-        src.clear();
-        Ok(has_bytes.then_some(()))
+    fn decode(&self, src: &mut BytesMut) -> Result<Option<PayloadItem>, DecodeError> {
+        match self.0.decode(src)? {
+            None if src.len() > CHUNK_LINE_MAX => Err(DecodeError::TooLarge(src.len())),
+            item => Ok(item),
+        }
     }
 }
 
-/// Decodes the head of a request up to the limit of the moment.
-struct HeadDecoder<'a> {
-    codec: &'a Codec,
-    gateway: &'a Gateway,
-    /// Number of bytes of the head that the codec has consumed.
-    consumed: Cell<usize>,
-}
+/// Discards all bytes, and returns their number.
+struct Discard;
 
-impl Decoder for HeadDecoder<'_> {
-    type Item = <Codec as Decoder>::Item;
-    type Error = DecodeError;
+impl Decoder for Discard {
+    type Item = usize;
+    type Error = Infallible;
 
-    fn decode(&self, src: &mut BytesMut) -> Result<Option<Self::Item>, DecodeError> {
-        let arrived = self.consumed.get() + src.len();
-        let decoded = self.codec.decode(src)?;
-        self.consumed.set(arrived - src.len());
-        // The bytes that follow a complete head belong to the body or to the next request.
-        let length = if decoded.is_some() { self.consumed.get() } else { arrived };
-        match length > self.gateway.limits().map_or(HEAD_MAX, |limits| limits.max_header_bytes) {
-            true => Err(DecodeError::TooLarge(length)),
-            false => Ok(decoded),
-        }
+    fn decode(&self, src: &mut BytesMut) -> Result<Option<usize>, Infallible> {
+        let length = src.len();
+        src.clear();
+        Ok((length > 0).then_some(length))
     }
 }
 
@@ -198,9 +203,10 @@
 
 impl Connection {
     /// Creates the state of a connection that was just accepted.
-    pub fn new(io: Io) -> Connection {
-        // The limit may change while the connection is open: `HeadDecoder` enforces it.
-        let config = HttpServiceConfig::new().set_max_buf_size(usize::MAX);
+    pub fn new(io: Io, clock: Clock) -> Connection {
+        // `HeadDecoder` enforces the limits, which may change while the connection is open.
+        let config =
+            HttpServiceConfig::new().set_max_buf_size(usize::MAX).set_max_headers(usize::MAX);
         let shared: SharedCfg = SharedCfg::new("callers").add(config).into();
         let codec = Codec::new(0, shared.get());
         Connection {
@@ -209,6 +215,7 @@
             closes_after_answer: false,
             may_send_more: true,
             state: Rc::default(),
+            clock,
         }
     }
 
@@ -245,23 +252,15 @@
             return ended;
         }
         self.state.enter(gateway.now(), Phase::Head);
-        let (request, payload) = match self.read_head(gateway).await {
+        let (mut received, arriving) = match self.read_head(gateway).await {
             Ok(head) => head,
             Err(received) => return received,
         };
         self.state.enter(gateway.now(), Phase::Body);
-        let head = request.head();
-        let mut received = ReceivedRequest {
-            method: head.method.clone(),
-            target: head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned(),
-            headers: headers_of(&request),
-            body: Bytes::new(),
-            share: None,
-        };
-        match self.body(gateway, &request, payload, || admit(&received)).await {
+        match self.body(gateway, arriving, || admit(&received)).await {
             Ok(Some(body)) => {
                 let (body, share) = body.into_parts();
-                (received.body, received.share) = (body, Some(share));
+                (received.body, received.body_share) = (body, Some(share));
             }
             Ok(None) => {}
             Err(Unread::Rejected(why)) => return Received::Rejected(Box::new(received), why),
@@ -292,8 +291,11 @@
     }
 
     /// Reads the head of a request whose first byte has arrived.
-    async fn read_head(&self, gateway: &Gateway) -> Result<(Request, PayloadType), Received> {
-        let decoder = HeadDecoder { codec: &self.codec, gateway, consumed: Cell::new(0) };
+    async fn read_head(
+        &self,
+        gateway: &Gateway,
+    ) -> Result<(ReceivedRequest, BodyFraming), Received> {
+        let decoder = HeadDecoder::new(&self.codec, gateway);
         let head_ms =
             || gateway.limits().map_or(HEAD_MS, |limits| limits.header_timeout_ms) + RESERVE_MS;
         let message = tokio::select! {
@@ -304,7 +306,7 @@
             }
         };
         match message {
-            Ok(Some(head)) => Ok(head),
+            Ok(Some((head, payload))) => Ok(split_head(&head, payload, decoder.into_share())),
             Ok(None) | Err(Either::Right(_)) => Err(self.ended_by_caller().await),
             Err(Either::Left(error)) => Err(Received::Invalid(verdict_of(&error))),
         }
@@ -314,23 +316,22 @@
     async fn body(
         &self,
         gateway: &Gateway,
-        request: &Request,
-        payload: PayloadType,
+        framing: BodyFraming,
         admit: impl Fn() -> Result<(), Rejected>,
     ) -> Result<Option<ArrivingBody>, Unread> {
-        let decoder = match payload {
+        let decoder = match framing.payload {
             PayloadType::None => return Ok(None),
-            PayloadType::Payload(decoder) => decoder,
+            PayloadType::Payload(decoder) => BodyDecoder(decoder),
             PayloadType::Stream(_) => return Err(Verdict::BadRequest.into()),
         };
         let mut body = ArrivingBody::new(&gateway.body_memory);
-        if let Some(length) = content_length(request) {
+        if let Some(length) = framing.length {
             // The limit may be raised while the body arrives.
             let length = length.min(max_body_bytes(gateway));
             check_length(gateway, 0, length, &admit)?;
             body.reserve(length)?;
         }
-        if request.head().expect() {
+        if framing.expects_continue {
             let _ = self.io.encode_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
         }
         let read = async {
@@ -340,6 +341,7 @@
                         let length = body.length_with(chunk.len());
                         check_length(gateway, body.length_with(0), length, &admit)?;
                         body.append(&chunk)?;
+                        self.state.record_body_part(chunk.len());
                     }
                     Ok(Some(PayloadItem::Eof)) => return Ok(()),
                     Ok(None) | Err(Either::Right(_)) => {
@@ -361,6 +363,11 @@
         self.closes_after_answer = true;
     }
 
+    /// Returns whether bytes have arrived that belong to no request so far.
+    pub fn has_unread_bytes(&self) -> bool {
+        self.io.with_read_buf(|unread| !unread.is_empty())
+    }
+
     /// Returns whether another request may follow.
     pub fn can_continue(&self) -> bool {
         !self.closes_after_answer && self.codec.keepalive()
@@ -397,11 +404,10 @@
         self.state.set_progress(AnswerProgress::Undelivered);
         let size = BodySize::Sized(body.len() as u64);
         self.head(status, &headers.to_vec(), size)?;
-        if !body.is_empty() {
-            let chunk = ntex::util::Bytes::copy_from_slice(&body);
-            self.io.encode(Message::Chunk(Some(chunk)), &self.codec).map_err(|_| Disconnected)?;
+        for part in body.chunks(PART_BYTES) {
+            self.part(part).await?;
         }
-        self.io.flush(true).await.map_err(|_| Disconnected)
+        self.flush(true).await
     }
 
     /// Begins an answer of unknown length.
@@ -419,10 +425,21 @@
     pub async fn part(&mut self, bytes: &[u8]) -> Result<(), Disconnected> {
         let chunk = ntex::util::Bytes::copy_from_slice(bytes);
         self.io.encode(Message::Chunk(Some(chunk)), &self.codec).map_err(|_| Disconnected)?;
-        if self.io.is_wr_backpressure() {
-            self.io.flush(false).await.map_err(|_| Disconnected)?;
+        match self.io.is_wr_backpressure() {
+            true => self.flush(false).await,
+            false => Ok(()),
+        }
+    }
+
+    /// Waits until the caller has taken what was written: all of it, or the most.
+    async fn flush(&self, all: bool) -> Result<(), Disconnected> {
+        self.state.set_blocked_since(Some(self.clock.now().0));
+        let flushed = timeout(Duration::from_millis(TAKE_MS), self.io.flush(all)).await;
+        self.state.set_blocked_since(None);
+        match flushed {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) | Err(_) => Err(Disconnected),
         }
-        Ok(())
     }
 
     /// Ends an answer.
@@ -432,7 +449,7 @@
     pub async fn end(&mut self) -> Result<(), Disconnected> {
         self.state.set_progress(AnswerProgress::Undelivered);
         self.io.encode(Message::Chunk(None), &self.codec).map_err(|_| Disconnected)?;
-        self.io.flush(true).await.map_err(|_| Disconnected)
+        self.flush(true).await
     }
 
     /// Waits until the caller disconnects.
@@ -448,7 +465,7 @@
         let lingers = self.closes_after_answer && self.may_send_more;
         let has_discarded = lingers && self.discard_until_closed().await;
         let _ = timeout(Duration::from_millis(CLOSE_MS), self.io.shutdown()).await;
-        let is_cut = has_discarded || self.io.with_read_buf(|unread| !unread.is_empty());
+        let is_cut = has_discarded || self.has_unread_bytes();
         if let Some(reason) = reason.filter(|_| is_open && is_cut) {
             self.state.enter(gateway.now(), Phase::Head);
             self.state.record_end(gateway, reason);
@@ -459,16 +476,20 @@
     /// and returns whether there was anything.
     ///
     /// Closing a connection with unread bytes resets it, and a reset may discard an answer that the
-    /// caller has not read yet.
+    /// caller has not read yet. A caller that goes on sending without end is slowed down, so that it
+    /// takes no processor time from others.
     async fn discard_until_closed(&self) -> bool {
-        let has_discarded = Cell::new(false);
+        let discarded = Cell::new(0);
         let discard = async {
-            while let Ok(Some(())) = self.io.recv(&Discard).await {
-                has_discarded.set(true);
+            while let Ok(Some(bytes)) = self.io.recv(&Discard).await {
+                discarded.update(|sum| sum + bytes);
+                if discarded.get() > DISCARDED_AT_ONCE {
+                    sleep(Duration::from_millis(DISCARD_PAUSE_MS)).await;
+                }
             }
         };
         let _ = timeout(Duration::from_millis(LINGER_MS), discard).await;
-        has_discarded.get()
+        discarded.get() > 0
     }
 
     /// Terminates the connection, so that an unfinished answer does not look complete.
@@ -504,6 +525,34 @@
     }
 }
 
+/// How the body of a request arrives, according to its head.
+struct BodyFraming {
+    payload: PayloadType,
+    /// Length of the body, if the head states it.
+    length: Option<usize>,
+    /// Whether the caller waits for a word before it sends the body.
+    expects_continue: bool,
+}
+
+/// Splits a decoded head into what is kept of it and what its body needs.
+fn split_head(
+    request: &Request,
+    payload: PayloadType,
+    share: MemoryShare,
+) -> (ReceivedRequest, BodyFraming) {
+    let head = request.head();
+    let received = ReceivedRequest {
+        method: head.method.clone(),
+        target: head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned(),
+        headers: headers_of(request),
+        body: Bytes::new(),
+        _head_share: share,
+        body_share: None,
+    };
+    let length = content_length(request);
+    (received, BodyFraming { payload, length, expects_continue: head.expect() })
+}
+
 /// Returns the length of a body as its head states it.
 fn content_length(request: &Request) -> Option<usize> {
     request.headers().get("content-length")?.to_str().ok()?.trim().parse().ok()
@@ -530,9 +579,10 @@
     Ok(())
 }
 
-fn verdict_of(error: &DecodeError) -> Verdict {
+fn verdict_of(error: &HeadError) -> Verdict {
     match error {
-        DecodeError::MaxHeaders | DecodeError::TooLarge(_) => Verdict::HeadTooLarge,
-        _ => Verdict::BadRequest,
+        HeadError::Invalid(DecodeError::TooLarge(_)) => Verdict::HeadTooLarge,
+        HeadError::Invalid(_) => Verdict::BadRequest,
+        HeadError::OutOfMemory => Verdict::NotRun,
     }
 }
--- a/crates/oliveworks-gateway/src/lib.rs
+++ b/crates/oliveworks-gateway/src/lib.rs
@@ -9,7 +9,8 @@
 //! | [`settings`] | the settings file |
 //! | [`dialect`] | interface to the adapter of a platform |
 //! | [`process`] | start and stop |
-//! | `body`, `body_memory` | bodies that arrive, and the memory that all of them share |
+//! | `body`, `request_head` | bodies and heads of requests while they arrive |
+//! | `memory_budget` | memory that all connections share for one purpose |
 //! | `caller_connections` | open connections of callers, and their ends without an answer |
 //! | `connection` | reads the requests of one connection and writes their answers |
 //! | [`reload`] | logs changes in settings that are read again |
@@ -43,7 +44,6 @@
 //! | `readiness` | readiness checks and metrics for the platform |
 
 mod body;
-mod body_memory;
 mod caller_connections;
 mod callers;
 mod calls;
@@ -60,6 +60,7 @@
 mod host_statements;
 mod leader;
 mod members;
+mod memory_budget;
 mod missing;
 mod obstacles;
 mod peer_replay;
@@ -73,6 +74,7 @@
 mod records;
 mod relay;
 pub mod reload;
+mod request_head;
 mod server_list;
 pub mod settings;
 mod slow_start;
--- a/crates/oliveworks-gateway/src/process.rs
+++ b/crates/oliveworks-gateway/src/process.rs
@@ -1,13 +1,15 @@
 //! Start and stop of a gateway.
 
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use anyhow::Context;
+use log::warn;
 use oliveworks_runtime::clock::Clock;
 use serde_json::json;
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::sleep;
 
@@ -20,6 +22,12 @@
 
 /// Time between two checks whether a stop has ended.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Size of the receive and the send buffer of a client's connection, in bytes. A client that is 50 ms
+/// away sends the largest body in the time that is allowed for it; larger buffers, times the number
+/// of connections, would take memory that the process needs, and hide that a client reads nothing.
+const SOCKET_BUFFER_BYTES: u32 = 32 << 10;
+/// Number of connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
 /// Time in which the last lines of the log are written.
 const LAST_LINES_TIME: Duration = Duration::from_millis(20);
 
@@ -76,8 +84,8 @@
     shutdown: impl Future<Output = ()>,
 ) -> anyhow::Result<()> {
     let listen = settings.listen.clone();
-    let callers = TcpListener::bind(listen.callers).await.context("listen.callers")?;
-    let ready = TcpListener::bind(listen.ready).await.context("listen.ready")?;
+    let callers = listen_for_clients(listen.callers).context("listen.callers")?;
+    let ready = listen_for_clients(listen.ready).context("listen.ready")?;
     let socket = Rc::new(UdpSocket::bind(listen.peers).await.context("listen.peers")?);
     let questions = TcpListener::bind(listen.peers).await.context("listen.peers")?;
     let gateway = Rc::new(Gateway::new(settings, dialect, clock));
@@ -99,6 +107,21 @@
     Ok(())
 }
 
+/// Listens for connections with bounded buffers.
+fn listen_for_clients(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    let receives = socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES);
+    if let Err(error) = receives.and_then(|()| socket.set_send_buffer_size(SOCKET_BUFFER_BYTES)) {
+        warn!("process: cannot bound the buffers of connections at {address}: {error}");
+    }
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Waits until the platform has noticed the stop, and for connections with a request, as the timeline
 /// of the stop allows.
 async fn stop(gateway: &Rc<Gateway>) {
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -23,7 +23,7 @@
 use oliveworks_gateway_core::obstacles::NoPlace;
 use oliveworks_gateway_core::timeliness::{Goal, Served, Timeliness};
 
-use forwarding::Forwarded;
+use forwarding::{Forwarded, WholeAnswer};
 use reception::{Data, Reception, ReceptionEvent, next_event};
 use sending::{NotSent, Rejection};
 use tokio::time::sleep;
@@ -31,8 +31,9 @@
 use crate::caller_connections::AnswerProgress;
 use crate::connection::{Connection, Disconnected, ReceivedRequest};
 use crate::crashers::{FailedRun, features};
-use crate::dialect::{Headers, RequestInfo};
+use crate::dialect::{Headers, RequestInfo, SharedParts};
 use crate::events::Event;
+use crate::memory_budget::MemoryShare;
 use crate::state::Gateway;
 
 /// Deadline of a request whose caller names none, in ms, counted from its receipt.
@@ -56,6 +57,13 @@
 /// of a silent place is awaited or a stream is to be resumed.
 const SEARCH_INTERVAL_MS: u64 = 500;
 
+/// Number of parts up to which a prompt takes no memory of the budget for heads: the limit on
+/// connections covers them.
+const PARTS_FREE: usize = 64;
+/// Memory that a part of a prompt takes while its request is handled, in bytes: its id, and its
+/// features while they are sorted and kept.
+const PART_BYTES: usize = 256;
+
 /// Outcome of writing an answer to a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -94,6 +102,8 @@
     has_stale_key: bool,
     /// Features of the request, by which requests that crash backend servers are detected.
     features: Rc<Features>,
+    /// Memory of the features of a prompt with many parts.
+    _parts_share: MemoryShare,
     attempts: Attempts,
     tried_targets: Vec<Target>,
     /// Number of searches for another place that failed since the last send.
@@ -237,7 +247,9 @@
         waits.came_back(&found.route.name, u32::try_from(left_ms).unwrap_or(u32::MAX))
     });
     let workspace = found.workspace.map(|workspace| workspace.name.clone());
+    let parts_share = reserve_parts(gateway, &asked.shared_parts)?;
     Ok(Job {
+        _parts_share: parts_share,
         is_offered: pass_ms.is_some(),
         features: Rc::new(features(request, &asked, workspace.as_deref())),
         pass_ms: pass_ms.unwrap_or(0),
@@ -264,6 +276,19 @@
     })
 }
 
+/// Reserves memory for what is derived from the parts of a prompt.
+fn reserve_parts(gateway: &Gateway, parts: &SharedParts) -> Result<MemoryShare, Verdict> {
+    let mut share = gateway.head_memory.share();
+    if let SharedParts::Named(parts) = parts
+        && parts.len() > PARTS_FREE
+        && share.grow_to(parts.len() * PART_BYTES).is_err()
+    {
+        gateway.count("refused_memory");
+        return Err(Verdict::NotRun);
+    }
+    Ok(share)
+}
+
 impl<'a> Job<'a> {
     /// Returns whether the key of the request may be honoured: the configuration was proved recently
     /// both when the key was found in it, and now.
@@ -349,9 +374,18 @@
             Err(failure) => Forwarded::Failed(failure),
         };
         match forwarded {
-            Forwarded::Completed => {
+            Forwarded::Whole(answer) => {
+                drop(reception);
                 self.withdraw(others);
-                Some((End::Whole, self.count_served().into()))
+                let WholeAnswer { status, headers, body, share: _share } = answer;
+                let delivered = connection.answer(status, &headers, body).await;
+                Some(self.end_delivery(delivered))
+            }
+            Forwarded::StreamEnded => {
+                drop(reception);
+                self.withdraw(others);
+                let delivered = connection.end().await;
+                Some(self.end_delivery(delivered))
             }
             Forwarded::CallerGone => Some((End::Torn, "left".into())),
             Forwarded::Nothing => {
@@ -370,6 +404,14 @@
         }
     }
 
+    /// Returns the end of a request whose complete answer was delivered, or could not be.
+    fn end_delivery(&mut self, delivered: Result<(), Disconnected>) -> (End, String) {
+        match delivered {
+            Ok(()) => (End::Whole, self.count_served().into()),
+            Err(Disconnected) => (End::Torn, "left".into()),
+        }
+    }
+
     /// Returns how far the answer has come; `receptions` are the answers that are awaited.
     fn answer_progress(&self, receptions: &[Reception<'_>]) -> AnswerProgress {
         match receptions.iter().map(|reception| reception.since).max() {
@@ -534,6 +576,10 @@
             NoTarget::Limited => "refused_limited",
         });
         let now = self.gateway.now();
+        if none.reason == NoTarget::Full {
+            // A stream that its caller does not take keeps its backend server busy.
+            self.gateway.caller_connections.evict_stalled(now);
+        }
         let retry_after_ms = match none.reason {
             NoTarget::Backoff | NoTarget::Limited => none.known_ms(now).unwrap_or(RETRY_AFTER_MS),
             _ => RETRY_AFTER_MS,
--- a/crates/oliveworks-gateway/src/relay/forwarding.rs
+++ b/crates/oliveworks-gateway/src/relay/forwarding.rs
@@ -1,11 +1,14 @@
 //! Forwards answers to the caller.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use ntex::http::StatusCode;
 use oliveworks_gateway_core::Millis;
 use oliveworks_gateway_core::attempts::Failure;
 use oliveworks_gateway_core::configuration::Repeat;
 use oliveworks_gateway_core::group_id::GroupId;
+use tokio::time::sleep;
 
 use super::Job;
 use super::reception::{Data, Head, Reception};
@@ -14,6 +17,7 @@
 use crate::events::Event;
 use crate::exchange::MISDIRECTED;
 use crate::host_statements::Sender;
+use crate::memory_budget::MemoryShare;
 
 /// Hop-by-hop headers, which are not forwarded.
 const HOP_BY_HOP_HEADERS: [&str; 9] = [
@@ -28,6 +32,9 @@
     "proxy-authenticate",
 ];
 
+/// Time between two attempts to get memory for an answer, in ms.
+const MEMORY_RETRY_MS: u64 = 50;
+
 /// Statuses that promise callers that their request has not run.
 const NOT_RUN_STATUSES: [u16; 3] = [408, 429, 503];
 
@@ -42,14 +49,25 @@
     Nothing,
     /// The caller received a part of the answer, which thereby takes precedence over others.
     Part,
-    /// The caller has received the complete answer.
-    Completed,
+    /// The answer is complete here, and is to be delivered.
+    Whole(WholeAnswer),
+    /// The stream is complete here, and its end is to be delivered.
+    StreamEnded,
     /// The caller has disconnected.
     CallerGone,
     /// The attempt has failed.
     Failed(Failure),
 }
 
+/// A complete answer.
+pub(super) struct WholeAnswer {
+    pub status: StatusCode,
+    pub headers: Headers,
+    pub body: Bytes,
+    /// Memory that the body holds.
+    pub share: MemoryShare,
+}
+
 impl From<Disconnected> for Forwarded {
     fn from(_: Disconnected) -> Forwarded {
         Forwarded::CallerGone
@@ -69,9 +87,9 @@
         match data {
             Data::Head(head) => self.process_head(reception, head, others),
             Data::Events(events) => self.forward_events(connection, reception, &events).await,
-            Data::Part(part) => self.keep_part(reception, &part),
+            Data::Part(part) => self.keep_part(reception, &part).await,
             Data::End if reception.is_stream() => self.end_stream(connection, reception).await,
-            Data::End => self.forward_whole(connection, reception).await,
+            Data::End => self.take_whole(reception),
         }
     }
 
@@ -209,10 +227,7 @@
         if !is_complete && self.forward(connection, reception, &last).await.is_err() {
             return Forwarded::CallerGone;
         }
-        match connection.end().await {
-            Ok(()) => Forwarded::Completed,
-            Err(gone) => gone.into(),
-        }
+        Forwarded::StreamEnded
     }
 
     /// Records how the ids of a complete stream rise.
@@ -229,21 +244,27 @@
         }
     }
 
-    /// Keeps a part of an answer that must be complete before the caller receives any of it.
-    fn keep_part(&mut self, reception: &mut Reception<'_>, part: &[u8]) -> Forwarded {
-        if reception.whole.len() + part.len() > self.gateway.settings.requests.answer_max {
+    /// Keeps a part of an answer that must be complete before the caller receives any of it. If the
+    /// memory for answers is used up, the backend server waits until there is some.
+    async fn keep_part(&mut self, reception: &mut Reception<'_>, part: &[u8]) -> Forwarded {
+        if reception.whole.length_with(part.len()) > self.gateway.settings.requests.answer_max {
             return Forwarded::Failed(Failure::Lost);
         }
         self.record_news(reception);
-        reception.whole.extend_from_slice(part);
+        while reception.whole.append(part).is_err() {
+            let now = self.gateway.now();
+            self.gateway.caller_connections.evict_stalled(now);
+            if now >= self.deadline {
+                self.log.push("no memory for its answer".into());
+                return Forwarded::Failed(Failure::Lost);
+            }
+            sleep(Duration::from_millis(MEMORY_RETRY_MS)).await;
+        }
         Forwarded::Nothing
     }
 
-    async fn forward_whole(
-        &mut self,
-        connection: &mut Connection,
-        reception: &mut Reception<'_>,
-    ) -> Forwarded {
+    /// Returns a complete answer, so that the backend server is free while it is delivered.
+    fn take_whole(&mut self, reception: &mut Reception<'_>) -> Forwarded {
         let Some(head) = reception.head.take() else {
             return Forwarded::Failed(Failure::Lost);
         };
@@ -251,12 +272,13 @@
         if (200..300).contains(&head.status) {
             self.gateway.record_completion(&self.features);
         }
-        let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
-        let body = Bytes::from(std::mem::take(&mut reception.whole));
-        match connection.answer(status, &end_to_end_headers(&head.headers), body).await {
-            Ok(()) => Forwarded::Completed,
-            Err(gone) => gone.into(),
-        }
+        let (body, share) = reception.take_whole();
+        Forwarded::Whole(WholeAnswer {
+            status: StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY),
+            headers: end_to_end_headers(&head.headers),
+            body,
+            share,
+        })
     }
 
     async fn forward(
--- a/crates/oliveworks-gateway/src/relay/reception.rs
+++ b/crates/oliveworks-gateway/src/relay/reception.rs
@@ -20,9 +20,11 @@
 use oliveworks_gateway_core::group_id::GroupId;
 use oliveworks_gateway_core::stop::check_interval_ms;
 
+use crate::body::ArrivingBody;
 use crate::crashers::SuspectRun;
 use crate::dialect::Headers;
 use crate::exchange::{Exchange, HEAD_MAX, headers_of};
+use crate::memory_budget::MemoryShare;
 use crate::places::Place;
 use crate::state::Gateway;
 
@@ -75,7 +77,7 @@
     /// Bytes since the last news for the caller.
     without_news: Arrivals,
     /// Bytes received so far of a body that is not forwarded by events.
-    pub whole: Vec<u8>,
+    pub whole: ArrivingBody,
     pub outstanding: OutstandingRequest<'a>,
     exchange: Exchange,
     body: Option<Incoming>,
@@ -114,7 +116,7 @@
             held_blocks: Vec::new(),
             unfinished: Arrivals::default(),
             without_news: Arrivals::default(),
-            whole: Vec::new(),
+            whole: ArrivingBody::new(&sent.outstanding.gateway.answer_memory),
             outstanding: sent.outstanding,
             exchange: sent.exchange,
             body: None,
@@ -131,6 +133,12 @@
         self.place.candidate.target
     }
 
+    /// Takes the body of a complete answer, and the memory that it holds.
+    pub fn take_whole(&mut self) -> (Bytes, MemoryShare) {
+        let memory = &self.outstanding.gateway.answer_memory;
+        std::mem::replace(&mut self.whole, ArrivingBody::new(memory)).into_parts()
+    }
+
     /// Returns whether the answer is forwarded event by event.
     pub fn is_stream(&self) -> bool {
         let status = self.head.as_ref().map_or(0, |head| head.status);
--- a/crates/oliveworks-gateway/src/settings.rs
+++ b/crates/oliveworks-gateway/src/settings.rs
@@ -6,6 +6,7 @@
 use oliveworks_gateway_core::admission::AdmissionConfig;
 use oliveworks_gateway_core::planner::PlannerConfig;
 use oliveworks_gateway_core::stop::{GRACE_MAX_MS, GRACE_MIN_MS};
+use oliveworks_runtime::descriptors;
 use oliveworks_runtime::logs::LogConfig;
 use oliveworks_runtime::settings::Check;
 use serde::{Deserialize, Serialize};
@@ -31,6 +32,9 @@
     /// Memory that this process may use, in MB.
     #[serde(default)]
     pub memory_mb: Option<usize>,
+    /// Number of descriptors that this process may have open; by default the limit of the process.
+    #[serde(default)]
+    pub descriptors: Option<usize>,
     /// The platform's store.
     pub store: Store,
     /// Guarantees that the gateway has to keep.
@@ -173,8 +177,17 @@
     /// Largest answer that is buffered until it is complete, in bytes.
     pub answer_max: usize,
     /// Largest sum of the bodies that are held at once, in bytes; by default a quarter of
-    /// `memory_mb`, or 256 MB if that is not set.
+    /// `memory_mb`, or of 1024 MB if that is not set.
     pub bodies_max: Option<usize>,
+    /// Largest sum of the memory that heads with many fields and prompts with many parts take at
+    /// once, in bytes; by default a sixteenth of `memory_mb`, or of 1024 MB if that is not set.
+    pub heads_max: Option<usize>,
+    /// Largest sum of the answers that are held at once until they are complete and delivered, in
+    /// bytes; by default an eighth of `memory_mb`, or of 1024 MB if that is not set.
+    pub answers_max: Option<usize>,
+    /// Largest number of connections of callers that are open at once; by default what `memory_mb` and
+    /// `descriptors` have room for.
+    pub connections_max: Option<usize>,
     /// Whether requests during which several backend servers ended in a row are rejected.
     pub refuse_crashers: bool,
 }
@@ -186,6 +199,9 @@
             full_at: 1.0,
             answer_max: 8 << 20,
             bodies_max: None,
+            heads_max: None,
+            answers_max: None,
+            connections_max: None,
             refuse_crashers: true,
         }
     }
@@ -199,12 +215,23 @@
     1_000
 }
 
-/// Sum of the bodies that are held at once if neither it nor the memory of the process is set, in
-/// bytes.
-const BODIES_MAX: usize = 256 << 20;
-/// Part of the memory of the process that bodies may use. The rest is left for answers, records,
-/// and buffers of the sockets.
+/// Memory of a process if its setting is missing, in MB.
+const MEMORY_MB: usize = 1 << 10;
+/// Parts of the memory of the process that bodies, heads with many fields, and answers may use. The
+/// rest is left for connections, records, and buffers of the sockets.
 const BODIES_MEMORY_DIVISOR: usize = 4;
+const HEADS_MEMORY_DIVISOR: usize = 16;
+const ANSWERS_MEMORY_DIVISOR: usize = 8;
+/// Part of the memory of the process that the connections of callers may use.
+const CONNECTIONS_MEMORY_DIVISOR: usize = 4;
+/// Memory of a connection, in bytes: a head or a small body in its read buffer, the same once more as
+/// a request, and as much in the receive buffer of its socket.
+const CONNECTION_BYTES: usize = 64 << 10;
+/// Number of descriptors for other purposes than callers and their requests: files, the store, other
+/// gateways, readiness checks, and calls of a leader.
+const DESCRIPTORS_RESERVED: usize = 500;
+/// Number of descriptors of a caller: its connection, and one to a backend server.
+const DESCRIPTORS_PER_CALLER: usize = 2;
 
 /// Part of a limit by which a read of the store may be late, in hundredths. Reads are not made more
 /// often because each one is charged.
@@ -216,10 +243,33 @@
         self.processor.map(|share| (share * 100.0).round() as u32)
     }
 
+    /// Returns the memory of the process, in bytes.
+    fn memory_bytes(&self) -> usize {
+        self.memory_mb.unwrap_or(MEMORY_MB) << 20
+    }
+
     /// Returns the largest sum of the bodies that are held at once, in bytes.
     pub fn bodies_max(&self) -> usize {
-        let of_memory = self.memory_mb.map(|mb| (mb << 20) / BODIES_MEMORY_DIVISOR);
-        self.requests.bodies_max.or(of_memory).unwrap_or(BODIES_MAX)
+        self.requests.bodies_max.unwrap_or(self.memory_bytes() / BODIES_MEMORY_DIVISOR)
+    }
+
+    /// Returns the largest sum of the memory of heads with many fields, in bytes.
+    pub fn heads_max(&self) -> usize {
+        self.requests.heads_max.unwrap_or(self.memory_bytes() / HEADS_MEMORY_DIVISOR)
+    }
+
+    /// Returns the largest sum of the answers that are held at once, in bytes.
+    pub fn answers_max(&self) -> usize {
+        self.requests.answers_max.unwrap_or(self.memory_bytes() / ANSWERS_MEMORY_DIVISOR)
+    }
+
+    /// Returns the largest number of connections of callers.
+    pub fn connections_max(&self) -> usize {
+        let by_memory = self.memory_bytes() / CONNECTIONS_MEMORY_DIVISOR / CONNECTION_BYTES;
+        let descriptors = self.descriptors.or_else(descriptors::limit).unwrap_or(usize::MAX);
+        let by_descriptors =
+            descriptors.saturating_sub(DESCRIPTORS_RESERVED) / DESCRIPTORS_PER_CALLER;
+        self.requests.connections_max.unwrap_or(by_memory.min(by_descriptors).max(1))
     }
 
     /// Returns the longest time for which the store holds back a read of the configuration and of
@@ -278,8 +328,15 @@
         if self.memory_mb == Some(0) {
             return Err("memory_mb: must be more than 0".into());
         }
-        if self.requests.bodies_max == Some(0) {
-            return Err("requests.bodies_max: must be more than 0".into());
+        let sums = [
+            ("requests.bodies_max", self.requests.bodies_max),
+            ("requests.heads_max", self.requests.heads_max),
+            ("requests.answers_max", self.requests.answers_max),
+            ("requests.connections_max", self.requests.connections_max),
+            ("descriptors", self.descriptors),
+        ];
+        for (key, _) in sums.into_iter().filter(|(_, max)| *max == Some(0)) {
+            return Err(format!("{key}: must be more than 0"));
         }
         if self.node.is_empty() {
             return Err("node: must not be empty".into());
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -41,12 +41,12 @@
 use oliveworks_runtime::latencies::Latencies;
 use tokio::sync::{Notify, Semaphore, watch};
 
-use crate::body_memory::BodyMemory;
 use crate::caller_connections::OpenConnections;
 use crate::calls::Calls;
 use crate::dialect::{Dialect, Record, TOPICS, Topic};
 use crate::events::Event;
 use crate::host_statements::Leaving;
+use crate::memory_budget::MemoryBudget;
 use crate::rate_limits::ToLimiter;
 use crate::settings::Settings;
 use crate::{members, peer_replay, slow_start};
@@ -90,6 +90,9 @@
 /// Time between two reads of the processor time, in ms. A read costs a system call.
 const PROCESSOR_READ_INTERVAL_MS: u64 = 250;
 
+/// Largest number of connections of clients that check the readiness or read metrics.
+const PLATFORM_CONNECTIONS_MAX: usize = 256;
+
 /// Shared state of a gateway; belongs to one thread.
 pub struct Gateway {
     /// Settings of this gateway.
@@ -231,13 +234,19 @@
     /// Timeline of the stop, once it has begun.
     pub stop: Cell<Option<StopTimeline>>,
     /// Memory for the bodies of requests.
-    pub body_memory: Rc<BodyMemory>,
+    pub body_memory: Rc<MemoryBudget>,
+    /// Memory for the heads of requests with many fields, and for prompts with many parts.
+    pub head_memory: Rc<MemoryBudget>,
+    /// Memory for answers that are delivered as a whole.
+    pub answer_memory: Rc<MemoryBudget>,
     /// Limits on what callers may send.
     pub caller_limits: RefCell<CallerLimits>,
     /// Number of requests in flight.
     pub requests_in_flight: Cell<usize>,
     /// The connections that callers have open.
     pub caller_connections: OpenConnections,
+    /// The connections of clients that check the readiness of this process or read its metrics.
+    pub platform_connections: OpenConnections,
     /// Whether any gateway has received a request.
     pub traffic: Cell<bool>,
     /// Incarnation of this process, a random number.
@@ -336,10 +345,13 @@
             plan_now: Notify::new(),
             stopping: watch::channel(false).0,
             stop: Cell::new(None),
-            body_memory: BodyMemory::new(settings.bodies_max()),
+            body_memory: MemoryBudget::new(settings.bodies_max()),
+            head_memory: MemoryBudget::new(settings.heads_max()),
+            answer_memory: MemoryBudget::new(settings.answers_max()),
             caller_limits: RefCell::default(),
             requests_in_flight: Cell::new(0),
-            caller_connections: OpenConnections::default(),
+            caller_connections: OpenConnections::new(settings.connections_max()),
+            platform_connections: OpenConnections::new(PLATFORM_CONNECTIONS_MAX),
             traffic: Cell::new(false),
             incarnation,
             counters: RefCell::default(),
--- a/crates/oliveworks-gateway/tests/settings.rs
+++ b/crates/oliveworks-gateway/tests/settings.rs
@@ -36,6 +36,14 @@
     assert_eq!(settings.bodies_max(), bytes);
 }
 
+#[test_case("memory_mb: 112\ndescriptors: 2870", 448; "the memory of the process")]
+#[test_case("memory_mb: 512\ndescriptors: 2870", 1_185; "its descriptors")]
+#[test_case("memory_mb: 512\nrequests: {connections_max: 7}", 7; "its own setting")]
+fn the_limit_on_connections_follows_from(lines: &str, connections: usize) {
+    let settings = read(&GOOD.replacen("node:", &format!("{lines}\nnode:"), 1));
+    assert_eq!(settings.expect("good settings").connections_max(), connections);
+}
+
 /// Guards against settings that name a grace period of 2500 ms as `2.5000`.
 #[test]
 fn a_grace_period_may_have_a_fraction() {
@@ -70,6 +78,10 @@
 #[test_case("node:", "processor: 0\nnode:", "processor"; "no processor")]
 #[test_case("node:", "memory_mb: 0\nnode:", "memory_mb"; "no memory")]
 #[test_case("policy:", "requests: {bodies_max: 0}\npolicy:", "requests.bodies_max"; "no memory for bodies")]
+#[test_case("policy:", "requests: {heads_max: 0}\npolicy:", "requests.heads_max"; "no memory for heads")]
+#[test_case("policy:", "requests: {answers_max: 0}\npolicy:", "requests.answers_max"; "no memory for answers")]
+#[test_case("policy:", "requests: {connections_max: 0}\npolicy:", "requests.connections_max"; "no connections")]
+#[test_case("policy:", "descriptors: 0\npolicy:", "descriptors"; "no descriptors")]
 #[test_case("spare_percent: 10", "spare_percent: 101", "policy.planner.spare_percent"; "too many spares")]
 #[test_case("spare_percent: 10", "staging_percent: 200", "policy.planner.staging_percent"; "more than all loads")]
 #[test_case("spare_percent: 10", "yield_margin: -0.1", "policy.planner.yield_margin"; "a negative load")]
--- a/crates/oliveworks-runtime/src/lib.rs
+++ b/crates/oliveworks-runtime/src/lib.rs
@@ -13,6 +13,7 @@
 //! error that names the key.
 
 pub mod clock;
+pub mod descriptors;
 pub mod fleet;
 pub mod keys;
 pub mod latencies;
