A caller that sends ahead is closed after a refusal

Cause: each refusal was followed at once by the next request of the same connection, while ordinary callers wait as their refusals tell them.

Change: a refusal that asks to come back ends its connection if bytes of the next request have arrived by then. They are unread, so the request may be repeated. Callers that wait for an answer before the next request see nothing of it.

Evidence: a_caller_that_sends_ahead_is_closed_after_a_refusal.

--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -141,6 +141,11 @@
 ) -> End {
     let answer = verdict.answer();
     gateway.count(answer.code);
+    if answer.come_back && connection.has_unread_bytes() {
+        // The caller has sent the next request without waiting for this refusal, and may go on so.
+        gateway.count("refused_ahead");
+        connection.close_after_next_answer();
+    }
     let mut headers: Headers = Vec::new();
     if !id.is_empty() {
         let (name, value) = gateway.dialect.request_id_header(id);
