--- a/crates/oliveworks-gateway/src/settings.rs
+++ b/crates/oliveworks-gateway/src/settings.rs
@@ -328,14 +328,14 @@
         if self.memory_mb == Some(0) {
             return Err("memory_mb: must be more than 0".into());
         }
-        let sums = [
+        let limits = [
             ("requests.bodies_max", self.requests.bodies_max),
             ("requests.heads_max", self.requests.heads_max),
             ("requests.answers_max", self.requests.answers_max),
             ("requests.connections_max", self.requests.connections_max),
             ("descriptors", self.descriptors),
         ];
-        for (key, _) in sums.into_iter().filter(|(_, max)| *max == Some(0)) {
+        if let Some((key, _)) = limits.into_iter().find(|(_, max)| *max == Some(0)) {
             return Err(format!("{key}: must be more than 0"));
         }
         if self.node.is_empty() {
