Fewer connections wait to be accepted

What was seen: with 19 % of a core, and 3,000 clients that connect anew once they are closed, the platform's readiness check waits behind up to 1,024 connections, longer than the second that it has: 2 or 3 checks in a row failed beside slow bodies and bodies that stop half-way. What the waiting connections send stands in their receive buffers: 73 to 81 MB of 112.

Change: 256 connections wait. Beyond that a client's system repeats its opening packet, as it did beyond 1,024.

--- a/crates/oliveworks-gateway/src/process.rs
+++ b/crates/oliveworks-gateway/src/process.rs
@@ -26,8 +26,8 @@
 /// away sends the largest body in the time that is allowed for it; larger buffers, times the number
 /// of connections, would take memory that the process needs, and hide that a client reads nothing.
 const SOCKET_BUFFER_BYTES: u32 = 32 << 10;
-/// Number of connections that wait to be accepted.
-const BACKLOG: u32 = 1_024;
+/// Number of connections that wait to be accepted. What they send meanwhile takes memory.
+const BACKLOG: u32 = 256;
 /// Time in which the last lines of the log are written.
 const LAST_LINES_TIME: Duration = Duration::from_millis(20);
 
