Prompts are read after the route and the key, and their parts sorted once

What was seen: with 19 % of a core, 400 callers with prompts of 4,000 parts keep a gateway from 2 readiness checks in a row, also on a path without a route.

Cause: the list of parts was parsed for each request before its route was looked up, and its features went through an ordered set and a sort of their own.

Change: the dialect parses the list in a call of its own, which follows route and key; the distinct parts are sorted as a list, which leaves their features in order.

--- a/crates/oliveworks-gateway-core/src/crashers/features.rs
+++ b/crates/oliveworks-gateway-core/src/crashers/features.rs
@@ -1,7 +1,6 @@
 //! Features of a request: what it has in common with other requests that may crash for the same
 //! reason.
 
-use std::collections::BTreeSet;
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
@@ -108,11 +107,13 @@
     /// Adds the parts of the prompt that other requests may contain as well. No part is left out,
     /// wherever it stands: the size of a request head limits their number.
     pub fn with_parts(mut self, workspace: WorkspaceHash, parts: &[PartId]) -> Features {
-        let distinct: BTreeSet<PartId> = parts.iter().copied().collect();
-        for part in distinct {
-            self.all.push(Feature::Part(part));
-            self.all.push(Feature::WorkspacePart(workspace, part));
-        }
+        let mut distinct = parts.to_vec();
+        distinct.sort_unstable();
+        distinct.dedup();
+        self.all.reserve_exact(2 * distinct.len());
+        self.all.extend(distinct.iter().copied().map(Feature::Part));
+        let of_workspace = |part| Feature::WorkspacePart(workspace, part);
+        self.all.extend(distinct.into_iter().map(of_workspace));
         self.all.sort_unstable();
         self
     }
--- a/crates/oliveworks-gateway/src/crashers.rs
+++ b/crates/oliveworks-gateway/src/crashers.rs
@@ -39,6 +39,7 @@
 pub fn features(
     request: &ReceivedRequest,
     asked: &RequestInfo,
+    parts: &SharedParts,
     workspace: Option<&str>,
 ) -> Features {
     let workspace = workspace.unwrap_or_default();
@@ -54,7 +55,7 @@
     if !request.body.is_empty() {
         features = features.with_body(fingerprint(&[workspace.as_bytes(), &request.body]));
     }
-    match &asked.shared_parts {
+    match parts {
         SharedParts::Named(parts) => {
             features.with_parts(WorkspaceHash(xxh3_64(workspace.as_bytes())), parts)
         }
--- a/crates/oliveworks-gateway/src/dialect.rs
+++ b/crates/oliveworks-gateway/src/dialect.rs
@@ -145,8 +145,6 @@
     pub model: Option<String>,
     /// Number of tokens in the prompt.
     pub prompt_tokens: u32,
-    /// Parts of the prompt that other requests may contain as well.
-    pub shared_parts: SharedParts,
     /// Last event received by the caller.
     pub last_event: Option<u64>,
 }
@@ -230,6 +228,9 @@
     /// # Errors
     /// Returns an error if the request has no id.
     fn parse_request(&self, headers: &Headers) -> Result<RequestInfo, Malformed>;
+    /// Reads the parts of a request's prompt that other requests may contain as well. There may be
+    /// thousands, so only requests with a route and a key are read for them.
+    fn parse_shared_parts(&self, headers: &Headers) -> SharedParts;
     /// Returns the headers for a backend server: those of the caller, except for headers reserved
     /// for this system, and those with the information in `info`.
     fn outgoing_headers(&self, headers: &Headers, info: &ForwardInfo<'_>) -> Headers;
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -84,6 +84,8 @@
     gateway: &'a Gateway,
     request: &'a ReceivedRequest,
     asked: RequestInfo,
+    /// Parts of the prompt that other requests may contain as well.
+    shared_parts: SharedParts,
     route: Route,
     service: String,
     /// Requested model, if the service serves models by replica groups.
@@ -252,11 +254,14 @@
         waits.came_back(&found.route.name, u32::try_from(left_ms).unwrap_or(u32::MAX))
     });
     let workspace = found.workspace.map(|workspace| workspace.name.clone());
-    let parts_share = reserve_parts(gateway, &asked.shared_parts)?;
+    let shared_parts = gateway.dialect.parse_shared_parts(&request.headers);
+    let parts_share = reserve_parts(gateway, &shared_parts)?;
+    let features = features(request, &asked, &shared_parts, workspace.as_deref());
     Ok(Job {
+        features: Rc::new(features),
+        shared_parts,
         _parts_share: parts_share,
         is_offered: pass_ms.is_some(),
-        features: Rc::new(features(request, &asked, workspace.as_deref())),
         pass_ms: pass_ms.unwrap_or(0),
         model: asked.model.clone().filter(|_| grouped),
         workspace,
@@ -509,7 +514,7 @@
         let (sent, first_event) = (reception.sent, reception.outstanding.first_event);
         let place = reception.place.clone();
         drop(reception);
-        let (id, parts) = (&self.asked.id, &self.asked.shared_parts);
+        let (id, parts) = (&self.asked.id, &self.shared_parts);
         let run = FailedRun { place: &place, sent, first_event, failure, id, parts };
         let gone = self.has_ended(&run).await;
         self.record_failure(&place.server, failure, gone)
