A connection that waits for its end makes room as well

What was seen: by reading, a connection that has its last answer and is evicted counts no longer, but waits for up to a second and a half for its end. With 1,000 new connections a second, as 3,000 clients at 448 places make, that many are open beside those that count, and take descriptors.

Change: it ends at once. Names: Rank::Delivering; one RETRY_AFTER_MS.

No test of its own: the number of connections that wait for their end is not reported.

--- a/crates/oliveworks-gateway-core/src/evictions.rs
+++ b/crates/oliveworks-gateway-core/src/evictions.rs
@@ -56,7 +56,7 @@
     Unused,
     Idle,
     Arriving,
-    Delivered,
+    Delivering,
 }
 
 impl OpenConnection {
@@ -77,7 +77,7 @@
             Activity::Idle { is_used: false } => Some(Rank::Unused),
             Activity::Idle { is_used: true } => Some(Rank::Idle),
             Activity::Head | Activity::Body { .. } => Some(Rank::Arriving),
-            Activity::Blocked => Some(Rank::Delivered),
+            Activity::Blocked => Some(Rank::Delivering),
             Activity::Busy => None,
         }
     }
--- a/crates/oliveworks-gateway/src/callers.rs
+++ b/crates/oliveworks-gateway/src/callers.rs
@@ -29,7 +29,7 @@
 const ACCEPT_RETRY_MS: u64 = 20;
 /// Shortest retry time sent with a request whose body was not read, in ms: most requests that hold
 /// memory have ended by then.
-const RETRY_AFTER_MS: u64 = 1_000;
+pub const RETRY_AFTER_MS: u64 = 1_000;
 
 /// Serves a connection until it ends or is closed in favour of others.
 async fn serve(gateway: Rc<Gateway>, io: Io) {
--- a/crates/oliveworks-gateway/src/connection.rs
+++ b/crates/oliveworks-gateway/src/connection.rs
@@ -83,7 +83,7 @@
 pub enum Received {
     /// A request.
     Request(Box<ReceivedRequest>),
-    /// An invalid request, which is answered with a verdict before the connection ends.
+    /// A request that cannot be read, which is answered with a verdict before the connection ends.
     Invalid(Verdict),
     /// A request that was rejected before its body was read. The connection ends with the answer.
     Rejected(Box<ReceivedRequest>, Rejected),
@@ -463,7 +463,13 @@
         let is_open = !self.io.is_closed();
         self.state.enter(gateway.now(), Phase::Closing);
         let lingers = self.closes_after_answer && self.may_send_more;
-        let has_discarded = lingers && self.discard_until_closed().await;
+        let has_discarded = lingers
+            && tokio::select! {
+                biased;
+                has_discarded = self.discard_until_closed() => has_discarded,
+                // Whether anything was discarded is not known, and is of no use any more.
+                () = self.state.wait_for_eviction() => false,
+            };
         let _ = timeout(Duration::from_millis(CLOSE_MS), self.io.shutdown()).await;
         let is_cut = has_discarded || self.has_unread_bytes();
         if let Some(reason) = reason.filter(|_| is_open && is_cut) {
--- a/crates/oliveworks-gateway/src/readiness.rs
+++ b/crates/oliveworks-gateway/src/readiness.rs
@@ -6,6 +6,7 @@
 use ntex::io::Io;
 use oliveworks_gateway_core::attempts::Verdict;
 
+use crate::callers::RETRY_AFTER_MS;
 use crate::connection::{Connection, Disconnected, Received, ReceivedRequest, Rejected};
 use crate::relay;
 use crate::state::Gateway;
@@ -13,9 +14,6 @@
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
-/// Shortest retry time sent with a request that was not read for lack of memory, in ms.
-const RETRY_AFTER_MS: u64 = 1_000;
-
 /// Prefix of the names of metrics.
 const METRICS_PREFIX: &str = "oliveworks_gateway";
 
