--- a/crates/oliveworks-core/src/placement.rs
+++ b/crates/oliveworks-core/src/placement.rs
@@ -12,6 +12,10 @@
 //! keeps large blocks of free hosts together. Within a domain, hosts that hold the weights are
 //! preferred.
 
+mod hosts;
+mod partners;
+mod preemption;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
@@ -20,7 +24,7 @@
 use crate::id::{DomainId, Epoch, HostId, Name};
 use crate::pool::{Group, GroupState, Pool, Published};
 use crate::record::{Basis, Body};
-use crate::template::{Kind, SlotId};
+use crate::template::SlotId;
 
 /// Options for repairing and packing groups. Measurements compare two baselines with the default:
 /// [`PlacementConfig::first_fit`] and [`PlacementConfig::no_spares`].
@@ -106,11 +110,6 @@
     draft.plan
 }
 
-/// Number of hosts of a domain for each free host that is reserved for repairs. Spares are assigned
-/// only from what remains. A domain with fewer hosts reserves none, because a spare is worth more
-/// than a free host there.
-const HOSTS_PER_RESERVED_HOST: usize = 30;
-
 fn priority(pool: &Pool, slot: &SlotId) -> u8 {
     pool.template(&slot.template).map_or(0, |p| p.template.priority)
 }
@@ -364,89 +363,6 @@
         });
     }
 
-    /// Returns the free hosts of a domain that suit a template.
-    fn suitable(&self, domain: DomainId, published: &Published) -> Vec<HostId> {
-        let template = &published.template;
-        let wanted = (template.kind == Kind::Service).then_some(template.model.as_str());
-        let suits = |h: &&HostId| {
-            self.fleet.host(**h).is_some_and(|view| view.service.as_deref() == wanted)
-        };
-        self.free.get(&domain).into_iter().flatten().filter(suits).copied().collect()
-    }
-
-    fn choose_domain(&self, published: &Published, width: usize) -> Option<DomainId> {
-        let spares = usize::from(published.template.spares);
-        let weights = published.template.weights();
-        let mut best: Option<((usize, usize, usize), DomainId)> = None;
-        for domain in self.free.keys() {
-            let suitable = self.suitable(*domain, published);
-            if suitable.len() < width {
-                continue;
-            }
-            if !self.config.best_fit {
-                return Some(*domain);
-            }
-            let warm =
-                suitable.iter().filter(|h| self.holds_weights(**h, weights)).count().min(width);
-            let no_room_for_spares = usize::from(suitable.len() < width + spares);
-            let score = (width - warm, no_room_for_spares, suitable.len() - width);
-            if best.is_none_or(|(b, _)| score < b) {
-                best = Some((score, *domain));
-            }
-        }
-        best.map(|(_, domain)| domain)
-    }
-
-    fn holds_weights(&self, host: HostId, weights: u64) -> bool {
-        self.fleet.host(host).is_some_and(|v| v.weights == Some(weights))
-    }
-
-    /// Removes `count` suitable hosts from a domain's free hosts and returns them.
-    fn pick(
-        &mut self,
-        domain: DomainId,
-        count: usize,
-        published: &Published,
-    ) -> Option<Vec<HostId>> {
-        let mut suitable = self.suitable(domain, published);
-        if suitable.len() < count {
-            return None;
-        }
-        if self.config.best_fit {
-            let weights = published.template.weights();
-            suitable.sort_by_key(|h| (!self.holds_weights(*h, weights), *h));
-        }
-        suitable.truncate(count);
-        let free = self.free.entry(domain).or_default();
-        for host in &suitable {
-            free.remove(host);
-        }
-        Some(suitable)
-    }
-
-    /// Picks spares. Hosts that a missing replica could use and the last free hosts of a domain are
-    /// excluded, because a spare serves one group while a free host can repair any group.
-    fn pick_spares(&mut self, domain: DomainId, published: &Published, have: usize) -> Vec<HostId> {
-        if !self.config.spares {
-            return Vec::new();
-        }
-        let template = &published.template;
-        let needed = usize::from(template.spares).saturating_sub(have);
-        let left = self.suitable(domain, published).len();
-        // While a replica lacks a group, hosts that make up whole replicas are left free and only
-        // the remainder may become spares. Otherwise all of them may.
-        let remainder = left % usize::from(template.hosts.max(1));
-        let spare = if self.all_formed() { left } else { remainder };
-        let count = needed.min(spare.saturating_sub(self.reserve(domain)));
-        self.pick(domain, count, published).unwrap_or_default()
-    }
-
-    /// Returns how many free hosts of a domain are reserved for repairs.
-    fn reserve(&self, domain: DomainId) -> usize {
-        let hosts = self.fleet.hosts().filter(|(_, v)| v.domain == domain).count();
-        hosts / HOSTS_PER_RESERVED_HOST
-    }
-
     fn all_formed(&self) -> bool {
         self.wanted_slots().iter().all(|(slot, _)| !self.lacks_group(slot))
     }
@@ -504,112 +420,6 @@
         }
     }
 
-    fn usage(&self) -> BTreeMap<Name, usize> {
-        let mut usage = BTreeMap::new();
-        for group in self.pool.groups() {
-            *usage.entry(group.slot.template.partner.clone()).or_default() += group.ranked.len();
-        }
-        usage
-    }
-
-    /// Returns the partner with queued work that has the lowest use relative to its share.
-    fn partner_with_lowest_use(
-        &self,
-        queues: &BTreeMap<Name, Vec<(SlotId, &Published)>>,
-        usage: &BTreeMap<Name, usize>,
-    ) -> Option<Name> {
-        let waiting = queues.iter().filter(|(_, q)| !q.is_empty());
-        let relative_use = |name: &Name| {
-            let used = usage.get(name).copied().unwrap_or(0) * 1000;
-            used / usize::from(self.share(name)).max(1)
-        };
-        waiting.map(|(name, _)| name).min_by_key(|name| relative_use(name)).cloned()
-    }
-
-    /// Returns a partner's agreed share in percent, or an equal share while none is agreed.
-    fn share(&self, partner: &Name) -> u8 {
-        let equal = 100 / self.pool.partners().len().max(1) as u8;
-        self.pool.share(partner).unwrap_or(equal)
-    }
-
-    /// Preempts one group of lower priority of the same partner whose hosts would make room.
-    fn reclaim(&mut self, slot: &SlotId, domain: Option<DomainId>) -> bool {
-        if !self.config.reclaim {
-            return false;
-        }
-        let pool = self.pool;
-        let lower = |g: &&Group| {
-            let same = g.slot.template.partner == slot.template.partner;
-            same && priority(pool, &g.slot) < priority(pool, slot)
-        };
-        self.preempt_one(slot, domain, lower)
-    }
-
-    /// Preempts one group of a partner above its agreed share in favor of a partner within its
-    /// share.
-    fn preempt_over_share(&mut self, slot: &SlotId, usage: &BTreeMap<Name, usize>) -> bool {
-        let total = self.fleet.hosts().filter(|(_, v)| v.is_usable()).count();
-        let over_share: BTreeSet<Name> = usage
-            .iter()
-            .filter(|(name, used)| {
-                let agreed = self.pool.share(name);
-                agreed.is_some_and(|share| **used * 100 > total * usize::from(share))
-            })
-            .map(|(name, _)| name.clone())
-            .collect();
-        let requester = &slot.template.partner;
-        let needed =
-            self.pool.template(&slot.template).map_or(0, |p| usize::from(p.template.hosts));
-        let use_with_group = usage.get(requester).copied().unwrap_or(0) + needed;
-        let within_share = self
-            .pool
-            .share(requester)
-            .is_some_and(|s| use_with_group * 100 <= total * usize::from(s));
-        let foreign = |g: &&Group| {
-            g.slot.template.partner != *requester && over_share.contains(&g.slot.template.partner)
-        };
-        within_share && self.preempt_one(slot, None, foreign)
-    }
-
-    /// Drains the group of lowest priority among `candidates` that, together with the free hosts of
-    /// its domain, makes room for `slot`. Returns true also if such a group is already draining.
-    fn preempt_one(
-        &mut self,
-        slot: &SlotId,
-        domain: Option<DomainId>,
-        candidates: impl Fn(&&Group) -> bool,
-    ) -> bool {
-        let Some(published) = self.pool.template(&slot.template) else {
-            return false;
-        };
-        let needed = match domain {
-            Some(_) => 1,
-            None => usize::from(published.template.hosts),
-        };
-        let same_kind = |g: &&Group| {
-            let kind = self.pool.template(&g.slot.template).map(|p| p.template.kind);
-            kind == Some(published.template.kind)
-        };
-        let room = |g: &&Group| {
-            let free = self.free.get(&g.domain).map_or(0, BTreeSet::len);
-            domain.is_none_or(|d| d == g.domain) && free + g.ranked.len() >= needed
-        };
-        let mut fitting: Vec<&Group> =
-            self.pool.groups().filter(&candidates).filter(same_kind).filter(room).collect();
-        if fitting.iter().any(|g| g.state == GroupState::Draining) {
-            return true;
-        }
-        fitting.retain(|g| !self.handled.contains(&g.epoch));
-        let least = fitting
-            .iter()
-            .min_by_key(|g| (priority(self.pool, &g.slot), std::cmp::Reverse(g.epoch)));
-        let Some(epoch) = least.map(|g| g.epoch) else {
-            return false;
-        };
-        self.drain(epoch);
-        true
-    }
-
     fn record_missing(&mut self, slot: &SlotId, published: &Published) {
         let largest = self.free.keys().map(|d| self.suitable(*d, published).len()).max();
         self.plan.missing.push(Missing {
--- a/crates/oliveworks-gateway-core/src/planner.rs
+++ b/crates/oliveworks-gateway-core/src/planner.rs
@@ -17,7 +17,7 @@
 //! | `advance` | the next step of each group |
 //! | `allocation`, `shortage` | which free hosts form new groups, and which hosts are reserved |
 //! | `early_service` | what free hosts can serve earlier than the groups of their domain's quota |
-//! | `spares`, `stage` | what other hosts load, and keep in memory |
+//! | `spares`, `stage`, `staging_orders` | what other hosts load, and keep in memory |
 //! | `preemption` | which groups are preempted for others |
 //! | `shares`, `pressure` | the target share of the hosts for each model |
 //! | `spread` | over how many failure domains a model's groups are spread |
@@ -26,7 +26,9 @@
 //! | `arrivals`, `outage` | whether a domain is returning, or stopped answering as a whole |
 //! | `drain` | what happens to the hosts of a drained failure domain |
 //! | `heads` | which member is the head of a group |
-//! | `observations` | what is known about hosts from sources other than their answers |
+//! | `quotas` | how many groups of each model each domain should hold |
+//! | `reports` | what is known about hosts from their records and answers |
+//! | `observations` | what is known about hosts from other sources |
 //! | `waiting`, `describe` | what is reported to operators |
 //!
 //! A domain without further qualification is a fabric domain: all members of a group are in the
@@ -50,20 +52,23 @@
 mod outage;
 mod preemption;
 mod pressure;
+mod quotas;
+mod reports;
 mod restart;
 mod shares;
 mod shortage;
 mod spares;
 mod spread;
 mod stage;
+mod staging_orders;
 mod waiting;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::Millis;
-use crate::backend_servers::{BackendServer, BackendServerId, Holding};
+use crate::backend_servers::{BackendServerId, Holding};
 use crate::configuration::{Engine, Model};
-use crate::quota::{self, DomainCapacity, Quotas};
+use crate::quota::{DomainCapacity, Quotas};
 use arrivals::ArrivalBurst;
 use ending::EndReason;
 pub use ending::Ending;
@@ -225,38 +230,6 @@
         }
     }
 
-    /// Recomputes the number of groups that each domain should hold, if its inputs have changed.
-    fn update_quotas(&mut self, now: Millis) {
-        let capacities = domain::capacities(now, self);
-        if capacities != self.capacities {
-            self.quotas = quota::quotas_spread_over_failure_domains(
-                &self.engine.models,
-                &capacities,
-                &self.spread(),
-            );
-            self.quotas_changed_at = now;
-            self.capacities = capacities;
-        }
-        self.adjust_shares(now);
-        self.record_full_strength_quotas(now);
-    }
-
-    /// Records the quotas of each domain while it has its largest number of hosts.
-    fn record_full_strength_quotas(&mut self, now: Millis) {
-        for (domain, groups) in &self.quotas {
-            let hosts =
-                self.capacities.get(domain).map_or(0, |capacity| capacity.hosts + capacity.spares);
-            let most = self.most_hosts.get(domain).copied().unwrap_or_default();
-            // The quotas of a returning domain are planned as if it were complete.
-            let returns =
-                self.arrival_bursts.get(domain).is_some_and(|burst| burst.is_returning(now));
-            if hosts >= most && !returns && self.quotas_at_full_strength.get(domain) != Some(groups)
-            {
-                self.quotas_at_full_strength.insert(domain.clone(), groups.clone());
-            }
-        }
-    }
-
     /// Returns the epochs of the groups that hosts report to be members of.
     pub fn reported_epochs(&self) -> BTreeSet<u64> {
         let members = self.hosts.values().filter_map(|host| host.holding.group.as_ref());
@@ -278,83 +251,6 @@
         self.ended.extend(epochs);
     }
 
-    /// Returns the largest number of hosts that each domain ever had. The spares of a domain shrink
-    /// by the hosts that it has lost since.
-    pub fn most_hosts(&self) -> &BTreeMap<String, usize> {
-        &self.most_hosts
-    }
-
-    /// Merges the largest numbers of hosts that an earlier leader recorded.
-    pub fn adopt_most_hosts(&mut self, most: &BTreeMap<String, usize>) {
-        for (domain, count) in most {
-            let held = self.most_hosts.entry(domain.clone()).or_default();
-            *held = (*held).max(*count);
-        }
-    }
-
-    /// Handles a host that is listed, or whose record changed.
-    pub fn handle_listed_host(&mut self, now: Millis, server: &BackendServer) {
-        let known = self.hosts.get(&server.id).map(Host::born);
-        match self.hosts.get_mut(&server.id) {
-            Some(_) if known.is_some_and(|known| server.holding.is_of_later_incarnation(known)) => {
-                self.handle_restart(now, server);
-            }
-            Some(host) => host.update_record(now, server),
-            None => {
-                self.hosts.insert(server.id.clone(), Host::new(now, server));
-                record_arrival(&mut self.arrival_bursts, now, &server.domain);
-            }
-        }
-    }
-
-    /// Handles a state report of a host.
-    pub fn handle_report(&mut self, now: Millis, id: &str, holding: &Holding) {
-        let host = self.hosts.get(id).filter(|host| holding.is_of_later_incarnation(host.born()));
-        if let Some(server) = host.map(|host| host.server.clone()) {
-            let holding = holding.clone();
-            let server = BackendServer { draining: false, number: None, holding, ..server };
-            self.handle_restart(now, &server);
-        }
-        let may_be_slow = self.may_be_slow();
-        if let Some(host) = self.hosts.get_mut(id) {
-            if host.is_lost() {
-                record_arrival(&mut self.arrival_bursts, now, &host.server.domain);
-            }
-            host.mark_answering();
-            if let Some(pace) = holding.pace {
-                host.update_pace(pace, may_be_slow);
-            }
-            host.handle_probe_answer(now, self.engine.report_lag_ms, holding);
-        }
-    }
-
-    /// Handles a failed probe of a host.
-    pub fn handle_probe_failure(&mut self, now: Millis, id: &str, failure: ProbeFailure) {
-        let Some(host) = self.hosts.get_mut(id) else { return };
-        let group = host.group.and_then(|epoch| self.groups.get(&epoch));
-        let failure = match failure {
-            // Nothing is destroyed if a host without a serving group counts as lost, and it is then
-            // probed less often. A leader that is too slow to read answers in time would otherwise
-            // probe most hosts of a large pool again and again.
-            ProbeFailure::Unanswered if !group.is_some_and(Group::is_in_service) => {
-                ProbeFailure::Unreachable
-            }
-            _ => failure,
-        };
-        let was_suspected = host.suspected && !host.is_lost();
-        host.record_probe_failure(now, failure);
-        // A host that accepts connections does not show that its domain is down.
-        if was_suspected && failure != ProbeFailure::Unanswered {
-            self.outages.add(now, &host.server.domain);
-        }
-    }
-
-    /// Handles the outcome of an order.
-    pub fn handle_order_outcome(&mut self, now: Millis, id: &str, order: &Order, outcome: Outcome) {
-        let Some(host) = self.hosts.get_mut(id) else { return };
-        host.apply_outcome(now, order, outcome);
-    }
-
     /// Returns the groups that serve. Groups with a lost, leaving or drained member are left out.
     pub fn serving(&self, now: Millis) -> Vec<ServingGroup> {
         let open = self.groups.values().filter(|group| group.serves(now));
@@ -526,68 +422,10 @@
         }
     }
 
-    /// Orders hosts to stage models, with the loads that the joins of this tick left over.
-    fn stage(&mut self, now: Millis, commands: &mut Vec<Command>) {
-        if self.has_outstanding_joins() || self.is_starting() {
-            return;
-        }
-        let most = self.engine.loads_at_once as usize * self.config.staging_percent / 100;
-        // The cost of one more load to the others is small compared with requests that are refused
-        // until the load ends.
-        let only_urgent = self.traffic && self.loading() >= most;
-        if only_urgent && !self.any_refuses() {
-            return;
-        }
-        for staging in stage::stage(now, self) {
-            if !self.load_budget.allows_load() {
-                return;
-            }
-            if only_urgent && !staging.urgent {
-                continue;
-            }
-            let Some(host) = self.hosts.get_mut(&staging.host) else { continue };
-            if host.may_order(now) {
-                self.load_budget.begin_load();
-                commands.push(host.order(now, Order::Stage { model: staging.model }));
-            }
-        }
-    }
-
-    /// Whether members of new groups have not accepted the order to join yet.
-    fn has_outstanding_joins(&self) -> bool {
-        self.groups.values().any(|group| {
-            let unjoined = |id: &BackendServerId| {
-                self.hosts.get(id).is_some_and(|host| host.joined != Some(group.epoch))
-            };
-            group.phase == Phase::Joining && group.members.iter().any(unjoined)
-        })
-    }
-
-    /// Whether hosts still wait for their first model before there is traffic. Hosts are listed one
-    /// after the other, and models that others stage in the meantime delay their loads: 25 of 57
-    /// hosts were still loading when traffic began, and 0.50 instead of 0.82 of the requests were
-    /// served.
-    fn is_starting(&self) -> bool {
-        let fit = || self.hosts.values().filter(|host| host.is_eligible());
-        let joins = |group: &Group| group.phase == Phase::Joining;
-        !self.traffic && (fit().any(|host| !host.held_any()) || self.groups.values().any(joins))
-    }
-
     fn remove_unlisted_hosts(&mut self) {
         self.hosts.retain(|_, host| host.group.is_some() || !host.unlisted);
     }
 
-    fn update_most_hosts(&mut self) {
-        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
-        for host in self.hosts.values().filter(|host| host.is_available()) {
-            *counts.entry(&host.server.domain).or_default() += 1;
-        }
-        for (domain, count) in counts {
-            let most = self.most_hosts.entry(domain.to_owned()).or_default();
-            *most = (*most).max(count);
-        }
-    }
-
     fn probe(&mut self, now: Millis, commands: &mut Vec<Command>) {
         for host in self.hosts.values_mut() {
             commands.extend(host.probe(now, self.engine.report_lag_ms));
@@ -602,8 +440,3 @@
         members.filter(|id| !seen.insert((*id).clone())).cloned().collect()
     }
 }
-
-/// Records that one more host of a domain is listed, or answers again.
-fn record_arrival(bursts: &mut BTreeMap<String, ArrivalBurst>, now: Millis, domain: &str) {
-    bursts.entry(domain.to_owned()).or_insert_with(|| ArrivalBurst::new(now)).add(now);
-}
--- a/crates/oliveworks-gateway-core/src/planner/restart.rs
+++ b/crates/oliveworks-gateway-core/src/planner/restart.rs
@@ -8,9 +8,10 @@
 //! because requests in the group hang until then, and a head that is alive and in no group counted
 //! as open for good.
 
+use super::Planner;
 use super::ending::EndReason;
 use super::group::{Group, Phase};
-use super::{Planner, record_arrival};
+use super::reports::record_arrival;
 use crate::Millis;
 use crate::backend_servers::BackendServer;
 
--- a/crates/oliveworks-gateway/src/relay.rs
+++ b/crates/oliveworks-gateway/src/relay.rs
@@ -2,8 +2,10 @@
 
 mod crashers;
 mod forwarding;
+mod job;
 mod placing;
 mod reception;
+mod rejecting;
 mod sending;
 mod silence;
 
@@ -12,43 +14,31 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ntex::http::StatusCode;
 use oliveworks_gateway_core::Millis;
-use oliveworks_gateway_core::attempts::{Attempts, Failure, Next, Terms, Verdict};
-use oliveworks_gateway_core::balance::{NoTarget, Target};
-use oliveworks_gateway_core::configuration::{Lookup, Repeat, Route, Unmatched};
+use oliveworks_gateway_core::attempts::{Attempts, Failure, Next, Verdict};
+use oliveworks_gateway_core::balance::Target;
+use oliveworks_gateway_core::configuration::Route;
 use oliveworks_gateway_core::crashers::Features;
 use oliveworks_gateway_core::demand::ModelKey;
 use oliveworks_gateway_core::event_order::Position;
-use oliveworks_gateway_core::obstacles::NoPlace;
 use oliveworks_gateway_core::timeliness::{Goal, Served, Timeliness};
 
 use forwarding::{Forwarded, WholeAnswer};
+use job::new_job;
 use reception::{Data, Reception, ReceptionEvent, next_event};
+pub use rejecting::reject;
+use rejecting::{RETRY_AFTER_MS, RETRY_AFTER_STOPPING_MS};
 use sending::{NotSent, Rejection};
 use tokio::time::sleep;
 
 use crate::caller_connections::AnswerProgress;
 use crate::connection::{Connection, Disconnected, ReceivedRequest};
-use crate::crashers::{FailedRun, features};
-use crate::dialect::{Headers, RequestInfo, SharedParts};
+use crate::crashers::FailedRun;
+use crate::dialect::{RequestInfo, SharedParts};
 use crate::events::Event;
 use crate::memory_budget::MemoryShare;
 use crate::state::Gateway;
 
-/// Deadline of a request whose caller names none, in ms, counted from its receipt.
-const DEADLINE_MS: u64 = 30_000;
-/// Shortest time after which a rejected caller may retry, in ms.
-const RETRY_AFTER_MS: u64 = 1_300;
-/// Upper limit of the random time, in ms, added to the retry time. The jitter keeps callers that
-/// were rejected together from retrying together.
-const RETRY_AFTER_JITTER_MS: u64 = 1_300;
-/// Shortest retry time sent by a gateway that is stopping, in ms. The time is short because other
-/// gateways accept callers or this gateway is back soon.
-const RETRY_AFTER_STOPPING_MS: u64 = 200;
-/// Shortest retry time sent while the configuration is too old to honour keys, in ms.
-const RETRY_AFTER_STALE_MS: u64 = 1_000;
-
 /// Time before the deadline at which the final answer is sent, in ms, if no other answer has begun.
 const DEADLINE_MARGIN_MS: u64 = 30;
 /// Step of a request that the stop of this process ends.
@@ -57,13 +47,6 @@
 /// of a silent place is awaited or a stream is to be resumed.
 const SEARCH_INTERVAL_MS: u64 = 500;
 
-/// Number of parts up to which a prompt takes no memory of the budget for heads: the limit on
-/// connections covers them.
-const PARTS_FREE: usize = 64;
-/// Memory that a part of a prompt takes while its request is handled, in bytes: its id, and its
-/// features while they are sorted and kept.
-const PART_BYTES: usize = 256;
-
 /// Outcome of writing an answer to a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -133,41 +116,6 @@
     Convicted { until: Millis },
 }
 
-/// Answers with a verdict of the gateway itself.
-pub async fn reject(
-    gateway: &Gateway,
-    connection: &mut Connection,
-    id: &str,
-    verdict: Verdict,
-    retry_after_ms: u64,
-) -> End {
-    let answer = verdict.answer();
-    gateway.count(answer.code);
-    if answer.come_back && connection.has_unread_bytes() {
-        // The caller has sent the next request without waiting for this refusal, and may go on so.
-        gateway.count("refused_ahead");
-        connection.close_after_next_answer();
-    }
-    let mut headers: Headers = Vec::new();
-    if !id.is_empty() {
-        let (name, value) = gateway.dialect.request_id_header(id);
-        headers.push((name, value.into()));
-    }
-    if answer.come_back {
-        let (name, value) = gateway
-            .dialect
-            .retry_after_header(retry_after_ms + rand::random_range(0..RETRY_AFTER_JITTER_MS));
-        headers.push((name, value.into()));
-    }
-    headers.push(("content-type".into(), "application/json".into()));
-    let body = format!("{{\"error\":\"{}\"}}", answer.code);
-    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    match connection.answer(status, &headers, body.into()).await {
-        Ok(()) => End::Whole,
-        Err(gone) => gone.into(),
-    }
-}
-
 /// Relays a request to backend servers and returns how writing its answer ended.
 pub async fn handle(
     gateway: &Rc<Gateway>,
@@ -222,83 +170,6 @@
     end
 }
 
-fn new_job<'a>(
-    gateway: &'a Gateway,
-    lookup: &Lookup,
-    request: &'a ReceivedRequest,
-    asked: RequestInfo,
-) -> Result<Job<'a>, Verdict> {
-    let host = request.header("host").ok_or(Verdict::BadRequest)?;
-    let path = request.target.split('?').next().unwrap_or_default();
-    let found = lookup.find(host, path, asked.key.as_deref());
-    let found = found.map_err(|why| match why {
-        Unmatched::NoRoute => Verdict::NoRoute,
-        Unmatched::NoKey => Verdict::NoKey,
-    })?;
-    let service = found.route.service_for(&asked.id).ok_or(Verdict::NoRoute)?.to_owned();
-    let engine = lookup.service(&service).and_then(|service| service.engine.as_ref());
-    let grouped = engine.is_some_and(|engine| !engine.models.is_empty());
-    let received = gateway.now();
-    let time_ms = asked.deadline_ms.unwrap_or(DEADLINE_MS).min(found.route.timeout_ms);
-    let deadline = received + time_ms;
-    let repeatable = found.route.repeat == Repeat::Idempotent;
-    let max_attempts = found.route.max_attempts.max(1);
-    let workspace_rank = found.workspace.and_then(|workspace| workspace.priority);
-    gateway.budget.borrow_mut().request(received, &service);
-    let pass_ms = engine.and_then(|engine| {
-        let model = engine.model(asked.model.as_deref()?)?;
-        Some(engine.longest_pass_ms(model).ceil() as u64)
-    });
-    let came_back = asked.deadline_ms.is_some_and(|left_ms| {
-        let mut waits = gateway.waits.borrow_mut();
-        waits.came_back(&found.route.name, u32::try_from(left_ms).unwrap_or(u32::MAX))
-    });
-    let workspace = found.workspace.map(|workspace| workspace.name.clone());
-    let shared_parts = gateway.dialect.parse_shared_parts(&request.headers);
-    let parts_share = reserve_parts(gateway, &shared_parts)?;
-    let features = features(request, &asked, &shared_parts, workspace.as_deref());
-    Ok(Job {
-        features: Rc::new(features),
-        shared_parts,
-        _parts_share: parts_share,
-        is_offered: pass_ms.is_some(),
-        pass_ms: pass_ms.unwrap_or(0),
-        model: asked.model.clone().filter(|_| grouped),
-        workspace,
-        workspace_regions: found.workspace.map_or_else(Vec::new, |found| found.regions.clone()),
-        priority: Some(workspace_rank.unwrap_or(found.route.priority)),
-        position: Position::Begin(asked.last_event),
-        attempts: Attempts::new(Terms { repeatable, max_attempts, deadline }),
-        route: found.route.clone(),
-        has_stale_key: !found.route.public && !gateway.honours_keys(),
-        gateway,
-        request,
-        asked,
-        service,
-        received,
-        deadline,
-        tried_targets: Vec::new(),
-        searches_failed: 0,
-        head_sent: false,
-        served: Served { came_back, ..Served::default() },
-        table: (0, 0),
-        log: Vec::new(),
-    })
-}
-
-/// Reserves memory for what is derived from the parts of a prompt.
-fn reserve_parts(gateway: &Gateway, parts: &SharedParts) -> Result<MemoryShare, Verdict> {
-    let mut share = gateway.head_memory.share();
-    if let SharedParts::Named(parts) = parts
-        && parts.len() > PARTS_FREE
-        && share.grow_to(parts.len() * PART_BYTES).is_err()
-    {
-        gateway.count("refused_memory");
-        return Err(Verdict::NotRun);
-    }
-    Ok(share)
-}
-
 impl<'a> Job<'a> {
     /// Returns whether the key of the request may be honoured: the configuration was proved recently
     /// both when the key was found in it, and now.
@@ -535,68 +406,6 @@
         self.attempts.failed(now, failure, gone)
     }
 
-    /// Gives up after a failed attempt if the request is not sent again and no other answer is
-    /// being received.
-    async fn give_up_if_last(
-        &mut self,
-        connection: &mut Connection,
-        receptions: &[Reception<'_>],
-        next: Next,
-    ) -> Option<(End, String)> {
-        match next {
-            Next::GiveUp(verdict) if receptions.is_empty() => {
-                connection.state().set_progress(self.answer_progress(receptions));
-                Some(self.give_up(connection, verdict, RETRY_AFTER_MS).await)
-            }
-            Next::GiveUp(_) | Next::Again => None,
-        }
-    }
-
-    /// Rejects a request that is not sent, and whose answer is not being received.
-    async fn reject_unsent(
-        &mut self,
-        connection: &mut Connection,
-        rejection: Rejection,
-    ) -> (End, String) {
-        let (step, retry_after_ms) = match rejection {
-            Rejection::Copy => return self.reject_copy(connection).await,
-            Rejection::Convicted { until } => return self.reject_crasher(connection, until).await,
-            Rejection::NoPlace(none) => return self.reject_without_place(connection, &none).await,
-            Rejection::Stale => ("configuration too old to honour keys", RETRY_AFTER_STALE_MS),
-            Rejection::NoRepeatLeft => ("no repeat left", RETRY_AFTER_MS),
-        };
-        self.log.push(step.into());
-        let verdict = self.attempts.verdict(self.gateway.now());
-        self.give_up(connection, verdict, retry_after_ms).await
-    }
-
-    /// Rejects a request for which there is no place.
-    async fn reject_without_place(
-        &mut self,
-        connection: &mut Connection,
-        none: &NoPlace,
-    ) -> (End, String) {
-        self.log.push(format!("no place: {:?}", none.reason));
-        self.gateway.count(match none.reason {
-            NoTarget::None => "refused_without_group",
-            NoTarget::Full => "refused_full",
-            NoTarget::Drained => "refused_drained",
-            NoTarget::Cold => "refused_cold",
-            NoTarget::Backoff => "refused_backoff",
-            NoTarget::Limited => "refused_limited",
-        });
-        let now = self.gateway.now();
-        if none.reason == NoTarget::Full {
-            // A stream that its caller does not take keeps its backend server busy.
-            self.gateway.caller_connections.evict_stalled(now);
-        }
-        let retry_after_ms = match none.reason {
-            NoTarget::Backoff | NoTarget::Limited => none.known_ms(now).unwrap_or(RETRY_AFTER_MS),
-            _ => RETRY_AFTER_MS,
-        };
-        self.give_up(connection, self.attempts.verdict(now), retry_after_ms).await
-    }
-
     /// Counts an answer by its timeliness and returns the outcome for the log.
     fn count_served(&mut self) -> &'static str {
         let now = self.gateway.now();
@@ -623,19 +432,4 @@
         let key = ModelKey::of(&self.service, model);
         self.gateway.demand.borrow_mut().record_request(self.gateway.now(), key, refused);
     }
-
-    async fn give_up(
-        &mut self,
-        connection: &mut Connection,
-        verdict: Verdict,
-        retry_after_ms: u64,
-    ) -> (End, String) {
-        if self.head_sent {
-            self.gateway.count("streams_torn");
-            return (End::Torn, format!("torn: {verdict:?}"));
-        }
-        let id = self.asked.id.clone();
-        let end = reject(self.gateway, connection, &id, verdict, retry_after_ms).await;
-        (end, format!("refused: {verdict:?}"))
-    }
 }
--- a/crates/oliveworks-gateway/src/relay/crashers.rs
+++ b/crates/oliveworks-gateway/src/relay/crashers.rs
@@ -6,7 +6,8 @@
 use oliveworks_gateway_core::crashers::SETTLED_MS;
 use tokio::time::sleep;
 
-use super::{End, Job, RETRY_AFTER_MS};
+use super::rejecting::RETRY_AFTER_MS;
+use super::{End, Job};
 use crate::connection::Connection;
 use crate::crashers::FailedRun;
 
