Comments that had to be read twice, and names of functions that hid what they do

What was found: a reader who has only the file before them stumbles on subjects that are pronouns, comments without a subject, and names such as `sharers`.

No name that leaves a process has changed.

--- a/crates/oliveworks-core/src/agent/mod.rs
+++ b/crates/oliveworks-core/src/agent/mod.rs
@@ -37,7 +37,7 @@
     pub weights: u64,
     /// Maximum number of requests that run at the same time.
     pub concurrent: usize,
-    /// Whether the group is to finish its running requests and take no new ones.
+    /// Whether the group finishes the requests that are running and takes no new ones.
     pub draining: bool,
     /// Offset at which the keys' homes were last reassigned.
     pub homes_at: Offset,
--- a/crates/oliveworks-core/src/placement.rs
+++ b/crates/oliveworks-core/src/placement.rs
@@ -363,7 +363,7 @@
         });
     }
 
-    fn all_formed(&self) -> bool {
+    fn are_all_groups_formed(&self) -> bool {
         self.wanted_slots().iter().all(|(slot, _)| !self.lacks_group(slot))
     }
 
--- a/crates/oliveworks-core/src/placement/hosts.rs
+++ b/crates/oliveworks-core/src/placement/hosts.rs
@@ -88,7 +88,7 @@
         // While a replica lacks a group, hosts that make up whole replicas are left free and only
         // the remainder may become spares. Otherwise all of them may.
         let remainder = left % usize::from(template.hosts.max(1));
-        let spare = if self.all_formed() { left } else { remainder };
+        let spare = if self.are_all_groups_formed() { left } else { remainder };
         let count = needed.min(spare.saturating_sub(self.reserve(domain)));
         self.pick(domain, count, published).unwrap_or_default()
     }
--- a/crates/oliveworks-core/src/route.rs
+++ b/crates/oliveworks-core/src/route.rs
@@ -100,11 +100,11 @@
             let Some(old) = self.order.pop_front() else {
                 return;
             };
-            self.remove_one(old);
+            self.decrement_count(old);
         }
     }
 
-    fn remove_one(&mut self, block: u64) {
+    fn decrement_count(&mut self, block: u64) {
         if let Some(n) = self.count.get_mut(&block) {
             *n -= 1;
             if *n == 0 {
--- a/crates/oliveworks-core/src/template.rs
+++ b/crates/oliveworks-core/src/template.rs
@@ -37,7 +37,7 @@
 /// a given time.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct SlotId {
-    /// Key of the template.
+    /// Template that the slot belongs to.
     pub template: TemplateKey,
     /// Index of the replica, from 0 up to but excluding the template's number of replicas.
     pub index: u16,
@@ -218,7 +218,7 @@
         xxh3_64(&postcard::to_stdvec(&parts).expect("plain data always serializes"))
     }
 
-    /// Returns a digest of the weights that a host of the replica holds.
+    /// Returns a digest of the weights that each host of a replica holds.
     pub fn weights(&self) -> u64 {
         let parts = (&self.model, &self.adapter, &self.version, self.hosts);
         xxh3_64(&postcard::to_stdvec(&parts).expect("plain data always serializes"))
--- a/crates/oliveworks-entry/src/driver.rs
+++ b/crates/oliveworks-entry/src/driver.rs
@@ -387,7 +387,7 @@
             Reply::End { id, pieces, finish_reason, usage, load } => {
                 match self.relay.end(now, id, pieces, false) {
                     Next::Answered => {
-                        self.answered(Some(load));
+                        self.finish_answer(Some(load));
                         Some(Ok(AnswerPart::End(finish_reason, usage)))
                     }
                     Next::Wait => None,
@@ -395,7 +395,7 @@
                 }
             }
             Reply::Kept(kept) => {
-                self.answered(None);
+                self.finish_answer(None);
                 Some(Ok(AnswerPart::Kept(kept)))
             }
             Reply::Refused { id, refusal, leader } => {
@@ -428,7 +428,7 @@
         }
     }
 
-    fn answered(&mut self, load: Option<oliveworks_core::route::Load>) {
+    fn finish_answer(&mut self, load: Option<oliveworks_core::route::Load>) {
         self.done = true;
         if let (Some(load), Some(epoch)) = (load, self.counted_at)
             && let Some(router) = self.entry.core().routers.get_mut(&self.job.template)
--- a/crates/oliveworks-gateway-core/src/backend_servers.rs
+++ b/crates/oliveworks-gateway-core/src/backend_servers.rs
@@ -63,8 +63,8 @@
     pub draining: bool,
     /// Remaining cold time when the record was written, in ms; 0 if the backend server was warm.
     pub cold_ms: u64,
-    /// Counts the records of this incarnation, if they are numbered; not part of a record's
-    /// content.
+    /// Number of the record among those of the same incarnation; none if records are not numbered.
+    /// Records that differ in the number alone have the same content.
     pub number: Option<u64>,
     /// State of the models on the backend server.
     pub holding: Holding,
--- a/crates/oliveworks-gateway-core/src/balance.rs
+++ b/crates/oliveworks-gateway-core/src/balance.rs
@@ -85,8 +85,8 @@
 /// Half-life of the cost of failures, in ms.
 const FAILURE_HALF_LIFE_MS: f64 = 1_500.0;
 
-/// Allowed silence of a replica group beyond its longest pass while a stream of this gateway is
-/// running there, in ms.
+/// Time for which a replica group that runs a stream of this gateway may be silent beyond the longest
+/// pass of the group, in ms.
 const STREAM_SLACK_MS: u64 = 50;
 /// Number of passes until the first event: one to read the prompt and one to generate.
 const FIRST_PASSES: u64 = 2;
--- a/crates/oliveworks-gateway-core/src/crashers.rs
+++ b/crates/oliveworks-gateway-core/src/crashers.rs
@@ -195,7 +195,7 @@
         ends.iter().for_each(|end| self.record_end(end.at, end.host));
         let record = self.record_mut(chain.feature);
         let was_convicted = record.is_convicted;
-        let mut is_new = survived.is_some_and(|at| record.survived(at));
+        let mut is_new = survived.is_some_and(|at| record.record_survival(at));
         let is_newly_cleared = was_convicted && !record.is_convicted;
         let must_answer = ends.iter().any(|end| record.has_cleared(end));
         for end in ends {
@@ -223,14 +223,14 @@
     /// Records that a run of a request completed, so its features do not crash the backend server.
     /// The outcome is reported to other gateways, which may know of backend servers that ended under
     /// the same features.
-    pub fn survived(&mut self, now: Millis, request: &Features) {
+    pub fn record_survival(&mut self, now: Millis, request: &Features) {
         for feature in request.iter() {
             if feature.is_shared() {
                 self.sound.completed(now, feature);
             }
             let Some(record) = self.records.get_mut(&feature) else { continue };
             let was_convicted = record.is_convicted;
-            if record.survived(now) {
+            if record.record_survival(now) {
                 record.must_report(now, News::Own);
             }
             if was_convicted && !record.is_convicted {
--- a/crates/oliveworks-gateway-core/src/crashers/chain.rs
+++ b/crates/oliveworks-gateway-core/src/crashers/chain.rs
@@ -214,7 +214,7 @@
 
     /// Records a completed run. Returns whether it is the first one, or clears ends: other gateways
     /// have to know of such a run.
-    pub fn survived(&mut self, at: Millis) -> bool {
+    pub fn record_survival(&mut self, at: Millis) -> bool {
         if self.survived_at.is_some_and(|known| at <= known + REPORT_DELAY_MAX_MS) {
             return false;
         }
--- a/crates/oliveworks-gateway-core/src/demand.rs
+++ b/crates/oliveworks-gateway-core/src/demand.rs
@@ -1,8 +1,8 @@
 //! Fraction of the requests for each model that find a slot, as observed by all gateways.
 //!
 //! The fraction of occupied slots shows how busy a model is only up to the point at which all slots
-//! are occupied: a model that refuses one request of ten and one that refuses nine look alike. The
-//! fraction of refused requests distinguishes them. Rejected: computing the demand from arrivals
+//! are occupied: a model that refuses one request of ten and a model that refuses nine look alike.
+//! The fraction of refused requests tells the two apart. Rejected: computing the demand from arrivals
 //! and the length of answers, because callers only guess that length.
 
 use std::collections::HashMap;
@@ -119,7 +119,7 @@
 
     /// Returns the fraction of a model's recent requests that found no slot, from 0 to 1; 0 without
     /// requests.
-    pub fn refused_part(&self, now: Millis, model: ModelKey) -> f64 {
+    pub fn refused_fraction(&self, now: Millis, model: ModelKey) -> f64 {
         let sum = self.total_demand(now, model);
         if sum.all > 0.0 { sum.refused / sum.all } else { 0.0 }
     }
--- a/crates/oliveworks-gateway-core/src/evictions.rs
+++ b/crates/oliveworks-gateway-core/src/evictions.rs
@@ -8,8 +8,9 @@
 
 use crate::Millis;
 
-/// Time after which a head that is incomplete, a body that arrives slowly, or an answer that the
-/// caller does not take counts as stalled, in ms: several round trips, and a lost packet.
+/// Time after which a connection counts as stalled, in ms: longer than several round trips with a
+/// lost packet. A connection can stall while a head arrives, while a body arrives slowly, and while
+/// the caller takes nothing of an answer.
 const STALLED_MS: u64 = 1_000;
 /// Rate below which a body arrives slowly, in bytes per ms. A body of 4 MB takes a minute at it.
 const SLOW_BODY_BYTES_PER_MS: u64 = 64;
--- a/crates/oliveworks-gateway-core/src/members.rs
+++ b/crates/oliveworks-gateway-core/src/members.rs
@@ -110,7 +110,7 @@
 
     /// Returns the number of gateways that share a limit; `None` while other gateways may not count
     /// this one, which has no share then.
-    pub fn sharers(&self, now: Millis) -> Option<usize> {
+    pub fn sharing_gateways(&self, now: Millis) -> Option<usize> {
         (now >= self.no_share_until).then(|| self.count())
     }
 
@@ -154,7 +154,7 @@
 
     /// Returns this gateway's share of a limit of `bound` requests.
     pub fn share(&self, now: Millis, bound: f64, target: Target) -> u32 {
-        let Some(all) = self.sharers(now) else { return 0 };
+        let Some(all) = self.sharing_gateways(now) else { return 0 };
         let shared = (bound * SHARED_PERCENT / 100.0) as u32;
         let all = all as u32;
         let (each, remainder) = (shared / all, shared % all);
--- a/crates/oliveworks-gateway-core/src/missing.rs
+++ b/crates/oliveworks-gateway-core/src/missing.rs
@@ -91,7 +91,7 @@
     }
 
     /// Whether a backend server is gone and still remembered.
-    pub fn has_gone(&self, id: &str) -> bool {
+    pub fn is_gone(&self, id: &str) -> bool {
         self.gone.contains_key(id)
     }
 
--- a/crates/oliveworks-gateway-core/src/planner/pressure.rs
+++ b/crates/oliveworks-gateway-core/src/planner/pressure.rs
@@ -70,7 +70,7 @@
         of_model.filter(|group| group.counts() && group.members.len() == model.size).count()
     }
 
-    /// Whether any model refuses requests even once the groups that are being formed serve.
+    /// Whether any model will still refuse requests when the groups that are being formed serve.
     pub(super) fn any_refuses(&self) -> bool {
         self.engine.models.iter().any(|model| self.pressure_after_forming(model) > FULL)
     }
@@ -81,10 +81,10 @@
         of_model.any(|group| matches!(group.phase, Phase::Open { .. }))
     }
 
-    /// Whether preempting `ended` groups of `preempted` for one group of `beneficiary` serves more
-    /// requests, beyond what the quotas ask for. More requests are served if `beneficiary` has no
-    /// group, or if its demand per group exceeds the demand per remaining group of `preempted` by
-    /// the configured margin. The last group of a model is never preempted.
+    /// Whether more requests are served once `ended` groups of the model `preempted` have made room
+    /// for one group of the model `beneficiary`. This holds if `beneficiary` has no group, or if the
+    /// demand for each group of `beneficiary` exceeds the demand for each remaining group of
+    /// `preempted` by the configured margin. The last group of a model is never preempted.
     pub(super) fn is_worth_preempting(
         &self,
         beneficiary: &Model,
--- a/crates/oliveworks-gateway-core/src/planner/restart.rs
+++ b/crates/oliveworks-gateway-core/src/planner/restart.rs
@@ -1,9 +1,8 @@
 //! Hosts that restart under their old id.
 //!
-//! Such a host is a member of no group and knows no orders, epochs or fences, while everything
-//! known about it dates from before the restart. Its record may be the first sign of the restart,
-//! because the outage may have gone unnoticed: a host that returns within a heartbeat was never
-//! lost. A group with the host as a member is broken at once. A group of which it was the head has
+//! A restarted host is a member of no group and knows no orders, epochs or fences, while everything
+//! that the leader knows about the host dates from before the restart. The host's record may be the
+//! first sign of the restart: an outage that is shorter than a heartbeat is not noticed. A group with the host as a member is broken at once. A group of which it was the head has
 //! certainly stopped serving. Rejected: waiting until gateways observe no progress in the group,
 //! because requests in the group hang until then, and a head that is alive and in no group counted
 //! as open for good.
--- a/crates/oliveworks-gateway-core/src/planner/shares.rs
+++ b/crates/oliveworks-gateway-core/src/planner/shares.rs
@@ -94,7 +94,7 @@
     pub(super) fn adjust_shares(&mut self, now: Millis) {
         let due = now >= self.share_adjuster.changed_at + self.load_ms()
             && now >= self.share_adjuster.checked_at + ADJUST_EVERY_MS;
-        if !self.config.follows_callers || !self.traffic || !due || !self.any_stays_busy() {
+        if !self.config.follows_callers || !self.traffic || !due || !self.any_model_stays_busy() {
             return;
         }
         if self.lacks_any_demand() {
@@ -119,7 +119,7 @@
     }
 
     /// Whether a model was busy throughout the time of a load.
-    fn any_stays_busy(&self) -> bool {
+    fn any_model_stays_busy(&self) -> bool {
         self.engine.models.iter().any(|model| {
             let groups = count(&self.quotas, &model.name);
             self.share_adjuster.lowest(&model.name) > groups * self.config.crowded_load
--- a/crates/oliveworks-gateway-core/src/planners.rs
+++ b/crates/oliveworks-gateway-core/src/planners.rs
@@ -143,8 +143,8 @@
     }
 
     /// Pauses the planners of services that have no engine with models, and removes those that have
-    /// been paused for long. A service that was not taken over yet got no orders, so its planner is
-    /// removed at once.
+    /// been paused for long. The planner of a service that was not taken over yet is removed at
+    /// once: no order was sent for that service.
     fn pause_absent(
         &mut self,
         now: Millis,
--- a/crates/oliveworks-gateway-core/src/rate_limits.rs
+++ b/crates/oliveworks-gateway-core/src/rate_limits.rs
@@ -145,11 +145,11 @@
         let request = PermitRequest { limit, need };
         let limiter = members.limiter(now, target);
         if limiter != members.own() {
-            self.buckets.hand_over(target);
+            self.buckets.drop_bucket(target);
             return Step::Ask(limiter, request);
         }
         let answer = self.answer(now, request, members);
-        self.answered(now, answer);
+        self.apply_answer(now, answer);
         Step::Decided(answer.grant)
     }
 
@@ -160,11 +160,11 @@
         let limit = self.limits.get(target).unwrap_or(request.limit);
         let is_limiter = members.limiter(now, target) == members.own();
         if !is_limiter {
-            self.buckets.hand_over(target);
+            self.buckets.drop_bucket(target);
         }
         let grant = match limit.rate {
             None => Grant::Permit,
-            Some(rate) if is_limiter && members.sharers(now).is_some() => {
+            Some(rate) if is_limiter && members.sharing_gateways(now).is_some() => {
                 let per_s = rate.per_s() * members.observed_share(now);
                 self.buckets.ask(now, target, per_s, request.need)
             }
@@ -174,7 +174,7 @@
     }
 
     /// Applies a limiter's answer.
-    pub fn answered(&mut self, now: Millis, answer: Answer) {
+    pub fn apply_answer(&mut self, now: Millis, answer: Answer) {
         self.limits.apply_report(now, answer.limit);
         let target = answer.limit.target;
         match answer.grant {
--- a/crates/oliveworks-gateway-core/src/rate_limits/buckets.rs
+++ b/crates/oliveworks-gateway-core/src/rate_limits/buckets.rs
@@ -128,7 +128,7 @@
     }
 
     /// Drops the bucket of a backend server because another gateway is now the limiter.
-    pub fn hand_over(&mut self, target: Target) {
+    pub fn drop_bucket(&mut self, target: Target) {
         self.0.remove(&target);
     }
 
--- a/crates/oliveworks-gateway-core/src/replay.rs
+++ b/crates/oliveworks-gateway-core/src/replay.rs
@@ -126,8 +126,8 @@
         self.answer_since(from, false)
     }
 
-    /// Returns the answer to a gateway that holds everything before a position, with the repeats
-    /// that are still kept.
+    /// Returns the answer to a gateway that holds everything before a position. The answer contains
+    /// repeated records as well, as far as they are still kept.
     pub fn since_with_repeats(&self, from: Option<Position>) -> ReplayAnswer<R> {
         self.answer_since(from, true)
     }
--- a/crates/oliveworks-gateway-core/src/returning.rs
+++ b/crates/oliveworks-gateway-core/src/returning.rs
@@ -9,8 +9,8 @@
 
 use std::collections::{HashMap, VecDeque};
 
-/// Number of recent attempts per route from which the usual time is computed: one to three seconds
-/// of a busy route.
+/// Number of recent attempts of a route from which the usual time is computed. A busy route has as
+/// many in one to three seconds.
 const SAMPLES_MAX: usize = 64;
 /// Minimum number of attempts needed for a decision.
 const SAMPLES_MIN: usize = 8;
@@ -40,7 +40,8 @@
             samples.pop_front();
         }
         samples.push_back(left_ms);
-        usual_ms(samples).is_some_and(|usual_ms| left_ms < usual_ms / 100 * FIRST_ATTEMPT_PERCENT)
+        usual_wait_ms(samples)
+            .is_some_and(|usual_ms| left_ms < usual_ms / 100 * FIRST_ATTEMPT_PERCENT)
     }
 
     /// Drops the routes for which `keep` returns false.
@@ -50,7 +51,7 @@
 }
 
 /// Returns the usual remaining time of first attempts, in ms, if enough attempts are known.
-fn usual_ms(samples: &VecDeque<u32>) -> Option<u32> {
+fn usual_wait_ms(samples: &VecDeque<u32>) -> Option<u32> {
     if samples.len() < SAMPLES_MIN {
         return None;
     }
--- a/crates/oliveworks-gateway-core/src/sources.rs
+++ b/crates/oliveworks-gateway-core/src/sources.rs
@@ -73,9 +73,9 @@
 /// Source of the next read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadFrom {
-    /// The store itself, for the whole failure domain.
+    /// The store, which this gateway reads for its failure domain.
     Store,
-    /// The store itself, to find out whether it answers this gateway.
+    /// The store, to find out whether the store answers this gateway.
     StoreTrial,
     /// Another gateway.
     Gateway(SocketAddr),
--- a/crates/oliveworks-gateway-core/tests/crash_world/mod.rs
+++ b/crates/oliveworks-gateway-core/tests/crash_world/mod.rs
@@ -283,7 +283,7 @@
                 self.end(run.head);
             } else if let Some(run) = self.remove_run(copy) {
                 let features = self.traffic.features(run.number);
-                self.gateways[run.gateway].survived(self.now, &features);
+                self.gateways[run.gateway].record_survival(self.now, &features);
             }
         }
         if crash_interval_ms.is_some_and(|interval_ms| self.now.is_multiple_of(interval_ms)) {
--- a/crates/oliveworks-gateway-core/tests/crashers.rs
+++ b/crates/oliveworks-gateway-core/tests/crashers.rs
@@ -48,7 +48,7 @@
     let mut crashers = Crashers::default();
     crashers.host_ended(1_000, &request(GUILTY), Target(1), 0);
     crashers.host_ended(2_000, &request(GUILTY), Target(2), 0);
-    crashers.survived(2_500, &request(GUILTY));
+    crashers.record_survival(2_500, &request(GUILTY));
     crashers.host_ended(3_000, &request(GUILTY), Target(3), 0);
     assert_eq!(crashers.standing(3_000, &request(GUILTY)), Standing::Suspect { ends: 1 });
 }
@@ -358,7 +358,7 @@
 
     fn finish(&mut self, now: u64, number: u64) {
         if let Some(run) = self.remove_run(number) {
-            self.gateways[run.gateway].survived(now, &request(number));
+            self.gateways[run.gateway].record_survival(now, &request(number));
         }
     }
 }
--- a/crates/oliveworks-gateway-core/tests/crashing_parts.rs
+++ b/crates/oliveworks-gateway-core/tests/crashing_parts.rs
@@ -298,7 +298,7 @@
     crashers.placed(3_200, Target(20), &other, standing);
     assert!(crashers.must_wait_for_trial(3_300, &request(11, 3, &[CRASHING_PART])));
     crashers.left(Target(20), &other, standing);
-    crashers.survived(3_900, &other);
+    crashers.record_survival(3_900, &other);
     assert_eq!(crashers.take_cleared(), [Feature::Part(PartId(CRASHING_PART))]);
     assert_eq!(crashers.standing(4_000, &request(12, 3, &[CRASHING_PART])), Standing::Clear);
     assert!(is_convicted(&mut crashers, 4_000, &request(13, 1, &[CRASHING_PART])));
@@ -318,7 +318,7 @@
     let mut reports = BTreeMap::new();
     for end in 1..=6 {
         let now = end * 500;
-        busy.survived(now - 300, &request(100 + end, 1, &[COMMON_PART]));
+        busy.record_survival(now - 300, &request(100 + end, 1, &[COMMON_PART]));
         idle.host_ended(now, &request(end, 1, &[COMMON_PART]), Target(end), 0);
         let told: Vec<Chain> = idle.chains_to_report(now + 10);
         told.into_iter().for_each(|chain| {
@@ -341,7 +341,7 @@
     let mut crashers = Crashers::default();
     crashers.host_ended(1_000, &request(1, 1, &[COMMON_PART]), Target(1), 0);
     for now in (1_100..60_000).step_by(100) {
-        crashers.survived(now, &request(now, 1, &[COMMON_PART]));
+        crashers.record_survival(now, &request(now, 1, &[COMMON_PART]));
         let told = crashers.chains_to_report(now + 10).len();
         assert!(told == 0 || now < 3_000, "{told} chains at {now}");
     }
--- a/crates/oliveworks-gateway-core/tests/members.rs
+++ b/crates/oliveworks-gateway-core/tests/members.rs
@@ -157,11 +157,11 @@
 #[test]
 fn a_gateway_that_starts_cut_off_has_no_share() {
     let members = Members::new(0, false, 5_000);
-    assert_eq!(members.sharers(30_000), None);
+    assert_eq!(members.sharing_gateways(30_000), None);
     let mut members = Members::new(0, false, 5_000);
     members.record_contact(1, 40_000);
-    assert_eq!(members.sharers(41_999), None, "other gateways may not count this one yet");
-    assert_eq!(members.sharers(42_000), Some(2));
+    assert_eq!(members.sharing_gateways(41_999), None, "other gateways may not count this one yet");
+    assert_eq!(members.sharing_gateways(42_000), Some(2));
 }
 
 /// A gateway that receives no more heartbeats still counts the other gateways.
@@ -169,5 +169,5 @@
 fn a_gateway_that_is_cut_off_counts_all_peers() {
     let mut members = members_known_to(0, &[0, 1, 2, 3, 4]);
     (11..200).for_each(|second| members.retain(second * 1_000));
-    assert_eq!(members.sharers(200_000), Some(5));
+    assert_eq!(members.sharing_gateways(200_000), Some(5));
 }
--- a/crates/oliveworks-gateway-core/tests/missing.rs
+++ b/crates/oliveworks-gateway-core/tests/missing.rs
@@ -54,7 +54,7 @@
     let mut missing = Missing::default();
     missing.record_removal(1_100, "h1".into());
     assert_eq!(departed(&mut missing, 1_200, read_at(1_100)).len(), 1);
-    assert!(missing.has_gone("h1") && !missing.contains("h1"));
+    assert!(missing.is_gone("h1") && !missing.contains("h1"));
 }
 
 #[test]
--- a/crates/oliveworks-gateway-core/tests/quota/one_by_one.rs
+++ b/crates/oliveworks-gateway-core/tests/quota/one_by_one.rs
@@ -1,5 +1,5 @@
-//! Reference implementation of the quotas that packs one group after the other. The faster
-//! implementation must give the same result.
+//! A slow implementation of the quotas, which packs one group after the other. The implementation of
+//! the crate must give the same quotas.
 
 use std::collections::BTreeMap;
 
--- a/crates/oliveworks-gateway-core/tests/rate_limits/replay.rs
+++ b/crates/oliveworks-gateway-core/tests/rate_limits/replay.rs
@@ -303,7 +303,7 @@
                         let answer = gateway.limits.answer(now, permit_request, &gateway.members);
                         self.send_message(now, to, from, Message::Answer(answer));
                     }
-                    Message::Answer(answer) => gateway.limits.answered(now, answer),
+                    Message::Answer(answer) => gateway.limits.apply_answer(now, answer),
                 }
             }
         }
@@ -364,7 +364,7 @@
             Way::Limiter => return false,
             Way::WholeParts => return self.may_send_part(now, index, host),
             Way::EqualRates => {
-                let sharers = self.gateways[index].members.sharers(now);
+                let sharers = self.gateways[index].members.sharing_gateways(now);
                 sharers.map_or(0.0, |sharers| world.per_s / sharers as f64)
             }
             Way::ByCallers => world.per_s * self.caller_share(now, index),
--- a/crates/oliveworks-gateway-core/tests/restored_store/judge.rs
+++ b/crates/oliveworks-gateway-core/tests/restored_store/judge.rs
@@ -42,7 +42,7 @@
         self.check_leaders(world);
     }
 
-    /// Records a breach unless the same breach of that gateway is already recorded.
+    /// Records a breach of a gateway, once for each kind of breach.
     fn record_breach(&mut self, world: &World, node: &Node, what: String) {
         let what = format!("gateway {}: {what}", node.gateway.index);
         if !self.breaches.iter().any(|known| known.ends_with(&what)) {
--- a/crates/oliveworks-gateway-core/tests/worst_load/replay.rs
+++ b/crates/oliveworks-gateway-core/tests/worst_load/replay.rs
@@ -47,8 +47,8 @@
     let world = many_callers(gateways, AdmissionConfig::default());
     let found = world.in_time(0, 6_000);
     assert!(found >= minimum, "{found:.3} served in time");
-    // One pass may read at most the tokens that a group can read within the goal, so no stream
-    // pauses for longer than the goal.
+    // Streams pause while their group reads prompts. A pass that reads more tokens than a group can
+    // read within the goal would make them pause for longer than the goal.
     let maximum = SMALL.read_per_ms * SMALL.goal_ms as f64;
     assert!(f64::from(world.max_read) <= maximum, "{} tokens read in one pass", world.max_read);
 }
--- a/crates/oliveworks-gateway/src/crashers.rs
+++ b/crates/oliveworks-gateway/src/crashers.rs
@@ -192,7 +192,7 @@
 
     /// Records that a request ran to completion.
     pub fn record_completion(&self, request: &Features) {
-        self.crashers.borrow_mut().survived(self.now(), request);
+        self.crashers.borrow_mut().record_survival(self.now(), request);
         self.log_convictions();
     }
 
--- a/crates/oliveworks-gateway/src/leader.rs
+++ b/crates/oliveworks-gateway/src/leader.rs
@@ -92,7 +92,7 @@
         }
         for model in planner.models() {
             let key = ModelKey::of(service, &model.name);
-            let refused = gateway.demand.borrow().refused_part(gateway.now(), key);
+            let refused = gateway.demand.borrow().refused_fraction(gateway.now(), key);
             Event::new("model")
                 .with("model", model.name.as_str())
                 .with("demand_percent", percent(planner.demand(&model.name)))
@@ -245,7 +245,7 @@
         let key = ModelKey::of(service, &model);
         let load = ModelLoad {
             open_per_slot: f64::from(serving.outstanding) / f64::from(serving.slots.max(1)),
-            refused_part: gateway.demand.borrow().refused_part(now, key),
+            refused_part: gateway.demand.borrow().refused_fraction(now, key),
         };
         planner.record_load(now, &model, load, serving.groups);
     }
--- a/crates/oliveworks-gateway/src/peer_replay.rs
+++ b/crates/oliveworks-gateway/src/peer_replay.rs
@@ -241,7 +241,7 @@
     Some(answer)
 }
 
-/// Returns whether an answer tells the asking gateway something that it does not know.
+/// Returns whether an answer has news for the asking gateway: records, or a younger proof.
 fn has_news(question: &Question, answer: &Answer) -> bool {
     let has_younger_proof = answer.proof_age_ms.is_some_and(|age_ms| {
         question.proof_age_ms.is_none_or(|known_ms| age_ms + YOUNGER_PROOF_MS < known_ms)
--- a/crates/oliveworks-gateway/src/places.rs
+++ b/crates/oliveworks-gateway/src/places.rs
@@ -70,7 +70,7 @@
     pub fn is_leaving(&self, server: &str) -> bool {
         let directory = self.directory.borrow();
         directory.get(server).is_some_and(|server| server.draining)
-            || self.missing.borrow().has_gone(server)
+            || self.missing.borrow().is_gone(server)
     }
 
     /// Returns the heads of the groups that serve a model.
--- a/crates/oliveworks-gateway/src/planned_services.rs
+++ b/crates/oliveworks-gateway/src/planned_services.rs
@@ -30,7 +30,7 @@
         self.table.borrow().groups.iter().filter(|group| group.service == service).count()
     }
 
-    fn is_served(&self, service: &str, model: &str) -> bool {
+    fn has_serving_group(&self, service: &str, model: &str) -> bool {
         let table = self.table.borrow();
         table.groups.iter().any(|group| group.service == service && group.model == model)
     }
@@ -68,7 +68,7 @@
             let engine = service.engine.iter();
             engine.flat_map(|engine| &engine.models).map(|model| (&service.name, &model.name))
         });
-        models.filter(|(service, model)| !self.is_served(service, model)).count()
+        models.filter(|(service, model)| !self.has_serving_group(service, model)).count()
     }
 }
 
--- a/crates/oliveworks-gateway/src/process.rs
+++ b/crates/oliveworks-gateway/src/process.rs
@@ -42,7 +42,7 @@
     /// Installs the handlers.
     ///
     /// # Errors
-    /// Returns an error if the system rejects a handler.
+    /// Returns an error if the operating system rejects a signal handler.
     pub fn install() -> io::Result<Signals> {
         let terminate = signal(SignalKind::terminate())?;
         let hang_up = signal(SignalKind::hangup())?;
--- a/crates/oliveworks-gateway/src/rate_limits.rs
+++ b/crates/oliveworks-gateway/src/rate_limits.rs
@@ -219,7 +219,7 @@
     /// Processes the answer of a limiter.
     pub fn permit_answered(&self, answer: Answer) {
         self.record_reported_limit(answer.limit);
-        self.rate_limits.borrow_mut().answered(self.now(), answer);
+        self.rate_limits.borrow_mut().apply_answer(self.now(), answer);
         if answer.grant == Grant::Permit {
             self.permits_received.notify_waiters();
         }
--- a/crates/oliveworks-gateway/src/relay/placing.rs
+++ b/crates/oliveworks-gateway/src/relay/placing.rs
@@ -24,7 +24,7 @@
 const POLL_INTERVAL_MS: u64 = 15;
 
 impl Job<'_> {
-    fn all_places(&self) -> Vec<Place> {
+    fn candidate_places(&self) -> Vec<Place> {
         match &self.model {
             Some(model) => self.gateway.group_places(&self.service, model),
             None => self.gateway.plain_places(&self.service),
@@ -176,7 +176,7 @@
         let began = self.gateway.now();
         let until = (began + max_wait_ms).min(self.deadline);
         loop {
-            let all = self.all_places();
+            let all = self.candidate_places();
             let places =
                 self.gateway.divide_places(&self.service, all, self.allowed(), &self.tried_targets);
             let no_place = match self.choose_for_suspect(&places.eligible, is_resumed, standing) {
--- a/crates/oliveworks-gateway/src/relay/sending.rs
+++ b/crates/oliveworks-gateway/src/relay/sending.rs
@@ -167,7 +167,7 @@
             return Ok(Repeat { gateway, service: None });
         }
         let now = gateway.now();
-        let sharers = gateway.members.borrow().sharers(now);
+        let sharers = gateway.members.borrow().sharing_gateways(now);
         match gateway.budget.borrow_mut().take(now, &self.service, sharers) {
             true => Ok(Repeat { gateway, service: Some(self.service.clone()) }),
             false => Err(Rejection::NoRepeatLeft),
--- a/crates/oliveworks-gateway/src/state.rs
+++ b/crates/oliveworks-gateway/src/state.rs
@@ -109,7 +109,7 @@
     pub freshness: Cell<Freshness>,
     /// Backend servers listed by the platform.
     pub directory: RefCell<Directory>,
-    /// Time up to which the store's list of backend servers is known.
+    /// Time as of which this gateway knows the store's list of backend servers.
     pub list_read_at: Cell<Millis>,
     /// Age of the list of backend servers. Unlike `list_read_at`, a list from another gateway counts
     /// from that gateway's read of the list, not from its last answer of the store.
--- a/crates/oliveworks-lab/src/fleet/world.rs
+++ b/crates/oliveworks-lab/src/fleet/world.rs
@@ -386,7 +386,7 @@
 
     fn receive(&mut self, to: usize, message: Message) {
         match message {
-            Message::Beat(beat) => self.receive_beat(to, beat),
+            Message::Beat(beat) => self.receive_heartbeat(to, beat),
             Message::Introduction(names) => {
                 let count = self.gateways[to].peers.len();
                 self.record_names(to, &names);
@@ -397,7 +397,7 @@
         }
     }
 
-    fn receive_beat(&mut self, to: usize, beat: Beat) {
+    fn receive_heartbeat(&mut self, to: usize, beat: Beat) {
         let now = self.now;
         if (CALM_FROM_MS..FAULT_AT_MS).contains(&now) {
             self.beats_in_calm += 1;
--- a/crates/oliveworks-lab/src/prove/check.rs
+++ b/crates/oliveworks-lab/src/prove/check.rs
@@ -55,7 +55,7 @@
 }
 
 impl Checker {
-    /// Records a breach.
+    /// Records that an invariant was violated in the current step.
     pub fn breach(&mut self, invariant: &'static str, detail: String) {
         self.breaches.push(Breach { step: self.step, invariant, detail });
     }
--- a/crates/oliveworks-lab/src/prove/faults.rs
+++ b/crates/oliveworks-lab/src/prove/faults.rs
@@ -181,7 +181,7 @@
                 Some((vec![node], long))
             }
             Fault::Split => {
-                let nodes = self.split();
+                let nodes = self.partition_network();
                 Some((nodes, long))
             }
             Fault::LogDown => {
@@ -266,7 +266,7 @@
         Some((vec![node], duration_ms))
     }
 
-    fn split(&mut self) -> Vec<Node> {
+    fn partition_network(&mut self) -> Vec<Node> {
         let hosts = (0..MODEL_HOSTS + SERVICE_HOSTS).map(|h| Node::Agent(HostId(h)));
         let all: Vec<Node> =
             hosts.chain((0..ENTRIES).map(Node::Entry)).chain([Node::Log]).collect();
--- a/crates/oliveworks-lab/src/prove/world.rs
+++ b/crates/oliveworks-lab/src/prove/world.rs
@@ -153,7 +153,7 @@
     pub rng: ChaCha8Rng,
     /// Network between the nodes.
     pub net: Network,
-    /// Log of the platform.
+    /// The platform's append-only log.
     pub log: Log,
     /// Clocks of the processes.
     pub clocks: BTreeMap<Node, Clock>,
--- a/crates/oliveworks-net/src/keys.rs
+++ b/crates/oliveworks-net/src/keys.rs
@@ -45,7 +45,7 @@
 }
 
 impl Authority {
-    /// Generates a new authority.
+    /// Creates an authority with a key of its own.
     ///
     /// # Errors
     /// Returns an error if no key can be generated.
